--- /dev/null
+++ b/Makefile
@@ -0,0 +1,54 @@
+MODULES := api coordination azurepointd azurepoint platformd endpointd demo measure
+TOOLS := $(CURDIR)/.tools
+GOLANGCI_LINT_VERSION := v2.12.2
+OGEN_VERSION := v1.25.0
+PROTOC_GEN_GO_VERSION := v1.36.11
+TWIRP_VERSION := v8.1.3+incompatible
+PROGRAMS := azurepointd azurepoint platformd endpointd demo measure
+SEEDS ?= 1
+
+.PHONY: all build test race vet lint format generate demo prove measure capacity fuzz clean
+
+all: build
+
+build:
+	@mkdir -p bin
+	@for p in $(PROGRAMS); do go build -o bin/ ./$$p || exit 1; done
+
+# Runs every test of every module.
+test:
+	@for m in $(MODULES); do (cd $$m && go test ./...) || exit 1; done
+
+race:
+	@for m in $(MODULES); do (cd $$m && go test -race ./...) || exit 1; done
+
+vet:
+	@for m in $(MODULES); do (cd $$m && go vet ./...) || exit 1; done
+
+lint: $(TOOLS)/golangci-lint-$(GOLANGCI_LINT_VERSION)
+	@for m in $(MODULES); do (cd $$m && $< run --config ../.golangci.yml ./...) || exit 1; done
+
+format: $(TOOLS)/golangci-lint-$(GOLANGCI_LINT_VERSION)
+	@for m in $(MODULES); do (cd $$m && $< fmt --config ../.golangci.yml ./...) || exit 1; done
+
+$(TOOLS)/golangci-lint-$(GOLANGCI_LINT_VERSION):
+	@mkdir -p $(TOOLS)
+	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+	@mv $(TOOLS)/golangci-lint $@
+
+# Generated code is committed; this needs protoc on the path.
+generate:
+	@mkdir -p $(TOOLS)
+	GOBIN=$(TOOLS) go install github.com/ogen-go/ogen/cmd/ogen@$(OGEN_VERSION)
+	GOBIN=$(TOOLS) go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
+	GOBIN=$(TOOLS) go install github.com/twitchtv/twirp/protoc-gen-twirp@$(TWIRP_VERSION)
+	cd api && for a in caller operator endpoint; do $(TOOLS)/ogen --target $${a}api --package $${a}api --clean $$a.yaml || exit 1; done
+	cd api && PATH=$(TOOLS):$$PATH protoc --go_out=. --go_opt=module=github.com/azurepoint/azurepoint/api \
+		--twirp_out=. --twirp_opt=module=github.com/azurepoint/azurepoint/api peer.proto
+
+# Starts the processes on loopback, sends requests and checks the properties.
+demo: build
+	bin/demo --bin bin
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/coordination/platform/doc.go
@@ -0,0 +1,3 @@
+// Package platform speaks to the platform's key-value service and reads its
+// list of live and leaving instances.
+package platform
