Exchange heartbeats between entries and find the owner of a duty

Entries of a data centre exchange heartbeats with each other and one relay exchanges them with each other data centre, so the number of messages between data centres grows with data centres and not with entries. Calls to an entry end when it is lost, because a frozen peer answers nothing and its connection stays open.

--- /dev/null
+++ b/azurepointd/internal/peer/directory_test.go
@@ -0,0 +1,144 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/azurepoint/azurepoint/api/peerrpc"
+	"github.com/azurepoint/azurepoint/coordination/membership"
+)
+
+const testSecret = "secret of the test's entries"
+
+// testEntry is a directory behind a real listener that can be cut off.
+type testEntry struct {
+	*Directory
+	peerrpc.Peer
+	cut    atomic.Bool
+	server *httptest.Server
+	cancel context.CancelFunc
+}
+
+func (e *testEntry) Heartbeat(ctx context.Context, m *peerrpc.HeartbeatMessage) (*peerrpc.HeartbeatMessage, error) {
+	return e.Directory.Heartbeat(ctx, m)
+}
+
+func startEntry(t *testing.T, name, dataCentre string, join ...string) *testEntry {
+	t.Helper()
+	e := &testEntry{}
+	handler := Handler(e, testSecret)
+	e.server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.cut.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		handler.ServeHTTP(w, r)
+	}))
+	e.server.Config.Protocols = Protocols()
+	e.server.Start()
+	ctx, cancel := context.WithCancel(t.Context())
+	e.cancel = cancel
+	e.Directory = &Directory{
+		Name: name, DataCentre: dataCentre, Incarnation: 1, Secret: testSecret, Join: join,
+		Address:  strings.TrimPrefix(e.server.URL, "http://"),
+		Interval: 20 * time.Millisecond, Lifetime: 400 * time.Millisecond,
+	}
+	ended := e.Run(ctx)
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+		e.server.CloseClientConnections()
+		e.server.Close()
+	})
+	return e
+}
+
+func names(entries []membership.Entry) string {
+	var all []string
+	for _, e := range entries {
+		all = append(all, e.Name)
+	}
+	return strings.Join(all, " ")
+}
+
+func waitFor(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for !condition() {
+		if t.Context().Err() != nil {
+			t.Fatalf("test ended before: %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// Guards against entries that never find each other through one join address,
+// and against owners on which the entries of a data centre disagree.
+func TestEntriesFindEachOtherAndAgreeOnOwners(t *testing.T) {
+	a := startEntry(t, "a1", "a")
+	b := startEntry(t, "a2", "a", a.Address)
+	c := startEntry(t, "b1", "b", b.Address)
+	d := startEntry(t, "b2", "b", c.Address)
+	for _, e := range []*testEntry{a, b, c, d} {
+		waitFor(t, e.Name+" sees all", func() bool {
+			return names(e.Remote("a")) == "a1 a2" && names(e.Remote("b")) == "b1 b2"
+		})
+	}
+	for _, duty := range []string{"changes", "pool/cover", "pool/payroll"} {
+		if a.Owner(duty).Name != b.Owner(duty).Name {
+			t.Errorf("owner of %s: a1 says %s, a2 says %s", duty, a.Owner(duty).Name, b.Owner(duty).Name)
+		}
+	}
+}
+
+// Guards against a lost entry that keeps its duties, and against two sides of a
+// cut that stay apart after it heals.
+func TestCutEntryLosesDutiesAndComesBack(t *testing.T) {
+	a := startEntry(t, "a1", "a")
+	b := startEntry(t, "a2", "a", a.Address)
+	waitFor(t, "both live", func() bool { return names(a.Live()) == "a1 a2" && names(b.Live()) == "a1 a2" })
+	a.cut.Store(true)
+	b.cut.Store(true)
+	waitFor(t, "both alone", func() bool { return names(a.Live()) == "a1" && names(b.Live()) == "a2" })
+	if _, err := a.Dial("a2", 0); err == nil {
+		t.Error("a lost entry can still be dialled")
+	}
+	if owner := a.Owner("changes").Name; owner != "a1" {
+		t.Errorf("duty still belongs to %s", owner)
+	}
+	a.cut.Store(false)
+	b.cut.Store(false)
+	waitFor(t, "both live again", func() bool { return names(a.Live()) == "a1 a2" && names(b.Live()) == "a1 a2" })
+}
+
+// Guards against calls that reach a later incarnation of the entry they meant.
+func TestDialChecksTheIncarnation(t *testing.T) {
+	a := startEntry(t, "a1", "a")
+	startEntry(t, "a2", "a", a.Address)
+	waitFor(t, "both live", func() bool { return names(a.Live()) == "a1 a2" })
+	if _, err := a.Dial("a2", 1); err != nil {
+		t.Errorf("right incarnation: %v", err)
+	}
+	if _, err := a.Dial("a2", 2); err == nil {
+		t.Error("dialled an incarnation that does not exist")
+	}
+}
+
+// Guards against a peer service open to callers without the secret.
+func TestWrongSecretIsRefused(t *testing.T) {
+	a := startEntry(t, "a1", "a")
+	stranger := newConnection(a.Address, "another secret")
+	defer stranger.drop()
+	_, err := stranger.client.Heartbeat(t.Context(), &peerrpc.HeartbeatMessage{
+		Sender: &peerrpc.PeerInfo{Name: "x", DataCentre: "a", Incarnation: 1, Address: "127.0.0.1:1"},
+	})
+	if err == nil {
+		t.Error("heartbeat with a wrong secret was answered")
+	}
+	if live := names(a.Live()); live != "a1" {
+		t.Errorf("live entries: %s", live)
+	}
+}
--- /dev/null
+++ b/azurepointd/internal/peer/heartbeat.go
@@ -0,0 +1,285 @@
+package peer
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/azurepoint/azurepoint/api/peerrpc"
+	"github.com/azurepoint/azurepoint/coordination/membership"
+)
+
+const (
+	// relayDuty is the duty of exchanging heartbeats with other data centres, so
+	// that their number grows with data centres and not with entries.
+	relayDuty = "relay"
+	// remoteGraceBeats is how many heartbeats news of another data centre may
+	// need on its way through the two relays.
+	remoteGraceBeats = 6
+	// discoverEvery is the interval between calls of Discover.
+	discoverEvery = 10 * time.Second
+)
+
+// Run sends heartbeats until the context ends; the channel then gets nil.
+func (d *Directory) Run(ctx context.Context) <-chan error {
+	ended := make(chan error, 1)
+	go func() {
+		ticker := time.NewTicker(d.interval())
+		defer ticker.Stop()
+		for {
+			d.beat(ctx)
+			select {
+			case <-ctx.Done():
+				d.end()
+				ended <- nil
+				return
+			case <-ticker.C:
+			}
+		}
+	}()
+	return ended
+}
+
+// Announce sends one heartbeat to all and waits for the answers; a planned stop
+// uses it to tell that this entry is leaving.
+func (d *Directory) Announce(ctx context.Context) {
+	done := d.sendAll(ctx)
+	for range cap(done) {
+		<-done
+	}
+}
+
+// Heartbeat answers the heartbeat of another entry with the own view.
+func (d *Directory) Heartbeat(_ context.Context, m *peerrpc.HeartbeatMessage) (*peerrpc.HeartbeatMessage, error) {
+	d.absorb(m)
+	return d.message(), nil
+}
+
+func (d *Directory) end() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range d.connections {
+		c.drop()
+	}
+}
+
+// beat sends a round of heartbeats without waiting for slow entries.
+func (d *Directory) beat(ctx context.Context) {
+	d.discover(ctx)
+	d.sendAll(ctx)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	d.dropLost(now)
+	metrics.GetOrRegisterGauge("peer.live", nil).Update(int64(len(d.view.Live(d.DataCentre, now))))
+}
+
+// sendAll sends a heartbeat to each target; the channel's capacity is the
+// number of targets, each of which sends once when it is done.
+func (d *Directory) sendAll(ctx context.Context) (done chan struct{}) {
+	targets := d.targets()
+	done = make(chan struct{}, len(targets))
+	for _, t := range targets {
+		go func() {
+			d.exchange(ctx, t.client)
+			if t.transient {
+				t.drop()
+			}
+			done <- struct{}{}
+		}()
+	}
+	return done
+}
+
+func (d *Directory) exchange(ctx context.Context, client peerrpc.Peer) {
+	// A heartbeat older than the lifetime no longer proves that its sender lives.
+	ctx, cancel := context.WithTimeout(ctx, d.lifetime())
+	defer cancel()
+	reply, err := client.Heartbeat(ctx, d.message())
+	if err != nil {
+		metrics.GetOrRegisterCounter("peer.heartbeatsFailed", nil).Inc(1)
+		return
+	}
+	d.absorb(reply)
+}
+
+// target is a connection to send a heartbeat on; a transient one serves only
+// this heartbeat, because no live entry is known at its address.
+type target struct {
+	*connection
+	transient bool
+}
+
+// targets returns where to send heartbeats: all known entries of the data
+// centre, one entry of each other data centre if this entry is the relay, and
+// addresses to greet that no live entry has.
+func (d *Directory) targets() (targets []target) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	d.view.Observe(d.self(now), now)
+	addresses := []string{d.Address}
+	add := func(e membership.Entry) {
+		addresses = append(addresses, e.Address)
+		if e.Alive(now) {
+			targets = append(targets, target{connection: d.connect(e)})
+			return
+		}
+		targets = append(targets, target{connection: newConnection(e.Address, d.Secret), transient: true})
+	}
+	for _, e := range d.view.All() {
+		if e.Name != d.Name && e.DataCentre == d.DataCentre {
+			add(e)
+		}
+	}
+	for _, e := range d.remoteRelays(now) {
+		add(e)
+	}
+	for _, address := range append(slices.Clone(d.Join), d.greeted...) {
+		if !slices.Contains(addresses, address) && !d.knows(address, now) {
+			add(membership.Entry{Address: address})
+		}
+	}
+	return targets
+}
+
+// remoteRelays returns one entry of each other data centre if this entry is the
+// relay of its own.
+func (d *Directory) remoteRelays(now time.Time) (relays []membership.Entry) {
+	own, _ := d.view.Owner(d.DataCentre, relayDuty, now)
+	if own.Name != d.Name {
+		return nil
+	}
+	for _, name := range d.view.DataCentres() {
+		if e, found := d.remoteRelay(name, now); found && name != d.DataCentre {
+			relays = append(relays, e)
+		}
+	}
+	return relays
+}
+
+// remoteRelay picks the entry of another data centre to exchange with; after a
+// cut, when none counts as live, it tries the known ones in turn.
+func (d *Directory) remoteRelay(dataCentre string, now time.Time) (e membership.Entry, found bool) {
+	if e, found = d.view.Owner(dataCentre, relayDuty, now); found {
+		return e, true
+	}
+	var known []membership.Entry
+	for _, k := range d.view.All() {
+		if k.DataCentre == dataCentre {
+			known = append(known, k)
+		}
+	}
+	if len(known) == 0 {
+		return e, false
+	}
+	turn := now.UnixMilli() / d.interval().Milliseconds()
+	return known[int(turn%int64(len(known)))], true
+}
+
+func (d *Directory) knows(address string, now time.Time) bool {
+	return slices.ContainsFunc(d.view.All(), func(e membership.Entry) bool {
+		return e.Address == address && e.Alive(now)
+	})
+}
+
+// discover refreshes the addresses to greet from outside the view.
+func (d *Directory) discover(ctx context.Context) {
+	d.mu.Lock()
+	due := d.Discover != nil && !time.Now().Before(d.discoverAt)
+	if due {
+		d.discoverAt = time.Now().Add(discoverEvery)
+	}
+	d.mu.Unlock()
+	if !due {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, discoverEvery)
+		defer cancel()
+		addresses, err := d.Discover(ctx)
+		if err != nil {
+			return
+		}
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.greeted = addresses
+	}()
+}
+
+func (d *Directory) message() *peerrpc.HeartbeatMessage {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	m := &peerrpc.HeartbeatMessage{Sender: toInfo(d.self(now))}
+	for _, e := range d.view.All() {
+		if e.Name != d.Name && e.Alive(now) {
+			m.Peers = append(m.Peers, toInfo(e))
+		}
+	}
+	return m
+}
+
+// absorb takes in what another entry said of itself and of others.
+func (d *Directory) absorb(m *peerrpc.HeartbeatMessage) {
+	if m.GetSender().GetName() == "" {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	sender := fromInfo(m.Sender)
+	sender.AliveUntil = now.Add(d.lifetime())
+	d.observe(sender, now)
+	for _, info := range m.Peers {
+		d.absorbHearsay(fromInfo(info), sender, now)
+	}
+	d.dropLost(now)
+}
+
+// absorbHearsay takes in an entry that the sender has heard. An entry of the own
+// data centre is only contacted, since its own heartbeats decide whether it is
+// live; one of another data centre counts as live by the relays' word.
+func (d *Directory) absorbHearsay(e, sender membership.Entry, now time.Time) {
+	limit := now.Add(d.lifetime() + remoteGraceBeats*d.interval())
+	switch e.DataCentre {
+	case d.DataCentre:
+		if known, found := d.view.Find(e.Name); found && known.Incarnation >= e.Incarnation {
+			return
+		}
+		e.AliveUntil = now
+	case sender.DataCentre:
+		e.AliveUntil = e.AliveUntil.Add(remoteGraceBeats * d.interval())
+	}
+	if e.AliveUntil.After(limit) {
+		// The sender's clock may be ahead of ours.
+		e.AliveUntil = limit
+	}
+	d.observe(e, now)
+}
+
+func toInfo(e membership.Entry) *peerrpc.PeerInfo {
+	return &peerrpc.PeerInfo{
+		Name:                 e.Name,
+		DataCentre:           e.DataCentre,
+		Incarnation:          e.Incarnation,
+		Address:              e.Address,
+		Version:              e.Version,
+		Leaving:              e.Leaving,
+		AliveUntilUnixMillis: e.AliveUntil.UnixMilli(),
+	}
+}
+
+func fromInfo(i *peerrpc.PeerInfo) membership.Entry {
+	return membership.Entry{
+		Name:        i.GetName(),
+		DataCentre:  i.GetDataCentre(),
+		Incarnation: i.GetIncarnation(),
+		Address:     i.GetAddress(),
+		Version:     i.GetVersion(),
+		Leaving:     i.GetLeaving(),
+		AliveUntil:  time.UnixMilli(i.GetAliveUntilUnixMillis()),
+	}
+}
