--- /dev/null
+++ b/demo/internal/cli/check.go
@@ -0,0 +1,79 @@
+package cli
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/azurepoint/azurepoint/api/callerapi"
+	"github.com/azurepoint/azurepoint/demo/internal/caller"
+	"github.com/azurepoint/azurepoint/demo/internal/endpoint"
+)
+
+// Counts are the totals of the demo's last line.
+type Counts struct {
+	Sent       int
+	Done       int
+	NotRun     int
+	Unknown    int
+	Doubled    int
+	Lost       int
+	MovesDone  int
+	DrainsDone int
+}
+
+// String returns the last line of the demo.
+func (c Counts) String() string {
+	return fmt.Sprintf("demo: sent=%d done=%d notRun=%d unknown=%d doubled=%d lost=%d movesDone=%d drainsDone=%d",
+		c.Sent, c.Done, c.NotRun, c.Unknown, c.Doubled, c.Lost, c.MovesDone, c.DrainsDone)
+}
+
+// check compares what the callers were told with what the endpoints ran. A
+// request counts as lost when its caller was told done without a finished run or
+// with another answer, and a violation is also a caller told not run although
+// the request started.
+func check(records []caller.Record, events []endpoint.Event) (c Counts, violations []string) {
+	starts := make(map[string]int)
+	ends := make(map[string]string)
+	for _, e := range events {
+		key, _, _ := strings.Cut(e.Task, taskSeparator)
+		switch {
+		case e.Kind == endpoint.Started:
+			starts[key]++
+		case e.Kind == endpoint.Ended && e.State == endpoint.StateDone:
+			ends[key] = e.Answer
+		}
+	}
+	c.Sent = len(records)
+	for _, r := range records {
+		violations = append(violations, checkRecord(&c, r, starts[r.Key], ends)...)
+	}
+	return c, violations
+}
+
+func checkRecord(c *Counts, r caller.Record, starts int, ends map[string]string) (violations []string) {
+	report := func(format string, values ...any) {
+		violations = append(violations, fmt.Sprintf("request %s: ", r.Key)+fmt.Sprintf(format, values...))
+	}
+	if starts > 1 && !r.Kind.Repeatable {
+		c.Doubled++
+		report("started %d times but may not be repeated", starts)
+	}
+	switch r.State {
+	case callerapi.OutcomeStateDone:
+		c.Done++
+		answer, ran := ends[r.Key]
+		if !ran || answer != r.Answer || !strings.Contains(answer, r.Payload) {
+			c.Lost++
+			report("caller was told done with %q, endpoint answered %q", r.Answer, answer)
+		}
+	case callerapi.OutcomeStateNotRun:
+		c.NotRun++
+		if starts > 0 {
+			c.Lost++
+			report("caller was told not run (%s) but it started", r.Reason)
+		}
+	default:
+		c.Unknown++
+	}
+	return violations
+}
--- /dev/null
+++ b/demo/internal/endpoint/doc.go
@@ -0,0 +1,2 @@
+// Package endpoint reads from the stand-in endpoints what they really ran.
+package endpoint
--- /dev/null
+++ b/demo/internal/operator/client.go
@@ -0,0 +1,79 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/azurepoint/azurepoint/api/operatorapi"
+)
+
+// callTimeout bounds one call; a change waits until it is in force.
+const callTimeout = 10 * time.Second
+
+// Client asks one entry after another until one answers.
+type Client struct {
+	Entries []string
+	Secret  string
+}
+
+// secretSource gives the bearer token to the generated client.
+type secretSource string
+
+// Secret returns the bearer token of an operator.
+func (s secretSource) Secret(context.Context, operatorapi.OperationName) (operatorapi.Secret, error) {
+	return operatorapi.Secret{Token: string(s)}, nil
+}
+
+// Run runs statements under an identifier, so that asking the next entry after a
+// lost answer cannot apply a change twice.
+func (c *Client) Run(ctx context.Context, id, text string) (reply *operatorapi.Reply, err error) {
+	request := &operatorapi.Statements{
+		Text:   text,
+		ID:     operatorapi.NewOptString(id),
+		Author: operatorapi.NewOptString("demo"),
+	}
+	for _, address := range c.Entries {
+		reply, err = c.ask(ctx, address, request)
+		var refusal *operatorapi.ErrorStatusCode
+		if err == nil || errors.As(err, &refusal) {
+			break
+		}
+	}
+	if err != nil {
+		return nil, errors.Wrapf(err, "operator: %q", text)
+	}
+	if fate, set := reply.Change.Get(); set && fate.State != operatorapi.ChangeStateApplied {
+		return reply, fmt.Errorf("operator: %q is %s: %s", text, fate.State, fate.Reason.Value)
+	}
+	return reply, nil
+}
+
+func (c *Client) ask(ctx context.Context, address string, request *operatorapi.Statements) (reply *operatorapi.Reply, err error) {
+	client, err := operatorapi.NewClient("http://"+address, secretSource(c.Secret),
+		operatorapi.WithClient(&http.Client{Timeout: callTimeout}))
+	if err != nil {
+		return nil, err
+	}
+	return client.RunStatements(ctx, request)
+}
+
+// Cell returns the cell of a table's row that begins with a name, by column.
+func Cell(reply *operatorapi.Reply, name, column string) (cell string, found bool) {
+	for _, t := range reply.Tables {
+		for _, r := range t.Rows {
+			if len(r.Cells) == 0 || r.Cells[0] != name {
+				continue
+			}
+			for i, title := range t.Columns {
+				if title == column && i < len(r.Cells) {
+					return r.Cells[i], true
+				}
+			}
+		}
+	}
+	return "", false
+}
