Read and check the daemon's settings as a whole

The daemon needs its addresses, names, secrets and limits before it starts, and an operator should not meet the faults of a file one restart at a time. Load reports unknown sections and keys, repeated keys, wrong units, values out of range and combinations that cannot work in one error. Secrets print as a placeholder. azurepointd.ini is an example with every key and its default.

--- /dev/null
+++ b/azurepointd/internal/settings/settings_test.go
@@ -0,0 +1,252 @@
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/go-faster/errors"
+)
+
+const minimal = `
+[entry]
+name = entry-1
+dataCentre = north
+[listen]
+caller = 10.0.0.1:7000
+operator = 10.0.0.1:7001
+peer = 10.0.0.1:7002
+[peers]
+secret = sixteen-letters-1
+[platform]
+address = 10.0.0.9:8500
+[operators]
+secret = sixteen-letters-2
+`
+
+func write(t *testing.T, text string) (path string) {
+	t.Helper()
+	path = filepath.Join(t.TempDir(), "a.ini")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// problems returns the lines that Load reports, without the first one.
+func problems(t *testing.T, text string) (lines []string) {
+	t.Helper()
+	_, err := Load(write(t, text))
+	if err == nil {
+		return nil
+	}
+	var check *CheckError
+	if !errors.As(err, &check) {
+		t.Fatalf("not a CheckError: %v", err)
+	}
+	for _, p := range check.Problems {
+		lines = append(lines, p.String())
+	}
+	return lines
+}
+
+// Guards against an example file that the daemon refuses, and against comments
+// in it that state other defaults than the code.
+func TestExampleHoldsDefaults(t *testing.T) {
+	s, err := Load("../../azurepointd.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := Defaults()
+	want.Entry, want.Listen, want.Peers.Join = s.Entry, s.Listen, s.Peers.Join
+	want.Peers.Secret, want.Operators.Secret = s.Peers.Secret, s.Operators.Secret
+	want.Platform.Address = s.Platform.Address
+	if fmt.Sprintf("%+v", s) != fmt.Sprintf("%+v", want) {
+		t.Errorf("got  %+v\nwant %+v", s, want)
+	}
+	text, err := os.ReadFile("../../azurepointd.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, k := range keys() {
+		if !strings.Contains(string(text), "\n"+k.name.Key+" = ") && k.name.Key != "secretFile" {
+			t.Errorf("%s is not in the example", k.name)
+		}
+	}
+}
+
+// Guards against a daemon that needs more than names, addresses and secrets.
+func TestMinimalFile(t *testing.T) {
+	s, err := Load(write(t, minimal))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Limits.ClockError != Defaults().Limits.ClockError || s.Entry.DataCentre != "north" {
+		t.Errorf("unexpected settings %+v", s)
+	}
+	if err = Check(s); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against faults that show up one restart after the other.
+func TestEveryFaultAtOnce(t *testing.T) {
+	got := problems(t, `
+stray = 1
+[entry]
+name = Entry 1
+datacentre = north
+[listen]
+caller = 10.0.0.1:7000
+operator = 0.0.0.0:7000
+peer = localhost:7002
+[peers]
+join = 10.0.0.1:7002, 10.0.0.2
+secret = short
+heartbeat = 500
+lifetime = 1s
+lifetime = 2s
+[platform]
+timeout = 2 seconds
+[operators]
+secretFile = missing.secret
+[requests]
+maxOpen = 10ms
+retryFraction = NaN
+copies = 3
+[dispatch]
+longestGrant = 1h
+[limits]
+clockError = 0
+[log]
+level = loud
+[extra]
+key = 1
+`)
+	want := []string{
+		"[DEFAULT] stray: key outside of the known sections",
+		"[entry] datacentre: unknown key",
+		"[entry] dataCentre: is required",
+		"[entry] name: \"Entry 1\" is not a name: 1 to 64 characters of a-z, 0-9, '.' and '-'",
+		"[extra]: unknown section",
+		`[limits] clockError: "0" is not a time with its unit, such as 250ms, 10s or 5m`,
+		`[listen] operator: must not equal [listen] caller`,
+		`[listen] peer: "localhost:7002" is not an IP:port, such as 10.0.0.1:7000 or [fd00::1]:7000`,
+		`[log] level: "loud" is not one of debug info warn error`,
+		"[operators] secretFile: stat missing.secret: no such file or directory",
+		`[peers] heartbeat: "500" is not a time with its unit, such as 250ms, 10s or 5m`,
+		`[peers] join: "10.0.0.2" is not an IP:port, such as 10.0.0.1:7000 or [fd00::1]:7000`,
+		"[peers] lifetime: set more than once",
+		"[peers] secret: has 5 characters, the least is 16",
+		"[platform] address: is required, as IP:port",
+		`[platform] timeout: "2 seconds" is not a time with its unit, such as 250ms, 10s or 5m`,
+		"[requests] copies: 3 is not between 1 and 2",
+		"[requests] keyLifetime: must be above [dispatch] longestGrant (1h0m0s)",
+		`[requests] maxOpen: "10ms" is not a whole number without a unit`,
+		"[requests] retryFraction: NaN is not between 0 and 1",
+	}
+	// keyLifetime depends on clockError, which has no usable value here.
+	want = slices.DeleteFunc(want, func(l string) bool { return strings.HasPrefix(l, "[requests] keyLifetime") })
+	for i := range got {
+		if before, _, found := strings.Cut(got[i], "stat "); found {
+			got[i] = before + "stat missing.secret: no such file or directory"
+		}
+	}
+	slices.Sort(got)
+	slices.Sort(want)
+	if !slices.Equal(got, want) {
+		t.Errorf("got:\n%s\nwant:\n%s", strings.Join(got, "\n"), strings.Join(want, "\n"))
+	}
+}
+
+// Guards against values that are fine one by one but cannot work together.
+func TestImpossibleCombinations(t *testing.T) {
+	for _, c := range []struct {
+		change func(s *Settings)
+		want   Name
+	}{
+		{func(s *Settings) { s.Listen.Peer = s.Listen.Caller }, peerName},
+		{func(s *Settings) { s.Listen.Operator = s.Listen.Caller }, operatorName},
+		{func(s *Settings) { s.Listen.Operator = s.Listen.Peer }, operatorName},
+		{func(s *Settings) { s.Listen.Peer = netip.MustParseAddrPort("[::]:7002") }, peerName},
+		{func(s *Settings) { s.Peers.Join = []netip.AddrPort{s.Listen.Caller} }, joinName},
+		{func(s *Settings) { s.Peers.Join = []netip.AddrPort{s.Listen.Operator} }, joinName},
+		{func(s *Settings) { s.Platform.Address = s.Listen.Peer }, Name{"platform", "address"}},
+		{func(s *Settings) { s.Operators.Secret = s.Peers.Secret }, Name{"operators", "secret"}},
+		{func(s *Settings) { s.Peers.Lifetime = 2 * s.Peers.Heartbeat }, Name{"peers", "lifetime"}},
+		{func(s *Settings) { s.Limits.ClockError = s.Peers.Lifetime }, Name{"peers", "lifetime"}},
+		{func(s *Settings) { s.Dispatch.LongestGrant = grantMargin + s.Limits.ClockError }, grantName},
+		{func(s *Settings) { s.Requests.KeyLifetime = s.Dispatch.LongestGrant }, Name{"requests", "keyLifetime"}},
+		{func(s *Settings) { s.Upkeep.RebootDeadline = s.Upkeep.FailedAfter / 2 }, Name{"upkeep", "rebootDeadline"}},
+	} {
+		s, err := Load(write(t, minimal))
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.change(&s)
+		var check *CheckError
+		if err = Check(s); !errors.As(err, &check) || check.Problems[0].Name != c.want {
+			t.Errorf("want a problem of %s, got %v", c.want, err)
+		}
+	}
+}
+
+// Guards against an entry that joins itself, a secret file that is read with its
+// line end or from the wrong directory, and secrets in logs.
+func TestSecretFileAndOwnAddress(t *testing.T) {
+	text := strings.Replace(minimal, "secret = sixteen-letters-1",
+		"secretFile = peers.secret ; comment\njoin = 10.0.0.1:7002,10.0.0.2:7002", 1)
+	path := write(t, text)
+	if err := os.WriteFile(filepath.Join(filepath.Dir(path), "peers.secret"), []byte("from a file; 16 or more#\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s, err := Load(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(s.Peers.Secret) != "from a file; 16 or more#" {
+		t.Errorf("secret is %q", string(s.Peers.Secret))
+	}
+	if len(s.Peers.Join) != 1 || s.Peers.Join[0] != netip.MustParseAddrPort("10.0.0.2:7002") {
+		t.Errorf("join is %v", s.Peers.Join)
+	}
+	printed, err := json.Marshal(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, out := range []string{string(printed), fmt.Sprintf("%v %+v %#v", s, s, s)} {
+		if strings.Contains(out, "16 or more") {
+			t.Errorf("secret shown in %s", out)
+		}
+	}
+	both := problems(t, minimal+"secretFile = x\n")
+	if !slices.Equal(both, []string{"[operators] secretFile: cannot be set together with [operators] secret"}) {
+		t.Errorf("got %q", both)
+	}
+}
+
+// Guards against text that stops the daemon without an error, or a file that
+// passes Load and then fails Check.
+func FuzzLoad(f *testing.F) {
+	f.Add(minimal)
+	f.Add("[peers]\nheartbeat = 1h\n[listen]\npeer=:0\n")
+	f.Add("a = \"\"\"\n[x")
+	path := filepath.Join(f.TempDir(), "a.ini")
+	f.Fuzz(func(t *testing.T, text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		s, err := Load(path)
+		if err != nil {
+			return
+		}
+		if err = Check(s); err != nil {
+			t.Error(err)
+		}
+	})
+}
