--- /dev/null
+++ b/coordination/register/key_test.go
@@ -0,0 +1,66 @@
+package register
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func testKey(sequence int64) Key {
+	return Key{
+		DataCentre: "dc1", Home: "e1", HomeIncarnation: 5, Backup: "e2", BackupIncarnation: 7,
+		ExpiresAt: time.UnixMilli(7_200_000), Sequence: sequence,
+	}
+}
+
+// A key that changed on its way through text would be decided by other entries.
+func TestKeyTextRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		k := Key{
+			DataCentre:        rapid.StringN(0, 8, 16).Draw(t, "dataCentre"),
+			Home:              rapid.StringN(1, 8, 16).Draw(t, "home"),
+			HomeIncarnation:   rapid.Int64().Draw(t, "homeIncarnation"),
+			BackupIncarnation: rapid.Int64().Draw(t, "backupIncarnation"),
+			ExpiresAt:         time.UnixMilli(rapid.Int64Range(0, 1<<42).Draw(t, "expiry")),
+			Sequence:          rapid.Int64().Draw(t, "sequence"),
+		}
+		k.Backup = k.Home + "b"
+		text := k.String()
+		got, err := Parse(text)
+		if err != nil || got != k {
+			t.Fatalf("%q: %+v, %v, want %+v", text, got, err, k)
+		}
+		i := rapid.IntRange(0, len(text)-1).Draw(t, "altered")
+		altered := text[:i] + string(text[i]^1) + text[i+1:]
+		if _, err := Parse(altered); err == nil {
+			t.Fatalf("altered key %q was taken", altered)
+		}
+	})
+}
+
+// An error that does not say what is wrong cannot be acted on by the caller.
+func TestMalformedKeysAreNamed(t *testing.T) {
+	text := testKey(1).String()
+	sealed := func(body string) string { return body + "." + checksum(body) }
+	tests := []struct{ text, want string }{
+		{"", "parts"},
+		{text[:len(text)-3], "checksum"},
+		{strings.Replace(text, "e1", "e3", 1), "checksum"},
+		{"k9" + text[2:], "version"},
+		{strings.Repeat("k", 300), "300 bytes"},
+		{sealed("k1.dc1.e1.!.e2.7.0.1"), "home incarnation"},
+		{sealed("k1.dc1.e_1.5.e2.7.0.1"), `home "e_1"`},
+		{sealed("k1.dc1.e1.5.e2.7.x!.1"), "expiry"},
+		{sealed("k1.dc1..5.e2.7.0.1"), "no home"},
+		{sealed("k1.dc1.e1.5.e1.7.0.1"), "same entry"},
+		{sealed("k1.dc1.e1.05.e2.7.0.1"), "not in the form"},
+		{sealed("k1.dc1.e1.5.e2.7.0._41"), "sequence"},
+	}
+	for _, tt := range tests {
+		if _, err := Parse(tt.text); err == nil || !strings.Contains(err.Error(), tt.want) {
+			t.Errorf("%q: %v, want %q", tt.text, err, tt.want)
+		}
+	}
+}
--- /dev/null
+++ b/coordination/retry/budget_test.go
@@ -0,0 +1,53 @@
+package retry
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Retries beyond the fraction would multiply the load when endpoints refuse.
+func TestRetriesStayBelowTheFraction(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := Budget{Ratio: rapid.Float64Range(0.01, 1).Draw(t, "ratio"), Burst: rapid.Float64Range(1, 50).Draw(t, "burst")}
+		firsts, retries, refused := 0, 0, 0
+		for _, first := range rapid.SliceOfN(rapid.Bool(), 0, 500).Draw(t, "firsts") {
+			switch {
+			case first:
+				firsts++
+				b.First()
+			case b.Retry():
+				retries++
+			default:
+				refused++
+			}
+			if float64(retries) > b.Burst+b.Ratio*float64(firsts)+1e-9 {
+				t.Fatalf("%d retries after %d first attempts", retries, firsts)
+			}
+			if b.Left() < -1e-9 || b.Left() > b.Burst {
+				t.Fatalf("%g retries left", b.Left())
+			}
+		}
+		if refused > 0 && float64(retries) < b.Burst-1 {
+			t.Fatalf("refused after %d retries", retries)
+		}
+	})
+}
+
+// A zero value that allowed nothing would turn every refusal into notRun.
+func TestZeroValueAllowsTheBurst(t *testing.T) {
+	var b Budget
+	allowed := 0
+	for b.Retry() {
+		allowed++
+	}
+	if allowed != DefaultBurst {
+		t.Errorf("%d retries, want %d", allowed, DefaultBurst)
+	}
+	for range 10 {
+		b.First()
+	}
+	if !b.Retry() || b.Retry() {
+		t.Error("ten first attempts do not allow exactly one retry")
+	}
+}
