Share a pool's slots by bounded weighted max-min

A dispatcher needs one queue for each pool that keeps every member's share while another member or the most urgent work floods, and that never keeps a request which cannot be served in time.

Add share.Queue: minima first, urgent work ahead of its turn on at most a quarter of the pool, then weighted max-min over groups, members and urgency classes. Requests are refused on arrival when the estimated wait exceeds what their urgency or deadline allows. A request larger than the free slots gets an endpoint reserved, so it neither starves nor blocks the others.

--- /dev/null
+++ b/coordination/share/queue_test.go
@@ -0,0 +1,315 @@
+package share
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+var start = time.Date(2026, 1, 5, 6, 0, 0, 0, time.UTC)
+
+func newQueue(endpoints int) (q *Queue) {
+	q = &Queue{ClockError: 250 * time.Millisecond}
+	for i := range endpoints {
+		q.SetEndpoint(Endpoint{Name: fmt.Sprintf("e%d", i), Slots: 8})
+	}
+	return q
+}
+
+func request(id, member string, u Urgency) Request {
+	return Request{ID: id, Member: member, Urgency: u, Run: time.Second, Deadline: start.Add(time.Hour)}
+}
+
+// fill pushes n requests of a member and fails if one is refused.
+func fill(t *testing.T, q *Queue, n int, r Request, now time.Time) {
+	t.Helper()
+	for i := range n {
+		r.ID = fmt.Sprintf("%s-%s-%s-%d", r.Group, r.Member, r.Urgency, i)
+		if refused := q.Push(r, now); len(refused) > 0 {
+			t.Fatalf("request %d of %s refused: %v", i, r.Member, refused[0])
+		}
+	}
+}
+
+// churn lets the oldest grant end and decides again, n times.
+func churn(q *Queue, grants []Grant, n int) []Grant {
+	now := start
+	for range n {
+		now = now.Add(10 * time.Millisecond)
+		q.Release(grants[0].Request.ID)
+		issued, _ := q.Decide(now)
+		grants = append(grants[1:], issued...)
+	}
+	return grants
+}
+
+func inUse(grants []Grant, key func(Grant) string, value string) (slots int) {
+	for _, g := range grants {
+		if key(g) == value {
+			slots += g.Request.slots()
+		}
+	}
+	return slots
+}
+
+func byMember(g Grant) string  { return g.Request.Member }
+func byUrgency(g Grant) string { return g.Request.Urgency.String() }
+func byGroup(g Grant) string   { return g.Request.Group }
+
+// Guards against a member that asks for everything: weights divide the slots,
+// and a minimum holds although the weight gives less.
+func TestSharesFollowWeightsAndMinima(t *testing.T) {
+	q := newQueue(4)
+	q.SetMember(Member{Name: "heavy", Weight: 5})
+	q.SetMember(Member{Name: "light", Weight: 1})
+	q.SetMember(Member{Name: "floor", Weight: 1, Minimum: 14})
+	q.SetMember(Member{Name: "small", Weight: 1})
+	for _, m := range []string{"heavy", "light", "floor"} {
+		fill(t, q, 200, request("", m, Batch), start)
+	}
+	fill(t, q, 2, request("", "small", Batch), start)
+	grants, _ := q.Decide(start)
+	got := make([]int, 0, 4)
+	for _, m := range []string{"heavy", "light", "floor", "small"} {
+		got = append(got, inUse(grants, byMember, m))
+	}
+	// 32 slots: 14 for floor, 2 for small, and 16 by 5:1 for the others.
+	if want := []int{13, 3, 14, 2}; !slices.Equal(got, want) {
+		t.Errorf("slots in use %v, want %v", got, want)
+	}
+}
+
+// Guards against strict priority: a flood of urgent work must leave the other
+// classes and the other members their part, and still go first when it is not
+// a flood.
+func TestUrgentFloodStarvesNobody(t *testing.T) {
+	q := newQueue(4)
+	q.Bounds.Urgent = time.Hour
+	fill(t, q, 400, request("", "a", Urgent), start)
+	fill(t, q, 400, request("", "a", Batch), start)
+	fill(t, q, 400, request("", "b", Batch), start)
+	grants, _ := q.Decide(start)
+	grants = churn(q, grants, 200)
+	if got := inUse(grants, byMember, "b"); got < 12 {
+		t.Errorf("member b has %d of 32 slots, want at least 12: three quarters of its half", got)
+	}
+	if got := inUse(grants, byUrgency, "batch") - inUse(grants, byMember, "b"); got < 2 {
+		t.Errorf("batch work of the flooding member has %d slots, want at least 2", got)
+	}
+}
+
+// Guards against max-min alone: urgent work of a member that already has more
+// than its share must not wait for its turn.
+func TestUrgentGoesAheadOfItsTurn(t *testing.T) {
+	q := newQueue(2)
+	fill(t, q, 15, request("", "a", Batch), start)
+	q.Decide(start)
+	fill(t, q, 50, request("", "b", Batch), start)
+	fill(t, q, 1, request("", "a", Urgent), start)
+	grants, _ := q.Decide(start)
+	if len(grants) != 1 || grants[0].Request.Urgency != Urgent || !grants[0].Ahead {
+		t.Errorf("the free slot went to %+v, want the urgent request", grants)
+	}
+}
+
+// Guards against one flooding pool taking the spare pool from the others.
+func TestGroupsShareBeforeMembers(t *testing.T) {
+	q := newQueue(4)
+	for _, m := range []string{"a", "b", "c"} {
+		r := request("", m, Batch)
+		r.Group = "payroll"
+		fill(t, q, 200, r, start)
+	}
+	r := request("", "a", Batch)
+	r.Group = "rota"
+	fill(t, q, 200, r, start)
+	grants, _ := q.Decide(start)
+	if got := inUse(grants, byGroup, "rota"); got != 16 {
+		t.Errorf("group rota has %d of 32 slots, want 16", got)
+	}
+}
+
+// Guards against requests that wait although they cannot be served in time or
+// at all; each has to be refused on arrival, with its figures.
+func TestRefusedOnArrival(t *testing.T) {
+	q := newQueue(1)
+	fill(t, q, 8, request("", "a", Normal), start)
+	q.Decide(start)
+	large := request("large", "a", Normal)
+	large.Slots = 9
+	avoiding := request("avoiding", "a", Normal)
+	avoiding.Avoid = []string{"e0"}
+	late := request("late", "a", Normal)
+	late.Deadline = start
+	short := request("short", "a", Normal)
+	short.Deadline = start.Add(1050 * time.Millisecond)
+	for _, x := range []struct {
+		request Request
+		reason  Reason
+		text    string
+	}{
+		{large, TooLarge, "the largest endpoint has 8"},
+		{avoiding, NoEndpoint, "1 endpoints to avoid"},
+		{late, DeadlinePassed, "deadlinePassed"},
+		{short, WaitTooLong, "estimated wait 125ms, allowed 50ms"},
+		{request("-a-normal-0", "a", Normal), Duplicate, "duplicate"},
+	} {
+		refused := q.Push(x.request, start)
+		if len(refused) != 1 || refused[0].Reason != x.reason || !strings.Contains(refused[0].String(), x.text) {
+			t.Errorf("request %q: got %v, want %s with %q", x.request.ID, refused, x.reason, x.text)
+		}
+	}
+	accepted := 0
+	for i := range 100 {
+		if len(q.Push(request(fmt.Sprintf("u%d", i), "b", Urgent), start)) == 0 {
+			accepted++
+		}
+	}
+	// Member b gets 4 of 8 slots, which take 12 requests of 1 s in 3 s.
+	if accepted < 10 || accepted > 24 {
+		t.Errorf("%d urgent requests accepted, want about 12 to 24", accepted)
+	}
+}
+
+// Guards against waiting for endpoints that are gone: queued work is refused
+// as soon as the capacity that it was admitted for is lost.
+func TestLossOfEndpointsRefusesWhatCannotBeServed(t *testing.T) {
+	q := newQueue(4)
+	fill(t, q, 32, request("", "a", Normal), start)
+	q.Decide(start)
+	for i := range 800 {
+		q.Push(request(fmt.Sprintf("r%d", i), "a", Normal), start)
+	}
+	before := q.Totals().Queued
+	for i := range 3 {
+		q.SetEndpoint(Endpoint{Name: fmt.Sprintf("e%d", i), Slots: 8, Closed: true})
+	}
+	_, refused := q.Decide(start)
+	// 8 slots serve 240 requests of 1 s within 30 s; recheckSlack allows 300.
+	if left := q.Totals().Queued; before != 800 || left > 300 || len(refused) != before-left {
+		t.Errorf("%d of %d requests still queued after three quarters of the slots were lost", left, before)
+	}
+	for _, r := range refused {
+		if r.Reason != WaitTooLong {
+			t.Errorf("request %s refused with %v", r.Request.ID, r)
+		}
+	}
+}
+
+// Guards against starvation of large requests by small ones and against a
+// large request that blocks the small ones.
+func TestLargeRequestGetsAnEndpoint(t *testing.T) {
+	q := newQueue(2)
+	fill(t, q, 16, request("", "small", Normal), start)
+	grants, _ := q.Decide(start)
+	large := request("large", "big", Normal)
+	large.Slots = 8
+	q.Push(large, start)
+	for i := range 200 {
+		q.Push(request(fmt.Sprintf("s%d", i), "small", Normal), start)
+	}
+	now := start
+	for steps := 0; ; steps++ {
+		if steps > 40 {
+			t.Fatal("the large request was not served while 40 small ones were")
+		}
+		now = now.Add(10 * time.Millisecond)
+		q.Release(grants[0].Request.ID)
+		issued, _ := q.Decide(now)
+		grants = append(grants[1:], issued...)
+		if _, granted := q.Granted("large"); granted {
+			break
+		}
+		if free := q.Free(); free > 8 {
+			t.Fatalf("%d slots idle while small requests wait", free)
+		}
+	}
+}
+
+// Guards against lending the last slots to work of unknown length.
+func TestLongWorkLeavesSlotsForUrgentWork(t *testing.T) {
+	q := newQueue(2)
+	unknown := request("", "a", Batch)
+	unknown.Run = 0
+	fill(t, q, 1, request("", "b", Urgent), start)
+	grants, _ := q.Decide(start)
+	q.Release(grants[0].Request.ID)
+	fill(t, q, 30, unknown, start)
+	grants, _ = q.Decide(start)
+	if len(grants) != 14 {
+		t.Errorf("%d of 16 slots lent to work of unknown length, want 14", len(grants))
+	}
+	later := start.Add(urgentMemory)
+	if grants, _ = q.Decide(later); len(grants) != 2 {
+		t.Errorf("%d more slots lent once no urgent work was seen for long, want 2", len(grants))
+	}
+}
+
+// Guards against a flooding member that fills the queue and has the requests
+// of the others refused.
+func TestFullQueueRefusesTheLargestCrowd(t *testing.T) {
+	q := newQueue(1)
+	q.Room.Requests = 20
+	fill(t, q, 20, request("", "flood", Batch), start)
+	refused := q.Push(request("late", "other", Batch), start)
+	if len(refused) != 1 || refused[0].Request.Member != "flood" || refused[0].Reason != QueueFull {
+		t.Errorf("got %v, want the newest request of flood refused", refused)
+	}
+	refused = q.Push(request("more", "flood", Batch), start)
+	if len(refused) != 1 || refused[0].Request.ID != "more" {
+		t.Errorf("got %v, want the new request of flood refused", refused)
+	}
+	q.Room.Bytes = 3 * requestBytes
+	if refused = q.Push(request("big", "third", Batch), start); len(refused) != 19 {
+		t.Errorf("%d requests refused for memory, want 19: 20 in the queue, room for 2", len(refused))
+	}
+}
+
+// Guards against grants that outlive their lease, for example after a home
+// entry died.
+func TestGrantsEndWithTheirLease(t *testing.T) {
+	q := newQueue(1)
+	r := request("r", "a", Normal)
+	q.Push(r, start)
+	grants, _ := q.Decide(start)
+	if want := start.Add(11 * time.Second); !grants[0].Until.Equal(want) {
+		t.Fatalf("lease ends at %v, want run time and 10 s: %v", grants[0].Until, want)
+	}
+	end := grants[0].Until.Add(q.ClockError)
+	if ended := q.Overdue(end.Add(-time.Millisecond)); len(ended) != 0 {
+		t.Error("grant taken back before its end and the clock error")
+	}
+	if ended := q.Overdue(end); len(ended) != 1 || q.Free() != 8 {
+		t.Errorf("%d grants taken back, %d slots free", len(ended), q.Free())
+	}
+}
+
+// Guards against overflow that passes the order of the queue or the size and
+// the lease of the offer.
+func TestOverflowServesTheFirstThatFits(t *testing.T) {
+	q := newQueue(1)
+	fill(t, q, 8, request("", "a", Normal), start)
+	q.Decide(start)
+	wide := request("wide", "a", Normal)
+	wide.Slots = 2
+	q.Push(wide, start)
+	fill(t, q, 5, request("", "b", Normal), start)
+	wishes := q.Wishes(4, start)
+	if len(wishes) != 2 || wishes[0].First.ID != "wide" || wishes[1].Count != 2 {
+		t.Fatalf("wishes %+v, want the wide request and two of b", wishes)
+	}
+	offer := Offer{Member: "b", Urgency: Normal, Slots: 1, Endpoint: "s0", Until: start.Add(5 * time.Second)}
+	g, placed := q.Place(offer, start)
+	if !placed || g.Request.ID != "-b-normal-0" || !g.Until.Equal(offer.Until) || !g.Away {
+		t.Errorf("placed %+v", g)
+	}
+	offer.Until = start.Add(time.Millisecond)
+	if _, placed = q.Place(offer, start); placed {
+		t.Error("a request was placed under a lease shorter than its run time")
+	}
+	if q.Totals().Away != 1 {
+		t.Errorf("%d slots counted outside the pool, want 1", q.Totals().Away)
+	}
+}
