Plan which instances a maintenance wave drains next

A wave needs an order that uses the whole budget of every pool, keeps to one rack at a time and stops early when maintenance breaks instances, although one entry in each data centre plans for each pool without asking the others.

maintenance.Plan computes every count from the configuration, so that entries at the same version never grant the same budget; load decides only which instance and which of the racks of equal size inside a data centre go first. Halts compare failures after maintenance with those of instances not yet maintained, and what an operator saw before a resumption does not halt again.

--- /dev/null
+++ b/coordination/maintenance/maintenance_test.go
@@ -0,0 +1,326 @@
+package maintenance
+
+import (
+	"fmt"
+	"math/rand"
+	"os"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/azurepoint/azurepoint/coordination/fleet"
+)
+
+var start = time.Date(2026, 1, 5, 2, 0, 0, 0, time.UTC)
+
+// fixture builds a fleet of two pools over data centres with racks of four.
+func fixture(dataCentres, perPool, budget int) (s *fleet.State) {
+	s = &fleet.State{
+		Pools:     map[string]fleet.Pool{},
+		Instances: map[string]fleet.Instance{},
+		Waves:     map[string]fleet.Wave{"w": {Name: "w", Pools: []string{"a", "b"}, State: fleet.WaveRunning}},
+	}
+	for _, pool := range []string{"a", "b"} {
+		s.Pools[pool] = fleet.Pool{Name: pool, Budget: budget}
+		for k := range perPool {
+			name := fmt.Sprintf("%s%02d", pool, k)
+			s.Instances[name] = fleet.Instance{
+				Name: name, Pool: pool, Phase: fleet.Serving, DataCentre: fmt.Sprint("dc", k%dataCentres),
+				Rack: fmt.Sprintf("%s-%d", pool, k/dataCentres/4),
+			}
+		}
+	}
+	return s
+}
+
+func change(s *fleet.State, name string, f func(i *fleet.Instance)) {
+	i := s.Instances[name]
+	f(&i)
+	s.Instances[name] = i
+	s.Version++
+}
+
+func drain(i *fleet.Instance)  { i.Phase, i.Wave = fleet.Draining, "w" }
+func finish(i *fleet.Instance) { i.Phase, i.Wave, i.Maintained = fleet.Serving, "", "w" }
+func failed(i *fleet.Instance) { i.Failed = true }
+
+// grant is the part of the log's check that a plan meets.
+func grant(s *fleet.State, g Grant) (refused bool) {
+	unavailable := 0
+	for _, i := range s.Instances {
+		if i.Pool == g.Pool && Unavailable(i) {
+			unavailable++
+		}
+	}
+	if unavailable >= s.Pools[g.Pool].Budget || s.Instances[g.Instance].Phase != fleet.Serving {
+		return true
+	}
+	change(s, g.Instance, drain)
+	return false
+}
+
+func seeds() int {
+	n, _ := strconv.Atoi(os.Getenv("SEEDS"))
+	return max(1, n)
+}
+
+// TestWave guards against a wave that stalls, spends a budget twice, leaves
+// budget unused, begins a rack too early or takes a large first step, when one
+// planner for each data centre and pool proposes from the same version.
+func TestWave(t *testing.T) {
+	for seed := range int64(60 * seeds()) {
+		r := rand.New(rand.NewSource(seed))
+		dataCentres := 1 + r.Intn(4)
+		s := fixture(dataCentres, 1+r.Intn(30), 1+r.Intn(6))
+		var progress map[string]Progress
+		now := start
+		for rounds := 0; s.Waves["w"].State == fleet.WaveRunning; rounds++ {
+			if rounds > 500 {
+				t.Fatalf("seed %d: the wave stalls at version %d", seed, s.Version)
+			}
+			now = now.Add(FirstStepStagger)
+			before := *s
+			before.Instances = make(map[string]fleet.Instance)
+			for name, i := range s.Instances {
+				before.Instances[name] = i
+			}
+			var grants []Grant
+			for k := range dataCentres {
+				for _, pool := range []string{"a", "b"} {
+					o := Observation{DataCentre: fmt.Sprint("dc", k), Owned: []string{pool}, Waves: progress}
+					o.Instances = loads(r, s, now)
+					progress = Follow(&before, o, now)
+					d := Plan(&before, o, now)
+					if !reflect.DeepEqual(d, Plan(&before, o, now)) {
+						t.Fatalf("seed %d: the same arguments gave two decisions", seed)
+					}
+					grants = append(grants, d.Grants...)
+					for _, w := range d.Waves {
+						s.Waves["w"] = fleet.Wave{Name: w.Name, State: w.State, Reason: w.Reason}
+					}
+				}
+			}
+			for _, g := range grants {
+				if grant(s, g) {
+					t.Fatalf("seed %d: grant %v overspends at version %d", seed, g, s.Version)
+				}
+			}
+			checkStep(t, seed, &before, s, len(grants))
+			for _, name := range names(s, func(i fleet.Instance) bool { return i.Phase == fleet.Draining }) {
+				if r.Intn(2) == 0 {
+					change(s, name, finish)
+				}
+			}
+		}
+		if w := s.Waves["w"]; w.State != fleet.WaveEnded || w.Reason != "" {
+			t.Fatalf("seed %d: wave is %v", seed, w)
+		}
+	}
+}
+
+func loads(r *rand.Rand, s *fleet.State, now time.Time) (l map[string]InstanceLoad) {
+	l = make(map[string]InstanceLoad)
+	for _, name := range names(s, func(fleet.Instance) bool { return true }) {
+		l[name] = InstanceLoad{InFlight: r.Intn(8), IdleAt: now.Add(time.Duration(r.Intn(60)) * time.Second)}
+	}
+	return l
+}
+
+func names(s *fleet.State, which func(fleet.Instance) bool) (names []string) {
+	for name, i := range s.Instances {
+		if which(i) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// checkStep checks one round of grants from before to after.
+func checkStep(t *testing.T, seed int64, before, after *fleet.State, granted int) {
+	returned := len(names(before, func(i fleet.Instance) bool { return i.Maintained == "w" }))
+	running := len(names(after, func(i fleet.Instance) bool { return i.Phase == fleet.Draining }))
+	if step := 1 + StepGrowth*returned; granted > 0 && running > step {
+		t.Fatalf("seed %d: %d drains run in a step of %d", seed, running, step)
+	}
+	room := 1+StepGrowth*returned > running && (returned > 0 || running == 0)
+	for name, pool := range after.Pools {
+		in := func(i fleet.Instance) bool { return i.Pool == name }
+		waits := func(i fleet.Instance) bool { return in(i) && !Unavailable(i) && i.Maintained != "w" }
+		spent := len(names(after, func(i fleet.Instance) bool { return in(i) && Unavailable(i) }))
+		if room && spent < pool.Budget && len(names(after, waits)) > 0 {
+			t.Fatalf("seed %d: pool %s spends %d of %d at version %d", seed, name, spent, pool.Budget, after.Version)
+		}
+		partly := make(map[string]bool)
+		for _, i := range after.Instances {
+			begun := func(j fleet.Instance) bool {
+				return in(j) && j.DataCentre == i.DataCentre && j.Rack == i.Rack && !waits(j)
+			}
+			if waits(i) && len(names(after, begun)) > 0 {
+				partly[i.DataCentre+i.Rack] = true
+			}
+		}
+		if len(partly) > 1 {
+			t.Fatalf("seed %d: racks %v of pool %s are begun at once", seed, partly, name)
+		}
+	}
+}
+
+// TestBudget guards against failed, releasing and draining instances, or a
+// lowered budget, that do not count.
+func TestBudget(t *testing.T) {
+	s := fixture(1, 10, 3)
+	for _, name := range []string{"a00", "a01", "a02", "a03", "a04", "b00"} {
+		change(s, name, finish)
+	}
+	change(s, "b00", failed)
+	change(s, "b01", func(i *fleet.Instance) { i.Phase = fleet.Releasing })
+	change(s, "a05", drain)
+	d := Plan(s, Observation{Waves: map[string]Progress{"w": {Excused: []string{"b00"}}}}, start)
+	got := make(map[string]int)
+	for _, g := range d.Grants {
+		got[g.Pool]++
+	}
+	if got["a"] != 2 || got["b"] != 1 {
+		t.Errorf("grants %v, want 2 in a and 1 in b", d.Grants)
+	}
+	s.Pools["a"] = fleet.Pool{Name: "a", Budget: 0}
+	o := Observation{Instances: map[string]InstanceLoad{"a05": {Step: StepRebooting}}}
+	if d = Plan(s, o, start); len(d.HandBacks) != 0 {
+		t.Errorf("hands back %v after its reboot", d.HandBacks)
+	}
+	o.Instances["a05"] = InstanceLoad{Step: StepDrained}
+	if d = Plan(s, o, start); len(d.HandBacks) != 1 || len(d.Grants) > 1 {
+		t.Errorf("hands back %v and grants %v with a budget below what is spent", d.HandBacks, d.Grants)
+	}
+}
+
+// TestHalt guards against a wave that goes on after instances did not come
+// back well, that halts for failures it did not cause, or that halts again for
+// what an operator saw before resuming it.
+func TestHalt(t *testing.T) {
+	bad := map[string]InstanceLoad{"a00": {Step: StepRebooting, BackBy: start}, "a01": {Step: StepWaiting}}
+	cases := []struct {
+		name   string
+		setUp  func(s *fleet.State)
+		loads  map[string]InstanceLoad
+		halted string
+	}{
+		{"not back by its deadline", func(*fleet.State) {}, bad, "a00 not back by 2026-01-05T02:00:00Z"},
+		{"failed while draining", func(s *fleet.State) { change(s, "a00", failed) }, nil, "a00 failed during"},
+		{"fails tasks", func(s *fleet.State) { change(s, "a00", finish) }, map[string]InstanceLoad{"a00": {Failing: true}}, "a00 fails its tasks"},
+		{"others fail as well", func(s *fleet.State) {
+			change(s, "a00", finish)
+			for _, name := range []string{"a00", "a05", "a06", "a07", "b00", "b01", "b02", "b03", "b04", "b05", "b06"} {
+				change(s, name, failed)
+			}
+		}, nil, ""},
+		{"one of many", func(s *fleet.State) {
+			for _, name := range []string{"a00", "a05", "a06", "a07", "b00", "b01"} {
+				change(s, name, finish)
+			}
+			change(s, "a00", failed)
+		}, nil, ""},
+	}
+	for _, c := range cases {
+		s := fixture(1, 10, 3)
+		change(s, "a00", drain)
+		change(s, "a01", drain)
+		c.setUp(s)
+		o := Observation{Instances: c.loads, Waves: map[string]Progress{"w": {State: fleet.WaveRunning}}}
+		d := Plan(s, o, start)
+		if c.halted == "" {
+			if len(d.Waves) != 0 {
+				t.Errorf("%s: halts with %v", c.name, d.Waves)
+			}
+			continue
+		}
+		if len(d.Waves) != 1 || d.Waves[0].State != fleet.WaveHalted || !strings.Contains(d.Waves[0].Reason, c.halted) {
+			t.Errorf("%s: decides %v", c.name, d.Waves)
+		}
+		if len(d.Grants) != 0 {
+			t.Errorf("%s: grants %v", c.name, d.Grants)
+		}
+		if c.loads["a01"].Step == StepWaiting && (len(d.HandBacks) != 1 || d.HandBacks[0].Instance != "a01") {
+			t.Errorf("%s: hands back %v, want a01", c.name, d.HandBacks)
+		}
+		s.Waves["w"] = fleet.Wave{Name: "w", Pools: []string{"a", "b"}, State: fleet.WaveHalted}
+		o.Waves = Follow(s, o, start)
+		s.Waves["w"] = fleet.Wave{Name: "w", Pools: []string{"a", "b"}, State: fleet.WaveRunning}
+		o.Waves = Follow(s, o, start)
+		if d = Plan(s, o, start); len(d.Waves) != 0 {
+			t.Errorf("%s: halts again after the resumption with %v", c.name, d.Waves)
+		}
+	}
+}
+
+// TestFirstStep guards against first steps in several pools or data centres at
+// once, and against a wave that waits for an owner that does nothing.
+func TestFirstStep(t *testing.T) {
+	s := fixture(3, 10, 3)
+	waves := map[string]Progress{"w": {State: fleet.WaveRunning, StepSince: start}}
+	pools := map[string]PoolLoad{"a": {Instances: 4, FreeSlots: 2, Queued: 9}, "b": {Instances: 4, FreeSlots: 20}}
+	plan := func(dataCentre, pool string, absent []string, now time.Time) int {
+		o := Observation{DataCentre: dataCentre, Owned: []string{pool}, Absent: absent, Pools: pools, Waves: waves}
+		return len(Plan(s, o, now).Grants)
+	}
+	for _, c := range []struct {
+		dataCentre, pool string
+		absent           []string
+		after            time.Duration
+		want             int
+	}{
+		{"dc0", "b", nil, 0, 1},
+		{"dc0", "a", nil, 0, 0},
+		{"dc0", "a", nil, FirstStepStagger, 1},
+		{"dc1", "b", nil, time.Hour, 0},
+		{"dc1", "b", []string{"dc0"}, 0, 1},
+	} {
+		if got := plan(c.dataCentre, c.pool, c.absent, start.Add(c.after)); got != c.want {
+			t.Errorf("%+v: %d grants", c, got)
+		}
+	}
+}
+
+// TestUntil guards against a wave that goes on after its last moment, and
+// against several entries that all propose its end.
+func TestUntil(t *testing.T) {
+	s := fixture(2, 4, 1)
+	s.Waves["w"] = fleet.Wave{Name: "w", Pools: []string{"b", "a"}, State: fleet.WaveRunning, Until: start}
+	change(s, "a00", drain)
+	o := Observation{DataCentre: "dc0", Owned: []string{"a"}, Instances: map[string]InstanceLoad{"a00": {Step: StepWaiting}}}
+	d := Plan(s, o, start)
+	if len(d.Waves) != 1 || d.Waves[0].State != fleet.WaveEnded || len(d.HandBacks) != 1 || len(d.Grants) != 0 {
+		t.Errorf("decides %+v", d)
+	}
+	if d = Plan(s, o, start.Add(-time.Second)); len(d.Waves) != 0 || len(d.HandBacks) != 0 {
+		t.Errorf("decides %+v before the end", d)
+	}
+	for _, o := range []Observation{{DataCentre: "dc0", Owned: []string{"b"}}, {DataCentre: "dc1"}} {
+		if d = Plan(s, o, start); len(d.Waves) != 0 || len(d.Grants) != 0 {
+			t.Errorf("%+v: decides %+v", o, d)
+		}
+	}
+	s.Waves["w"] = fleet.Wave{Name: "w", Pools: []string{"a", "b"}, State: fleet.WavePaused}
+	if d = Plan(s, o, start); !reflect.DeepEqual(d, Decision{}) {
+		t.Errorf("a paused wave decides %+v", d)
+	}
+}
+
+// TestTwoWaves guards against two waves on one pool that undo each other's
+// record of what is maintained.
+func TestTwoWaves(t *testing.T) {
+	s := fixture(1, 4, 4)
+	s.Waves["v"] = fleet.Wave{Name: "v", Pools: []string{"a"}, State: fleet.WaveRunning}
+	for _, name := range []string{"a00", "b00"} {
+		change(s, name, finish)
+	}
+	for _, g := range Plan(s, Observation{}, start).Grants {
+		if g.Pool == "a" && g.Wave != "v" {
+			t.Errorf("grants %v while wave v works on pool a", g)
+		}
+	}
+}
