Take change identifiers that the daemon itself makes

'show change' took only names, but identifiers of changes are any printable ASCII words, such as those that upkeep writes. They are a value of their own now and are quoted where the language needs it.

--- a/coordination/command/command_test.go
+++ b/coordination/command/command_test.go
@@ -60,13 +60,16 @@
 		for line := range strings.SplitSeq(parsed.String(), "\n") {
 			for _, w := range words(t, line) {
 				before := strings.TrimRight(line[:w.Pos.Offset], " ")
-				checkError(t, before+" ?! "+line[w.Pos.Offset+len(w.Value):], "?!", w)
+				checkError(t, before+" "+misfit+" "+line[w.Pos.Offset+len(w.Value):], misfit, w)
 				checkError(t, before, "", w)
 			}
 		}
 	}
 }
 
+// misfit is one word that fits at no place of a statement.
+const misfit = `"? !"`
+
 func words(t *testing.T, line string) (words []lexer.Token) {
 	t.Helper()
 	all, err := grammar.Lex("", strings.NewReader(line))
@@ -91,7 +94,7 @@
 		}
 		t.Fatalf("%q: no syntax error but %v", text, err)
 	}
-	before, _, _ := strings.Cut(text, " ?!")
+	before, _, _ := strings.Cut(text, " "+misfit)
 	column := len(before) + 1
 	if word != "" {
 		column += len(" ")
--- a/coordination/command/query.go
+++ b/coordination/command/query.go
@@ -45,7 +45,7 @@
 
 // ShowChange asks for the fate of a change.
 type ShowChange struct {
-	ID Name `parser:"'show' 'change' @@"`
+	ID ChangeID `parser:"'show' 'change' @@"`
 }
 
 func (ShowList) query()      {}
@@ -76,7 +76,7 @@
 
 // String returns the statement in the language.
 func (q ShowChange) String() string {
-	return "show change " + string(q.ID)
+	return "show change " + q.ID.String()
 }
 
 func optional(words string, n Name) string {
--- a/coordination/command/syntax.go
+++ b/coordination/command/syntax.go
@@ -30,18 +30,21 @@
 // endOfStatement is what an error says where a separator may come.
 const endOfStatement = "the end of the statement"
 
-// candidate is something that may stand at a place of a text.
+// candidate is a value that may stand at a place of a text.
 type candidate struct {
 	text   string
 	called string
+	// anyWord is set if the keywords have the form of the value too.
+	anyWord bool
 }
 
-// values come before the keywords, which are names too where a name may stand.
+// values are tried in order; the first one that fits is named.
 var values = []candidate{
-	{"a-name", "a name of 1 to 64 characters of a-z, 0-9, '.' and '-'"},
-	{"1", "a whole number up to 1000000000"},
-	{"10.0.0.1:1", "an IP:port such as 10.0.0.1:8000"},
-	{"2026-01-02T03:04:05Z", "a time such as 2026-01-02T15:04:05Z"},
+	{"a_change", "an identifier of 1 to 64 characters without spaces", true},
+	{"a-name", "a name of 1 to 64 characters of a-z, 0-9, '.' and '-'", true},
+	{"1", "a whole number up to 1000000000", false},
+	{"10.0.0.1:1", "an IP:port such as 10.0.0.1:8000", false},
+	{"2026-01-02T03:04:05Z", "a time such as 2026-01-02T15:04:05Z", false},
 }
 
 // keywords are the fixed words of the grammar.
@@ -101,18 +104,20 @@
 
 func expected(before string) string {
 	var choices []string
+	words := keywords
 	for _, c := range values {
-		if mayFollow(before, c.text) {
-			choices = append(choices, c.called)
-			break
+		if !mayFollow(before, c.text) {
+			continue
 		}
-	}
-	for _, k := range keywords {
-		if len(choices) > 0 && strings.HasPrefix(choices[0], "a name") {
-			break
+		choices = append(choices, c.called)
+		if c.anyWord {
+			words = nil
 		}
-		if mayFollow(before, k) {
-			choices = append(choices, fmt.Sprintf("%q", k))
+		break
+	}
+	for _, w := range words {
+		if mayFollow(before, w) {
+			choices = append(choices, fmt.Sprintf("%q", w))
 		}
 	}
 	if strings.TrimSpace(before) != "" && mayFollow(before, ";") {
--- a/coordination/command/value.go
+++ b/coordination/command/value.go
@@ -23,10 +23,14 @@
 	lastYear  = 2999
 )
 
-// Name is the name of a pool, member, instance, rack, data centre, wave or
-// change: 1 to 64 characters of a-z, 0-9, '.' and '-'.
+// Name is the name of a pool, member, instance, rack, data centre or
+// wave: 1 to 64 characters of a-z, 0-9, '.' and '-'.
 type Name string
 
+// ChangeID identifies a change: 1 to 64 printable ASCII characters without
+// spaces and double quotes; it is quoted in a text if it holds ';', ',' or '#'.
+type ChangeID string
+
 // Names is a list of at least one name.
 type Names struct {
 	Each []Name
@@ -53,6 +57,32 @@
 	})
 }
 
+// Parse takes the identifier of a change from the text.
+func (i *ChangeID) Parse(lex *lexer.PeekingLexer) (err error) {
+	return take(lex, func(t lexer.Token) (ok bool) {
+		text := t.Value
+		if t.Type == tokens["Quoted"] {
+			text = strings.Trim(text, `"`)
+		}
+		*i = ChangeID(text)
+		return ValidChangeID(text)
+	})
+}
+
+// String returns the identifier as it is written in the language.
+func (i ChangeID) String() string {
+	if strings.ContainsAny(string(i), ";,#") {
+		return `"` + string(i) + `"`
+	}
+	return string(i)
+}
+
+// ValidChangeID tells whether the text keeps the rule for identifiers.
+func ValidChangeID(text string) bool {
+	outside := func(r rune) bool { return r <= ' ' || r > '~' || r == '"' }
+	return text != "" && len(text) <= maxNameLength && !strings.ContainsFunc(text, outside)
+}
+
 // Parse takes names with commas between them from the text; a comma commits it
 // to one more name, so that an error names the word after the comma.
 func (l *Names) Parse(lex *lexer.PeekingLexer) (err error) {
