Serve the operators' API and number the events of daemon and operators

A change whose fate the entry knows is not proposed again; any error of the proposal leaves the outcome unknown, with the id to ask for; a dry run only applies the change to the version in force. A name that 'create' finds or 'set' misses is an error of the call, because it says nothing of an earlier call with the same id.

--- /dev/null
+++ b/azurepointd/internal/operator/statements.go
@@ -0,0 +1,202 @@
+package operator
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/go-faster/errors"
+
+	"github.com/azurepoint/azurepoint/api/operatorapi"
+	"github.com/azurepoint/azurepoint/azurepointd/internal/event"
+	"github.com/azurepoint/azurepoint/coordination/command"
+	"github.com/azurepoint/azurepoint/coordination/fleet"
+)
+
+const (
+	// proposeTimeout bounds the wait for the log; it is below the 13 s in which
+	// an accepted change is in force everywhere.
+	proposeTimeout = 10 * time.Second
+	// maxSteps keeps a change with the longest names below the 1 MB that the
+	// key-value service takes as a value.
+	maxSteps = 4000
+	// defaultAuthor is the author of a change that names none.
+	defaultAuthor = "operator"
+)
+
+// RunStatements answers queries with tables, or proposes the commands as one
+// change and answers with its fate.
+func (h handler) RunStatements(ctx context.Context, r *operatorapi.Statements) (reply *operatorapi.Reply, err error) {
+	text, err := command.Parse(r.Text)
+	if err != nil {
+		return nil, syntax(err)
+	}
+	switch {
+	case len(text.Queries) > 0:
+		return h.answer(text.Queries)
+	case len(text.Commands) > 0:
+		return h.change(ctx, r, text)
+	}
+	return nil, failure(http.StatusBadRequest, "the text has no statement")
+}
+
+// syntax puts the place of the wrong word into the fields of the answer.
+func syntax(err error) *operatorapi.ErrorStatusCode {
+	answer := failure(http.StatusBadRequest, err.Error())
+	if e, found := errors.Into[*command.SyntaxError](err); found {
+		answer.Response.Line.SetTo(e.Line)
+		answer.Response.Column.SetTo(e.Column)
+		answer.Response.Word.SetTo(e.Word)
+		answer.Response.Expected.SetTo(e.Expected)
+	}
+	return answer
+}
+
+func (h handler) answer(queries []command.Query) (reply *operatorapi.Reply, err error) {
+	h.counts.queries.Inc(int64(len(queries)))
+	s := h.Fleet.State()
+	reply = &operatorapi.Reply{Version: s.Version}
+	for _, q := range queries {
+		tables, err := h.tables(s, q)
+		if err != nil {
+			return nil, failure(http.StatusBadRequest, err.Error())
+		}
+		reply.Tables = append(reply.Tables, tables...)
+	}
+	return reply, nil
+}
+
+// change proposes the commands unless the change is known already; a dry run
+// only applies it to the version in force here.
+func (h handler) change(
+	ctx context.Context, r *operatorapi.Statements, text command.Text,
+) (reply *operatorapi.Reply, err error) {
+	c, err := newChange(r, text)
+	if err != nil {
+		return nil, failure(http.StatusBadRequest, err.Error())
+	}
+	s := h.Fleet.State()
+	if f, known := findFate(s, c.ID); known {
+		return &operatorapi.Reply{Version: s.Version, Change: operatorapi.NewOptChangeFate(answerFate(f))}, nil
+	}
+	next, err := h.Rules.Apply(*s, c)
+	if err != nil {
+		return nil, failure(http.StatusBadRequest, err.Error())
+	}
+	if err = text.CheckNames(s); err != nil {
+		// This says nothing of an earlier call with the same id, so it is an
+		// error of this call and not the fate of the change.
+		return nil, failure(http.StatusConflict, fmt.Sprintf("%s at version %d", err, s.Version))
+	}
+	if r.DryRun.Value {
+		return &operatorapi.Reply{Version: s.Version, Change: operatorapi.NewOptChangeFate(wouldBe(next, c.ID))}, nil
+	}
+	fate := h.propose(ctx, c)
+	h.record(c, fate)
+	return &operatorapi.Reply{Version: h.Fleet.State().Version, Change: operatorapi.NewOptChangeFate(fate)}, nil
+}
+
+func newChange(r *operatorapi.Statements, text command.Text) (c fleet.Change, err error) {
+	c = fleet.Change{
+		ID:       r.ID.Or(strings.ToLower(rand.Text())),
+		Author:   r.Author.Or(defaultAuthor),
+		At:       now(),
+		Commands: text.Steps(),
+	}
+	if !command.ValidChangeID(c.ID) {
+		return c, errors.Errorf("id %q is not 1 to 64 printable ASCII characters without spaces and quotes", c.ID)
+	}
+	if len(c.Commands) > maxSteps {
+		return c, errors.Errorf("the change has %d steps, the most is %d", len(c.Commands), maxSteps)
+	}
+	return c, nil
+}
+
+// propose waits for the log; whatever keeps it from saying what became of the
+// change leaves the outcome unknown.
+func (h handler) propose(ctx context.Context, c fleet.Change) operatorapi.ChangeFate {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	var fate fleet.Fate
+	var err error
+	h.counts.propose.Time(func() { fate, err = h.Fleet.Propose(ctx, c) })
+	if err != nil {
+		return operatorapi.ChangeFate{
+			ID:     c.ID,
+			State:  operatorapi.ChangeStateUnknown,
+			Reason: operatorapi.NewOptString(err.Error() + "; ask for the change, or send it again, with this id"),
+		}
+	}
+	fate.ID = c.ID
+	return answerFate(fate)
+}
+
+// record counts and logs what became of a change.
+func (h handler) record(c fleet.Change, f operatorapi.ChangeFate) {
+	fields := log.Fields{
+		"change": c.ID, "author": c.Author, "steps": len(c.Commands), "index": f.Index.Value, "reason": f.Reason.Value,
+	}
+	switch f.State {
+	case operatorapi.ChangeStateApplied:
+		h.counts.applied.Inc(1)
+		event.ChangeApplied.Log(fields)
+	case operatorapi.ChangeStateRefused:
+		h.counts.refused.Inc(1)
+		event.ChangeRefused.Log(fields)
+	default:
+		h.counts.unknown.Inc(1)
+		event.ChangeUnknown.Log(fields)
+	}
+}
+
+func refused(id, reason string) operatorapi.ChangeFate {
+	return operatorapi.ChangeFate{
+		ID:     id,
+		State:  operatorapi.ChangeStateRefused,
+		Reason: operatorapi.NewOptString(reason),
+	}
+}
+
+// wouldBe is the fate that the change has in the state after a dry run.
+func wouldBe(next fleet.State, id string) operatorapi.ChangeFate {
+	f, _ := findFate(&next, id)
+	if f.Refusal != "" {
+		return refused(id, f.Refusal)
+	}
+	return operatorapi.ChangeFate{ID: id, State: operatorapi.ChangeStateWouldApply}
+}
+
+func answerFate(f fleet.Fate) operatorapi.ChangeFate {
+	answer := operatorapi.ChangeFate{ID: f.ID, State: operatorapi.ChangeStateApplied}
+	if f.Refusal != "" {
+		answer = refused(f.ID, f.Refusal)
+	}
+	answer.Index.SetTo(f.Index)
+	return answer
+}
+
+// fateOf is unknown for a change that is not among the last ones in force here:
+// it may be older, on its way, or never have been.
+func (h handler) fateOf(s *fleet.State, id string) operatorapi.ChangeFate {
+	if f, known := findFate(s, id); known {
+		return answerFate(f)
+	}
+	return operatorapi.ChangeFate{
+		ID:     id,
+		State:  operatorapi.ChangeStateUnknown,
+		Reason: operatorapi.NewOptString("not among the last changes in force at entry " + h.Peers.Self().Name),
+	}
+}
+
+func findFate(s *fleet.State, id string) (f fleet.Fate, known bool) {
+	for _, f := range s.Fates {
+		if f.ID == id {
+			return f, true
+		}
+	}
+	return fleet.Fate{}, false
+}
