--- a/azurepointd/internal/operator/statements.go
+++ b/azurepointd/internal/operator/statements.go
@@ -63,7 +63,7 @@
 	for _, q := range queries {
 		tables, err := h.tables(s, q)
 		if err != nil {
-			return nil, failure(http.StatusBadRequest, err.Error())
+			return nil, failure(http.StatusNotFound, err.Error())
 		}
 		reply.Tables = append(reply.Tables, tables...)
 	}
