Plan the spare pool and moves between pools

A move costs the time for which neither pool has the instance, so it pays only when the shortage outlasts it. spare.Plan moves for a shortage that has lasted as long as a move takes and, by the lengths of earlier ones, goes on as long again; shorter bursts are queued or served by the spare pool. A pool gives only within its budget and after ten times the length of a move without need, and a moved instance stays as long. The wanted size is the 0.95 quantile of the overflow averaged over the time of a move, and one instance for failures. Worth says what one more spare instance would serve.

--- /dev/null
+++ b/coordination/spare/spare_test.go
@@ -0,0 +1,173 @@
+package spare
+
+import (
+	"fmt"
+	"math/rand"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/azurepoint/azurepoint/coordination/fleet"
+)
+
+var start = time.Date(2026, 1, 5, 2, 0, 0, 0, time.UTC)
+
+const slots = 8
+
+// fixture builds pools of four instances with a budget of two, the last spare.
+func fixture() (s *fleet.State) {
+	s = &fleet.State{Pools: map[string]fleet.Pool{}, Instances: map[string]fleet.Instance{}}
+	for _, pool := range []string{"a", "b", "spare"} {
+		s.Pools[pool] = fleet.Pool{Name: pool, Budget: 2, Spare: pool == "spare"}
+		for k := range 4 {
+			name := fmt.Sprint(pool, k)
+			s.Instances[name] = fleet.Instance{Name: name, Pool: pool, Phase: fleet.Serving, Slots: slots}
+		}
+	}
+	return s
+}
+
+// observe records demand in slots for each second until now.
+func observe(r *Recorder, from time.Time, seconds int, demand func(pool string, second int) float64) (now time.Time) {
+	for k := range seconds {
+		now = from.Add(time.Duration(k) * time.Second)
+		for _, pool := range []string{"a", "b"} {
+			r.Observe(pool, demand(pool, k), now)
+		}
+	}
+	return now
+}
+
+// TestMoves guards against moves for bursts shorter than a move or shortages
+// that usually end by then, a lasting shortage that gets none, and a giver that
+// cannot afford it.
+func TestMoves(t *testing.T) {
+	lasting := func(pool string, k int) float64 { return short(pool == "a" && k >= 3000) }
+	none := func(*fleet.State, map[string]InstanceLoad) {}
+	for _, c := range []struct {
+		name   string
+		demand func(string, int) float64
+		change func(s *fleet.State, loads map[string]InstanceLoad)
+		from   string
+	}{
+		{"bursts", func(pool string, k int) float64 { return short((k+40)%60 < 20 && (pool == "a") == (k%120 < 60)) }, none, ""},
+		{"burst after long shortages", func(pool string, k int) float64 { return short(pool == "a" && (k+700)%800 < 400) }, none, ""},
+		{"soon over", func(pool string, k int) float64 { return short(pool == "a" && (k+136)%200 < 70) }, none, ""},
+		{"lasting", lasting, none, "spare"},
+		{"spare pool at its wanted size", lasting, func(s *fleet.State, _ map[string]InstanceLoad) { drop(s, "spare", 2) }, "b"},
+		{"budgets spent", lasting, func(s *fleet.State, _ map[string]InstanceLoad) { budget(s, 0) }, ""},
+		{"all held", lasting, func(s *fleet.State, loads map[string]InstanceLoad) {
+			for name := range s.Instances {
+				loads[name] = InstanceLoad{HoldUntil: start.Add(time.Hour)}
+			}
+		}, ""},
+		{"both short", func(string, int) float64 { return 44 }, func(s *fleet.State, _ map[string]InstanceLoad) { drop(s, "spare", 2) }, ""},
+	} {
+		s, loads := fixture(), make(map[string]InstanceLoad)
+		c.change(s, loads)
+		var r Recorder
+		now := observe(&r, start, 3331, c.demand)
+		d := Plan(s, Observation{Demand: r.Demand(), Instances: loads, MoveTakes: time.Minute}, now)
+		var from string
+		for _, m := range d.Moves {
+			if m.To == "a" {
+				from = m.From
+			}
+		}
+		if from != c.from {
+			t.Errorf("%s: moves %+v (%+v), want one from %q to a", c.name, d.Moves, d.Reasons, c.from)
+		}
+	}
+}
+
+// short is a demand above a pool's 32 slots, or a low one.
+func short(yes bool) float64 {
+	if yes {
+		return 44
+	}
+	return 4
+}
+
+func drop(s *fleet.State, pool string, n int) {
+	for k := range n {
+		delete(s.Instances, fmt.Sprint(pool, k))
+	}
+}
+
+func budget(s *fleet.State, n int) {
+	for name, p := range s.Pools {
+		p.Budget = n
+		s.Pools[name] = p
+	}
+}
+
+// TestNoReturn guards against instances that go back and forth: two pools are
+// short in turn for half the time that a pool has to be quiet, for six hours.
+func TestNoReturn(t *testing.T) {
+	const takes = 30 * time.Second
+	r := rand.New(rand.NewSource(1))
+	s := fixture()
+	drop(s, "spare", 3)
+	var c Recorder
+	loads := make(map[string]InstanceLoad)
+	moves := 0
+	for now := start; now.Before(start.Add(6 * time.Hour)); now = now.Add(WindowLength) {
+		turn := now.Sub(start)/(HoldMoves*takes/2)%2 == 0
+		observe(&c, now, int(WindowLength.Seconds()), func(pool string, _ int) float64 {
+			return short((pool == "a") == turn) * (0.9 + 0.2*r.Float64())
+		})
+		o := Observation{Demand: c.Demand(), Instances: loads, MoveTakes: takes}
+		d := Plan(s, o, now)
+		if !reflect.DeepEqual(d, Plan(s, o, now)) {
+			t.Fatalf("the same arguments gave two decisions")
+		}
+		for _, m := range d.Moves {
+			i := s.Instances[m.Instance]
+			i.Pool = m.To
+			s.Instances[i.Name] = i
+			loads[i.Name] = InstanceLoad{HoldUntil: now.Add(HoldMoves * takes)}
+			moves++
+		}
+	}
+	if moves > 2 {
+		t.Errorf("%d moves in six hours", moves)
+	}
+}
+
+// TestReplace guards against a failed instance that keeps a budget spent
+// although a spare instance is there, and a replacement that costs the spare
+// pool its own budget.
+func TestReplace(t *testing.T) {
+	s := fixture()
+	for _, name := range []string{"a0", "a1"} {
+		i := s.Instances[name]
+		i.Failed = true
+		s.Instances[name] = i
+	}
+	d := Plan(s, Observation{}, start)
+	if len(d.Moves) != 1 || d.Moves[0].From != "spare" || d.Moves[0].To != "a" || d.Moves[0].Swap != "a0" {
+		t.Errorf("moves %+v", d.Moves)
+	}
+	i := s.Instances["spare0"]
+	i.Phase = fleet.Draining
+	s.Instances["spare0"] = i
+	if d = Plan(s, Observation{}, start); len(d.Moves) != 0 {
+		t.Errorf("moves %+v with one left of the spare pool's budget", d.Moves)
+	}
+}
+
+// TestWorth guards against a value that ignores what one more instance serves.
+func TestWorth(t *testing.T) {
+	var r Recorder
+	now := observe(&r, start, 600, func(pool string, _ int) float64 {
+		return map[string]float64{"a": 72, "b": 10}[pool]
+	})
+	s := fixture()
+	v := Worth(s, Observation{Demand: r.Demand()}, now)
+	if v.Unserved != 8*3600 || v.UnservedWithOneMore != 0 || v.Held != 4 {
+		t.Errorf("worth %+v, want 8 slots for an hour", v)
+	}
+	if d := Plan(s, Observation{Demand: r.Demand(), MoveTakes: time.Minute}, now); d.Wanted != 6 {
+		t.Errorf("wants %d, want 5 for 40 slots and 1 for failures", d.Wanted)
+	}
+}
