--- /dev/null
+++ b/azurepointd/internal/cli/doc.go
@@ -0,0 +1,3 @@
+// Package cli parses the daemon's command line, connects its parts, and starts
+// and stops them.
+package cli
--- /dev/null
+++ b/azurepointd/main.go
@@ -0,0 +1,12 @@
+// Command azurepointd is the daemon of an entry instance.
+package main
+
+import (
+	"os"
+
+	"github.com/azurepoint/azurepoint/azurepointd/internal/cli"
+)
+
+func main() {
+	os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
