--- /dev/null
+++ b/azurepointd/internal/event/catalogue_test.go
@@ -0,0 +1,175 @@
+package event
+
+import (
+	"flag"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+var update = flag.Bool("update", false, "rewrite the table of docs/events.md from the code")
+
+const page = "../../../docs/events.md"
+
+// row is one event, as the code or the catalogue has it.
+type row struct {
+	number            int
+	level, name, text string
+}
+
+// tableRow matches a line of the catalogue's table.
+var tableRow = regexp.MustCompile(`(?m)^\| (\d+) \| (\w+) \| (\w+) \| (.+?) \| (.*?) ?\|\n`)
+
+// Guards against events that the catalogue leaves out or tells otherwise, rows
+// without an event, and numbers that stand for two events or are in the file of
+// another duty.
+func TestCatalogue(t *testing.T) {
+	inCode := eventsOfCode(t)
+	if *update {
+		rewrite(t, inCode)
+	}
+	listed := rowsOfPage(t)
+	for i, r := range inCode {
+		if i > 0 && inCode[i-1].number == r.number {
+			t.Errorf("%s and %s have the number %d", inCode[i-1].name, r.name, r.number)
+		}
+		if !slices.Contains(listed, r) {
+			t.Errorf("not in the catalogue, or other than there: %+v", r)
+		}
+	}
+	for i, r := range listed {
+		if i > 0 && listed[i-1].number >= r.number {
+			t.Errorf("event %d follows event %d in the catalogue", r.number, listed[i-1].number)
+		}
+		if !slices.Contains(inCode, r) {
+			t.Errorf("not in the code, or other than there: %+v", r)
+		}
+	}
+}
+
+// eventsOfCode returns the Event literals of this package by number.
+func eventsOfCode(t *testing.T) (rows []row) {
+	t.Helper()
+	files, err := filepath.Glob("*.go")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no files: %v", err)
+	}
+	for _, name := range files {
+		if strings.HasSuffix(name, "_test.go") {
+			continue
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), name, nil, parser.SkipObjectResolution)
+		if err != nil {
+			t.Fatal(err)
+		}
+		inFile := eventsOfFile(t, file)
+		for _, r := range inFile {
+			if r.number/1000 != inFile[0].number/1000 {
+				t.Errorf("%s: event %d is of another range than %d", name, r.number, inFile[0].number)
+			}
+		}
+		rows = append(rows, inFile...)
+	}
+	slices.SortFunc(rows, func(a, b row) int { return a.number - b.number })
+	return rows
+}
+
+func eventsOfFile(t *testing.T, file *ast.File) (rows []row) {
+	t.Helper()
+	for node := range ast.Preorder(file) {
+		spec, isValue := node.(*ast.ValueSpec)
+		if !isValue {
+			continue
+		}
+		for i, value := range spec.Values {
+			literal, isLiteral := value.(*ast.CompositeLit)
+			if !isLiteral || fmt.Sprint(literal.Type) != "Event" {
+				continue
+			}
+			r, err := eventOf(spec.Names[i].Name, literal.Elts)
+			if err != nil {
+				t.Errorf("%s: %v", spec.Names[i].Name, err)
+			}
+			rows = append(rows, r)
+		}
+	}
+	return rows
+}
+
+// eventOf reads the three values of an Event literal, with or without keys.
+func eventOf(name string, elements []ast.Expr) (r row, err error) {
+	if len(elements) != 3 {
+		return r, fmt.Errorf("%d values", len(elements))
+	}
+	r.name = name
+	for i, e := range elements {
+		if pair, keyed := e.(*ast.KeyValueExpr); keyed {
+			elements[i] = pair.Value
+		}
+	}
+	number, isNumber := elements[0].(*ast.BasicLit)
+	level, isLevel := elements[1].(*ast.SelectorExpr)
+	text, isText := elements[2].(*ast.BasicLit)
+	if !isNumber || !isLevel || !isText {
+		return r, fmt.Errorf("not a number, a level and a text")
+	}
+	if r.number, err = strconv.Atoi(number.Value); err != nil {
+		return r, err
+	}
+	r.level = strings.ToLower(strings.TrimSuffix(level.Sel.Name, "Level"))
+	r.text, err = strconv.Unquote(text.Value)
+	return r, err
+}
+
+func readPage(t *testing.T) string {
+	t.Helper()
+	text, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+// rowsOfPage returns the rows of the catalogue, without their notes.
+func rowsOfPage(t *testing.T) (rows []row) {
+	t.Helper()
+	for _, m := range tableRow.FindAllStringSubmatch(readPage(t), -1) {
+		number, err := strconv.Atoi(m[1])
+		if err != nil {
+			t.Fatal(err)
+		}
+		rows = append(rows, row{number: number, level: m[2], name: m[3], text: m[4]})
+	}
+	return rows
+}
+
+// rewrite replaces the rows of the table and keeps the notes by number.
+func rewrite(t *testing.T, rows []row) {
+	t.Helper()
+	text := readPage(t)
+	notes := make(map[string]string)
+	for _, m := range tableRow.FindAllStringSubmatch(text, -1) {
+		notes[m[1]] = m[5]
+	}
+	var table strings.Builder
+	for _, r := range rows {
+		fmt.Fprintf(&table, "| %d | %s | %s | %s | %s |\n", r.number, r.level, r.name, r.text, notes[strconv.Itoa(r.number)])
+	}
+	const head = "|---|---|---|---|---|\n"
+	before, after, found := strings.Cut(text, head)
+	if !found {
+		t.Fatalf("%s has no table", page)
+	}
+	text = before + head + table.String() + tableRow.ReplaceAllString(after, "")
+	if err := os.WriteFile(page, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
