Refuse a cancelled drain once the reboot began, and decide on names in the log

Whether a created name is new was checked only at the entry that took the change, so two operators could both create it. Change: startReboot records the reboot before it begins, and setPool and setMember state whether the object must be new. The check at the entry is gone, because the log decides in one order.

--- a/azurepointd/internal/operator/statements.go
+++ b/azurepointd/internal/operator/statements.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"fmt"
 	"net/http"
 	"strings"
 	"time"
@@ -87,11 +86,6 @@
 	if err != nil {
 		return nil, failure(http.StatusBadRequest, err.Error())
 	}
-	if err = text.CheckNames(s); err != nil {
-		// This says nothing of an earlier call with the same id, so it is an
-		// error of this call and not the fate of the change.
-		return nil, failure(http.StatusConflict, fmt.Sprintf("%s at version %d", err, s.Version))
-	}
 	if r.DryRun.Value {
 		return &operatorapi.Reply{Version: s.Version, Change: operatorapi.NewOptChangeFate(wouldBe(next, c.ID))}, nil
 	}
--- a/coordination/command/statement.go
+++ b/coordination/command/statement.go
@@ -100,23 +100,29 @@
 
 // Steps returns the command as steps of a change.
 func (c CreatePool) Steps() (steps []fleet.Command) {
-	return []fleet.Command{{SetPool: &fleet.SetPool{Name: string(c.Name), Budget: integer(&c.Budget), Spare: &c.Spare}}}
+	return []fleet.Command{{SetPool: &fleet.SetPool{
+		Name: string(c.Name), When: fleet.MustBeAbsent, Budget: integer(&c.Budget), Spare: &c.Spare,
+	}}}
 }
 
 // Steps returns the command as steps of a change.
 func (c SetPool) Steps() (steps []fleet.Command) {
-	return []fleet.Command{{SetPool: &fleet.SetPool{Name: string(c.Name), Budget: integer(&c.Budget)}}}
+	return []fleet.Command{{SetPool: &fleet.SetPool{Name: string(c.Name), When: fleet.MustBePresent, Budget: integer(&c.Budget)}}}
 }
 
 // Steps returns the command as steps of a change.
 func (c CreateMember) Steps() (steps []fleet.Command) {
-	return SetMember{Name: c.Name, Cap: &c.Cap, Share: c.Share, Minimum: c.Minimum}.Steps()
+	return []fleet.Command{{SetMember: &fleet.SetMember{
+		Name: string(c.Name), When: fleet.MustBeAbsent,
+		Cap: integer(&c.Cap), Share: integer(c.Share), Minimum: integer(c.Minimum),
+	}}}
 }
 
 // Steps returns the command as steps of a change.
 func (c SetMember) Steps() (steps []fleet.Command) {
 	return []fleet.Command{{SetMember: &fleet.SetMember{
-		Name: string(c.Name), Cap: integer(c.Cap), Share: integer(c.Share), Minimum: integer(c.Minimum),
+		Name: string(c.Name), When: fleet.MustBePresent,
+		Cap: integer(c.Cap), Share: integer(c.Share), Minimum: integer(c.Minimum),
 	}}}
 }
 
--- a/coordination/fleet/apply_rapid_test.go
+++ b/coordination/fleet/apply_rapid_test.go
@@ -32,6 +32,7 @@
 		grant(instance, wave), grant(instance, wave), grant(instance, "a"), grant(instance, "a"),
 		{FinishDrain: &FinishDrain{Instance: instance}},
 		{CancelDrain: &CancelDrain{Instance: instance}},
+		{StartReboot: &StartReboot{Instance: instance}},
 		{MarkFailed: &MarkFailed{Instance: instance}},
 		{MarkAlive: &MarkAlive{Instance: instance}},
 	}
@@ -56,6 +57,9 @@
 func checkPools(s State) error {
 	for name, i := range s.Instances {
 		_, known := s.Pools[i.Pool]
+		if i.Rebooting && i.Phase != Draining {
+			return fmt.Errorf("instance %q reboots while it is %s", name, i.Phase)
+		}
 		if i.Name != name || !known || (i.NextPool != "") != (i.Phase == Releasing) || (i.Wave != "") != (i.Phase == Draining) {
 			return fmt.Errorf("instance %q is %+v", name, i)
 		}
--- a/coordination/fleet/change.go
+++ b/coordination/fleet/change.go
@@ -25,23 +25,39 @@
 	GrantDrain   *GrantDrain   `json:"grantDrain,omitempty"`
 	FinishDrain  *FinishDrain  `json:"finishDrain,omitempty"`
 	CancelDrain  *CancelDrain  `json:"cancelDrain,omitempty"`
+	StartReboot  *StartReboot  `json:"startReboot,omitempty"`
 	MarkFailed   *MarkFailed   `json:"markFailed,omitempty"`
 	MarkAlive    *MarkAlive    `json:"markAlive,omitempty"`
 }
 
+// Existence is what a command requires of the object that it sets.
+type Existence string
+
+// Requirements on the object; two operators who create the same name race at the
+// log, where the second is refused.
+const (
+	AnyExistence  Existence = ""
+	MustBeAbsent  Existence = "absent"
+	MustBePresent Existence = "present"
+)
+
 // SetPool creates a pool or changes its budget; nil fields stay as they are.
 type SetPool struct {
-	Name   string `json:"name"`
-	Budget *int   `json:"budget,omitempty"`
-	Spare  *bool  `json:"spare,omitempty"`
+	Name string `json:"name"`
+	// When is whether the pool must be new or known.
+	When   Existence `json:"when,omitempty"`
+	Budget *int      `json:"budget,omitempty"`
+	Spare  *bool     `json:"spare,omitempty"`
 }
 
 // SetMember creates a member or changes its cap; nil fields stay as they are.
 type SetMember struct {
-	Name    string `json:"name"`
-	Cap     *int   `json:"cap,omitempty"`
-	Share   *int   `json:"share,omitempty"`
-	Minimum *int   `json:"minimum,omitempty"`
+	Name string `json:"name"`
+	// When is whether the member must be new or known.
+	When    Existence `json:"when,omitempty"`
+	Cap     *int      `json:"cap,omitempty"`
+	Share   *int      `json:"share,omitempty"`
+	Minimum *int      `json:"minimum,omitempty"`
 }
 
 // AddInstance puts a new instance into a pool.
@@ -100,7 +116,14 @@
 	Instance string `json:"instance"`
 }
 
-// CancelDrain gives back a grant whose drain has not begun.
+// StartReboot records that a drained instance is about to reboot; the grant can
+// no longer be given back, because the instance would count as available while
+// it is down.
+type StartReboot struct {
+	Instance string `json:"instance"`
+}
+
+// CancelDrain gives back a grant whose reboot has not begun.
 type CancelDrain struct {
 	Instance string `json:"instance"`
 }
--- a/coordination/fleet/check.go
+++ b/coordination/fleet/check.go
@@ -66,6 +66,7 @@
 	set = appendSet(set, c.GrantDrain)
 	set = appendSet(set, c.FinishDrain)
 	set = appendSet(set, c.CancelDrain)
+	set = appendSet(set, c.StartReboot)
 	set = appendSet(set, c.MarkFailed)
 	return appendSet(set, c.MarkAlive)
 }
@@ -98,6 +99,19 @@
 	return ""
 }
 
+// check returns why an object that is known or not does not meet the requirement.
+func (e Existence) check(known bool) (reason string) {
+	switch {
+	case e == MustBeAbsent && known:
+		return "already exists"
+	case e == MustBePresent && !known:
+		return "does not exist"
+	case e != AnyExistence && e != MustBeAbsent && e != MustBePresent:
+		return fmt.Sprintf("requirement %.80q is not absent or present", string(e))
+	}
+	return ""
+}
+
 // checkAddress requires an IP number and a port, because processes connect
 // without looking names up.
 func checkAddress(address string) (reason string) {
--- a/coordination/fleet/model.go
+++ b/coordination/fleet/model.go
@@ -61,6 +61,8 @@
 	NextPool string `json:"nextPool,omitempty"`
 	// Wave is the maintenance wave that a draining instance belongs to.
 	Wave string `json:"wave,omitempty"`
+	// Rebooting is set once the reboot of a draining instance has begun.
+	Rebooting bool `json:"rebooting,omitempty"`
 	// Maintained is the last wave that the instance came back from.
 	Maintained string `json:"maintained,omitempty"`
 	// Since is the version of the last change of Pool or Phase.
--- a/coordination/fleet/pool.go
+++ b/coordination/fleet/pool.go
@@ -6,7 +6,7 @@
 
 // apply accepts a budget below what is in use; it only stops further grants.
 func (c *SetPool) apply(d *draft) (reason string) {
-	p := d.Pools[c.Name]
+	p, known := d.Pools[c.Name]
 	p.Name = c.Name
 	if c.Budget != nil {
 		p.Budget = *c.Budget
@@ -16,6 +16,7 @@
 	}
 	reason = firstOf(
 		checkName("name", c.Name),
+		c.When.check(known),
 		checkNotNegative("budget", p.Budget),
 		d.whyNotSpare(p),
 	)
@@ -42,7 +43,7 @@
 func (c *SetMember) subject() (command, object string) { return "setMember", c.Name }
 
 func (c *SetMember) apply(d *draft) (reason string) {
-	m := d.Members[c.Name]
+	m, known := d.Members[c.Name]
 	m.Name = c.Name
 	if c.Cap != nil {
 		m.Cap = *c.Cap
@@ -55,6 +56,7 @@
 	}
 	reason = firstOf(
 		checkName("name", c.Name),
+		c.When.check(known),
 		checkNotNegative("cap", m.Cap),
 		checkNotNegative("share", m.Share),
 		checkNotNegative("minimum", m.Minimum),
--- a/coordination/fleet/wave.go
+++ b/coordination/fleet/wave.go
@@ -104,6 +104,7 @@
 	}
 	i.Phase = Serving
 	i.Failed = false
+	i.Rebooting = false
 	i.Maintained = i.Wave
 	i.Wave = ""
 	i.Since = d.Version
@@ -112,6 +113,21 @@
 	return ""
 }
 
+func (c *StartReboot) subject() (command, object string) { return "startReboot", c.Instance }
+
+// apply accepts an instance that is rebooting already, because an entry that
+// takes the drain over records it again.
+func (c *StartReboot) apply(d *draft) (reason string) {
+	i, reason := d.inPhase(c.Instance, Draining)
+	if reason != "" || i.Rebooting {
+		return reason
+	}
+	i.Rebooting = true
+	i.Since = d.Version
+	d.putInstance(i)
+	return ""
+}
+
 func (c *CancelDrain) subject() (command, object string) { return "cancelDrain", c.Instance }
 
 func (c *CancelDrain) apply(d *draft) (reason string) {
@@ -119,6 +135,9 @@
 	if reason != "" {
 		return reason
 	}
+	if i.Rebooting {
+		return "instance has begun to reboot and counts against the budget until it is back"
+	}
 	i.Phase = Serving
 	i.Wave = ""
 	i.Since = d.Version
