--- /dev/null
+++ b/demo/internal/cli/cli.go
@@ -0,0 +1,100 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/go-faster/errors"
+)
+
+// Exit codes of the program.
+const (
+	exitDone     = 0
+	exitViolated = 1
+	exitUsage    = 2
+	exitFailed   = 3
+)
+
+type options struct {
+	Bin      string        `arg:"--bin" default:"bin" help:"folder of the built programs"`
+	Requests int           `arg:"--requests" default:"600" help:"how many requests to send"`
+	Parallel int           `arg:"--parallel" default:"24" help:"how many callers wait at once"`
+	Within   time.Duration `arg:"--within" default:"55s" help:"end of the whole run"`
+	Keep     string        `arg:"--logs" help:"folder for the logs; a temporary one that is removed if empty"`
+	Hold     bool          `arg:"--hold" help:"only start the fleet, print the addresses, and keep it until interrupted"`
+}
+
+// Description is the first line of the help text.
+func (options) Description() string {
+	return "demo runs a small fleet on loopback and checks its properties under load."
+}
+
+// Main runs the demo and returns its exit code.
+func Main(arguments []string, stdout, stderr io.Writer) (code int) {
+	var o options
+	parser, err := arg.NewParser(arg.Config{Program: "demo", Out: stderr}, &o)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitUsage
+	}
+	switch err := parser.Parse(arguments); {
+	case errors.Is(err, arg.ErrHelp):
+		parser.WriteHelp(stdout)
+		return exitDone
+	case err != nil:
+		parser.WriteUsage(stderr)
+		fmt.Fprintln(stderr, "demo:", err)
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return run(ctx, o, stdout, stderr)
+}
+
+func run(ctx context.Context, o options, stdout, stderr io.Writer) (code int) {
+	logs := o.Keep
+	if logs == "" {
+		folder, err := os.MkdirTemp("", "azurepoint-demo-")
+		if err != nil {
+			fmt.Fprintln(stderr, "demo:", err)
+			return exitFailed
+		}
+		defer func() { _ = os.RemoveAll(folder) }()
+		logs = folder
+	}
+	f := &fleet{}
+	f.group.Bin, f.group.Logs = o.Bin, logs
+	defer f.group.StopAll(stopWithin)
+	if err := f.start(ctx); err != nil {
+		fmt.Fprintln(stderr, "demo:", err)
+		return exitFailed
+	}
+	if o.Hold {
+		f.print(stdout)
+		<-ctx.Done()
+		return exitDone
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.Within)
+	defer cancel()
+	counts, violations, err := f.exercise(ctx, o, stdout)
+	for _, v := range violations {
+		fmt.Fprintln(stdout, "violated:", v)
+	}
+	if err != nil {
+		fmt.Fprintln(stderr, "demo:", err)
+	}
+	fmt.Fprintln(stdout, counts)
+	switch {
+	case len(violations) > 0:
+		return exitViolated
+	case err != nil:
+		return exitFailed
+	}
+	return exitDone
+}
--- /dev/null
+++ b/demo/internal/cli/exercise.go
@@ -0,0 +1,160 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/azurepoint/azurepoint/api/callerapi"
+	"github.com/azurepoint/azurepoint/demo/internal/caller"
+	"github.com/azurepoint/azurepoint/demo/internal/endpoint"
+	"github.com/azurepoint/azurepoint/demo/internal/operator"
+)
+
+const (
+	// requestDeadline is how long a caller of the demo waits.
+	requestDeadline = 10 * time.Second
+	// pollEvery is the interval between questions about the state.
+	pollEvery = 200 * time.Millisecond
+)
+
+// The instance that the demo moves, the wave that it declares, and the entry
+// that it kills.
+const (
+	movedInstance = "payroll-2"
+	wave          = "demo-wave"
+	killedEntry   = 3
+)
+
+var kinds = []caller.Kind{
+	{Member: "cafes", Pool: "cover", Urgency: callerapi.UrgencyUrgent, RunMillis: 60},
+	{Member: "phones", Pool: "cover", Urgency: callerapi.UrgencyNormal, RunMillis: 120},
+	{Member: "accounts", Pool: "payroll", Urgency: callerapi.UrgencyBatch, Repeatable: true, RunMillis: 250},
+	{Member: "accounts", Pool: "payroll", Urgency: callerapi.UrgencyBatch, RunMillis: 250},
+}
+
+// exercise sends the load in rounds, one for each change or disturbance, and
+// checks the whole history at the end.
+func (f *fleet) exercise(ctx context.Context, o options, stdout io.Writer) (c Counts, violations []string, err error) {
+	load := &caller.Load{Kinds: kinds, Deadline: requestDeadline}
+	for _, e := range f.entries {
+		load.Entries = append(load.Entries, e.caller)
+	}
+	steps := []struct {
+		name string
+		run  func(ctx context.Context) error
+	}{
+		{"set a cap", f.setCap},
+		{"move an instance", f.move},
+		{"drain an endpoint", f.drain},
+		{"kill an entry", f.kill},
+	}
+	var records []caller.Record
+	share := (o.Requests + len(steps) - 1) / len(steps)
+	for _, s := range steps {
+		done := make(chan []caller.Record, 1)
+		go func() { done <- load.Send(ctx, len(records), share, o.Parallel) }()
+		if err = s.run(ctx); err != nil {
+			err = fmt.Errorf("cli: %s: %w", s.name, err)
+		}
+		records = append(records, <-done...)
+		fmt.Fprintf(stdout, "demo: %s: %d requests sent\n", s.name, len(records))
+		if err != nil {
+			break
+		}
+	}
+	events, historyErr := f.history(ctx)
+	if historyErr != nil {
+		return c, nil, historyErr
+	}
+	c, violations = check(records, events)
+	if err != nil {
+		return c, violations, err
+	}
+	return c, violations, f.countChanges(ctx, stdout, &c)
+}
+
+func (f *fleet) setCap(ctx context.Context) (err error) {
+	_, err = f.operators.Run(ctx, "demo-cap", "set member phones cap 20")
+	return err
+}
+
+func (f *fleet) move(ctx context.Context) (err error) {
+	if _, err = f.operators.Run(ctx, "demo-move", "move "+movedInstance+" to spare"); err != nil {
+		return err
+	}
+	return f.waitForCell(ctx, "show instances", movedInstance, "pool", "spare")
+}
+
+// drain maintains the cover pool; its budget lets one endpoint go at a time, so
+// that the other one stays in service.
+func (f *fleet) drain(ctx context.Context) (err error) {
+	if _, err = f.operators.Run(ctx, "demo-wave", "declare wave "+wave+" for cover"); err != nil {
+		return err
+	}
+	return f.waitForCell(ctx, "show waves", wave, "state", "ended")
+}
+
+func (f *fleet) kill(ctx context.Context) (err error) {
+	f.operators.Entries = slices.DeleteFunc(f.operators.Entries, func(address string) bool {
+		return address == f.entries[killedEntry].operator
+	})
+	return f.entries[killedEntry].process.Kill()
+}
+
+// waitForCell asks until the cell of a row has the wanted value.
+func (f *fleet) waitForCell(ctx context.Context, query, row, column, want string) (err error) {
+	last := ""
+	for {
+		reply, err := f.operators.Run(ctx, "", query)
+		if err == nil {
+			cell, _ := operator.Cell(reply, row, column)
+			if cell == want {
+				return nil
+			}
+			last = cell
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%s of %s is %q, not %q, when the time ended", column, row, last, want)
+		case <-time.After(pollEvery):
+		}
+	}
+}
+
+// history returns what all endpoints ran.
+func (f *fleet) history(ctx context.Context) (events []endpoint.Event, err error) {
+	for _, p := range places {
+		part, err := endpoint.History(ctx, p.name, f.endpoints[p.name].Addresses[0])
+		if err != nil {
+			return nil, err
+		}
+		events = append(events, part...)
+	}
+	return events, nil
+}
+
+// countChanges asks what holds after all and counts the changes that took effect.
+func (f *fleet) countChanges(ctx context.Context, stdout io.Writer, c *Counts) (err error) {
+	reply, err := f.operators.Run(ctx, "", "show pools; show instances; show waves; show members")
+	if err != nil {
+		return err
+	}
+	for _, t := range reply.Tables {
+		fmt.Fprintln(stdout, t.Title, t.Columns)
+		for _, r := range t.Rows {
+			fmt.Fprintln(stdout, " ", r.Cells)
+		}
+	}
+	if pool, _ := operator.Cell(reply, movedInstance, "pool"); pool == "spare" {
+		c.MovesDone++
+	}
+	for _, p := range places {
+		if maintained, _ := operator.Cell(reply, p.name, "maintained"); maintained == wave {
+			c.DrainsDone++
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/demo/main.go
@@ -0,0 +1,13 @@
+// Command demo runs a small fleet on loopback, sends requests through it while it
+// is changed and disturbed, and checks the properties.
+package main
+
+import (
+	"os"
+
+	"github.com/azurepoint/azurepoint/demo/internal/cli"
+)
+
+func main() {
+	os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
