Add the client of the platform and its stand-in

The entries meet the platform by the published Consul HTTP API.

InstanceWatch adds a way to wait for the instance list, because a list of a data centre at the designed size is too large to be read again and again.

--- /dev/null
+++ b/coordination/platform/client_test.go
@@ -0,0 +1,107 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+)
+
+// serve returns a client of a service that gives every call the same answer.
+func serve(t *testing.T, h http.HandlerFunc) *Client {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return &Client{Address: strings.TrimPrefix(s.URL, "http://"), CallTimeout: 10 * time.Second}
+}
+
+// hang answers never; the server only sees that the client has gone once the
+// body is read.
+func hang(_ http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+}
+
+// Guards against a write that is reported as refused, or as an error that is not
+// ErrUnavailable, although the service may have carried it out.
+func TestOpenOutcomes(t *testing.T) {
+	for name, h := range map[string]http.HandlerFunc{
+		"connection cut": func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+		"internal error": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) },
+		"rate limited":   func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTooManyRequests) },
+		"empty answer":   func(http.ResponseWriter, *http.Request) {},
+		"cut short":      func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("tru")) },
+		"cut before end": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "5")
+			_, _ = w.Write([]byte("true"))
+		},
+		"too large":        func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, maxFlagBytes+1)) },
+		"slow past limits": hang,
+	} {
+		c := serve(t, h)
+		if strings.HasPrefix(name, "slow") {
+			c.CallTimeout = 20 * time.Millisecond
+		}
+		swapped, err := c.CompareAndSwap(t.Context(), "a/b", MustNotExist, []byte("x"))
+		if swapped || !errors.Is(err, ErrUnavailable) {
+			t.Errorf("%s: swapped %v, error %v", name, swapped, err)
+		}
+		if _, err = c.Delete(t.Context(), "a/b", 3); !errors.Is(err, ErrUnavailable) {
+			t.Errorf("%s: delete gives error %v", name, err)
+		}
+	}
+}
+
+// Guards against a context whose end is not seen, and against one that hides
+// that the outcome is open.
+func TestContextEnds(t *testing.T) {
+	c := serve(t, hang)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	_, err := c.CompareAndSwap(ctx, "a", MustNotExist, nil)
+	if !errors.Is(err, ErrUnavailable) || !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("error %v", err)
+	}
+}
+
+// Guards against a definite refusal that is taken as an outage and retried for
+// ever, and against values that the service would refuse.
+func TestDefiniteErrors(t *testing.T) {
+	c := serve(t, func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "permission denied", http.StatusForbidden) })
+	if _, err := c.CompareAndSwap(t.Context(), "a", MustNotExist, nil); err == nil || errors.Is(err, ErrUnavailable) || !strings.Contains(err.Error(), "platform: write a: status 403") {
+		t.Errorf("status 403 gives error %v", err)
+	}
+	if _, err := c.CompareAndSwap(t.Context(), "a", MustNotExist, make([]byte, MaxValueBytes+1)); !errors.Is(err, ErrTooLarge) {
+		t.Errorf("a large value gives error %v", err)
+	}
+	if _, _, err := c.Get(t.Context(), "a"); err == nil || errors.Is(err, ErrUnavailable) {
+		t.Errorf("status 403 gives error %v", err)
+	}
+}
+
+// Guards against instances that are missed as leaving, and against an answer cut
+// short that is read as a shorter list.
+func TestListings(t *testing.T) {
+	const form = `[{"Node":{"Node":"w1","Address":"10.0.0.1"},"Service":{"Address":"","Port":80},"Checks":[{"CheckID":"serfHealth","Status":"critical"},{"CheckID":"_service_maintenance:x","Status":"passing"}]},
+{"Node":{"Node":"w2","Address":"10.0.0.2"},"Service":{"Address":"10.1.0.2","Port":81},"Checks":[{"CheckID":"_service_maintenance:x","Status":"critical"}]},
+{"Node":{"Node":"w3","Address":"10.0.0.3"},"Service":{"Port":82},"Checks":[{"CheckID":"_node_maintenance","Status":"critical"}]}]`
+	length := len(form)
+	c := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Consul-Index", r.URL.Query().Get("index")+"7")
+		_, _ = w.Write([]byte(form)[:length])
+	})
+	l, index, err := c.WaitListings(t.Context(), "dc1", 3, time.Now().Add(time.Minute))
+	want := "[{w1 10.0.0.1:80 false} {w2 10.1.0.2:81 true} {w3 10.0.0.3:82 true}]"
+	if got := fmt.Sprint(l); got != want || index != 37 || err != nil {
+		t.Errorf("listings %s, index %d, error %v", got, index, err)
+	}
+	length -= 10
+	if l, err = c.Listings(t.Context(), "dc1"); !errors.Is(err, ErrUnavailable) {
+		t.Errorf("cut answer gives %v, error %v", l, err)
+	}
+}
--- a/coordination/platform/store.go
+++ b/coordination/platform/store.go
@@ -69,3 +69,12 @@
 	// Listings returns the live and leaving instances of a data centre.
 	Listings(ctx context.Context, dataCentre string) (listings []Listing, err error)
 }
+
+// InstanceWatch is the list with a way to wait for its next change.
+type InstanceWatch interface {
+	Instances
+	// WaitListings returns the listings once the list's index is above after, or
+	// the unchanged listings when the deadline passes; it counts as one call on
+	// the service.
+	WaitListings(ctx context.Context, dataCentre string, after int64, until time.Time) (listings []Listing, index int64, err error)
+}
--- /dev/null
+++ b/platformd/internal/cli/doc.go
@@ -0,0 +1,2 @@
+// Package cli reads the flags of platformd and serves until it is stopped.
+package cli
--- /dev/null
+++ b/platformd/internal/server/instances.go
@@ -0,0 +1,118 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/azurepoint/azurepoint/platformd/internal/catalog"
+)
+
+// registration is a service in the form of the published agent API. The
+// stand-in plays the agents of all nodes: the ID is also the node's name, and
+// the parameter dc is the node's data centre.
+type registration struct {
+	ID      string
+	Name    string
+	Address string
+	Port    int
+}
+
+// entryForm is a listed service in the form of the published health API.
+type entryForm struct {
+	Node    nodeForm
+	Service serviceForm
+	Checks  []checkForm
+}
+
+type nodeForm struct {
+	Node       string
+	Address    string
+	Datacenter string
+}
+
+type serviceForm struct {
+	ID      string
+	Service string
+	Address string
+	Port    int
+}
+
+type checkForm struct {
+	Node        string
+	CheckID     string
+	Status      string
+	ServiceID   string
+	ServiceName string
+}
+
+func (s *Server) register(w http.ResponseWriter, r *http.Request) {
+	var f registration
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if f.Name == "" {
+		http.Error(w, "missing service name", http.StatusBadRequest)
+		return
+	}
+	if f.ID == "" {
+		f.ID = f.Name
+	}
+	s.catalog.Register(catalog.Instance{
+		ID:         f.ID,
+		Name:       f.Name,
+		DataCentre: r.URL.Query().Get("dc"),
+		Address:    f.Address,
+		Port:       f.Port,
+	})
+}
+
+func (s *Server) deregister(w http.ResponseWriter, r *http.Request) {
+	if !s.catalog.Deregister(r.PathValue("id")) {
+		http.Error(w, "unknown service ID", http.StatusNotFound)
+	}
+}
+
+func (s *Server) maintain(w http.ResponseWriter, r *http.Request) {
+	enable, err := strconv.ParseBool(r.URL.Query().Get("enable"))
+	if err != nil {
+		http.Error(w, "missing value for enable", http.StatusBadRequest)
+		return
+	}
+	if !s.catalog.SetLeaving(r.PathValue("id"), enable) {
+		http.Error(w, "unknown service ID", http.StatusNotFound)
+	}
+}
+
+func (s *Server) listInstances(w http.ResponseWriter, r *http.Request) {
+	dataCentre := r.URL.Query().Get("dc")
+	s.wait(r, func(ctx context.Context, after int64, deadline time.Time) {
+		s.catalog.Wait(ctx, dataCentre, after, deadline)
+	})
+	instances, index := s.catalog.List(r.PathValue("service"), dataCentre)
+	forms := make([]entryForm, 0, len(instances))
+	for _, i := range instances {
+		forms = append(forms, formOf(i))
+	}
+	writeIndex(w, index)
+	writeJSON(w, forms)
+}
+
+func formOf(i catalog.Instance) (f entryForm) {
+	f.Node = nodeForm{Node: i.ID, Address: i.Address, Datacenter: i.DataCentre}
+	f.Service = serviceForm{ID: i.ID, Service: i.Name, Address: i.Address, Port: i.Port}
+	f.Checks = []checkForm{{Node: i.ID, CheckID: "serfHealth", Status: "passing"}}
+	if i.Leaving {
+		f.Checks = append(f.Checks, checkForm{
+			Node:        i.ID,
+			CheckID:     "_service_maintenance:" + i.ID,
+			Status:      "critical",
+			ServiceID:   i.ID,
+			ServiceName: i.Name,
+		})
+	}
+	return f
+}
--- /dev/null
+++ b/platformd/internal/store/doc.go
@@ -0,0 +1,2 @@
+// Package store keeps the keys and sessions of the key-value service in memory.
+package store
