Answer operators from package fleet and refuse wrong names in the log

The operators' API took the decisions of the fleet through function values and its tests had stand-ins for them, and create and set were checked for existing names at the entry that was asked, so two operators could both create one name.

The API now calls package fleet, the tests build their states with real changes, and the refusal is the fate of the change.

--- a/azurepointd/internal/operator/advice.go
+++ b/azurepointd/internal/operator/advice.go
@@ -12,8 +12,8 @@
 
 // movable lists for every instance whether it may move to the pool and, if not,
 // the rule that forbids it. Without a pool it asks for the spare pool.
-func (h handler) movable(s fleet.State, to string) (t operatorapi.Table, err error) {
-	if err = requirePool(&s, to); err != nil {
+func movable(s *fleet.State, to string) (t operatorapi.Table, err error) {
+	if err = requirePool(s, to); err != nil {
 		return t, err
 	}
 	t = newTable("movable", "instance", "pool", "to", "may", "reason")
@@ -23,7 +23,7 @@
 			continue
 		}
 		for name := range part.Instances {
-			reason := h.Rules.WhyNotMove(part, name, target)
+			reason := part.WhyNotMove(name, target)
 			add(&t, name, pool, target, may(reason), reason)
 		}
 	}
@@ -33,7 +33,7 @@
 
 // otherPool returns the spare pool, or the first other one for an instance that
 // is in it.
-func otherPool(s fleet.State, pool string) (target string) {
+func otherPool(s *fleet.State, pool string) (target string) {
 	for _, name := range sorted(s.Pools) {
 		if name == pool {
 			continue
@@ -49,7 +49,7 @@
 // drainable lists the instances that a wave has yet to maintain, whether each
 // may drain now and, if not, the rule that forbids it. Without a wave it goes
 // through those that have not ended.
-func (h handler) drainable(s fleet.State, wave string) (t operatorapi.Table, err error) {
+func drainable(s *fleet.State, wave string) (t operatorapi.Table, err error) {
 	if _, found := s.Waves[wave]; !found && wave != "" {
 		return t, errors.Errorf("wave %q does not exist", wave)
 	}
@@ -60,32 +60,29 @@
 			continue
 		}
 		for _, pool := range w.Pools {
-			h.drainableIn(&t, parts[pool], pool, name)
+			drainableIn(&t, parts[pool], name)
 		}
 	}
 	sortRows(&t)
 	return t, nil
 }
 
-func (h handler) drainableIn(t *operatorapi.Table, part fleet.State, pool, wave string) {
-	for _, i := range part.Instances {
-		if i.Maintained == wave {
-			continue
-		}
-		reason := h.Rules.WhyNotDrain(part, i.Name, wave)
-		add(t, i.Name, pool, wave, may(reason), reason)
+func drainableIn(t *operatorapi.Table, part fleet.State, wave string) {
+	for _, i := range part.Remaining(wave) {
+		reason := part.WhyNotDrain(i.Name, wave)
+		add(t, i.Name, i.Pool, wave, may(reason), reason)
 	}
 }
 
-// byPool returns the state once for each pool, with the instances of that pool
+// byPool returns the state once for each pool that has instances, with those
 // only. The rules look at no others, and counting the whole fleet for each of
-// 24,000 instances would take minutes.
-func byPool(s fleet.State) (parts map[string]fleet.State) {
+// 24,000 instances would be 576 million steps.
+func byPool(s *fleet.State) (parts map[string]fleet.State) {
 	parts = make(map[string]fleet.State, len(s.Pools))
 	for name, i := range s.Instances {
 		part, found := parts[i.Pool]
 		if !found {
-			part = s
+			part = *s
 			part.Instances = make(map[string]fleet.Instance)
 			parts[i.Pool] = part
 		}
--- a/azurepointd/internal/operator/operator.go
+++ b/azurepointd/internal/operator/operator.go
@@ -50,15 +50,6 @@
 	DataCentres() []string
 }
 
-// Rules are the decisions of package fleet that the answers explain; they are
-// its functions, and its methods as method expressions.
-type Rules struct {
-	Apply       func(s fleet.State, c fleet.Change) (next fleet.State, err error)
-	WhyNotDrain func(s fleet.State, instance, wave string) (reason string)
-	WhyNotMove  func(s fleet.State, instance, pool string) (reason string)
-	Unavailable func(s fleet.State, pool string) (n int)
-}
-
 // Part is a part of the daemon that can write its state as readable text.
 type Part struct {
 	Name   string
@@ -70,7 +61,6 @@
 	Fleet Fleet
 	Peers Peers
 	Usage Usage
-	Rules Rules
 	// Secret is what every call carries as bearer token; without one, every
 	// call is refused.
 	Secret string
--- a/azurepointd/internal/operator/operator_test.go
+++ b/azurepointd/internal/operator/operator_test.go
@@ -8,28 +8,55 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/azurepoint/azurepoint/api/operatorapi"
+	"github.com/azurepoint/azurepoint/coordination/command"
 	"github.com/azurepoint/azurepoint/coordination/fleet"
 	"github.com/azurepoint/azurepoint/coordination/membership"
 )
 
 const testSecret = "operators-only-1234"
 
-// fakeFleet applies every change at once; with an error it applies the change
-// and loses the answer.
+// fakeFleet is what entries see of one log, which applies changes in order; with
+// an error it applies the change and loses the answer.
 type fakeFleet struct {
+	// delay is how long a proposed change takes to the log.
+	delay time.Duration
+	err   error
+
+	mu       sync.Mutex
 	state    fleet.State
-	err      error
 	proposed []fleet.Change
 }
 
-func (f *fakeFleet) State() *fleet.State    { s := f.state; return &s }
+func (f *fakeFleet) State() *fleet.State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return new(f.state)
+}
+
+func (f *fakeFleet) Propose(ctx context.Context, c fleet.Change) (fate fleet.Fate, err error) {
+	if _, bounded := ctx.Deadline(); !bounded {
+		return fate, errors.New("the call has no deadline")
+	}
+	time.Sleep(f.delay)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.proposed = append(f.proposed, c)
+	if f.state, err = fleet.Apply(f.state, c); err != nil {
+		return fate, err
+	}
+	fate, _ = f.state.FateOf(c.ID)
+	return fate, f.err
+}
+
 func (f *fakeFleet) Leaving(i string) bool  { return i == "a2" }
 func (f *fakeFleet) Self() membership.Entry { return membership.Entry{Name: "e1", DataCentre: "north"} }
 func (f *fakeFleet) Live() []membership.Entry {
@@ -52,80 +79,54 @@
 
 func (f *fakeFleet) Dump(w io.Writer) { _, _ = fmt.Fprintln(w, "state of the fake") }
 
-func (f *fakeFleet) Propose(ctx context.Context, c fleet.Change) (fate fleet.Fate, err error) {
-	if _, bounded := ctx.Deadline(); !bounded {
-		return fate, errors.New("the call has no deadline")
-	}
-	f.proposed = append(f.proposed, c)
-	f.state, err = apply(f.state, c)
-	if f.err != nil {
-		return fate, f.err
+// newFleet returns pool a with a1 rebooting, pool b with b2 back from the wave w,
+// and the spare pool s.
+func newFleet(t *testing.T) *fakeFleet {
+	t.Helper()
+	text, err := command.Parse(`create pool a budget 1; create pool b budget 1; create pool s budget 0 spare
+		create member m cap 10; create member n cap 2 share 3 minimum 1
+		add instance a1 address 10.0.0.1:1 dataCentre north rack r slots 8 pool a
+		add instance a2 address 10.0.0.2:1 dataCentre south rack r slots 8 pool a
+		add instance b1 address 10.0.0.3:1 dataCentre north rack r slots 8 pool b
+		add instance b2 address 10.0.0.4:1 dataCentre north rack r slots 8 pool b
+		declare wave old for s; end wave old; declare wave w for a, b`)
+	if err != nil {
+		t.Fatal(err)
 	}
-	return f.state.Fates[len(f.state.Fates)-1], err
-}
-
-// apply knows budgets and refuses a budget of 13.
-func apply(s fleet.State, c fleet.Change) (next fleet.State, err error) {
-	s.Version++
-	fate := fleet.Fate{ID: c.ID, Index: s.Version}
-	for _, one := range c.Commands {
-		if p := one.SetPool; p != nil && *p.Budget == 13 {
-			fate.Refusal = "budget 13"
+	f := &fakeFleet{}
+	for _, c := range []fleet.Change{
+		{ID: "first", Commands: text.Steps()},
+		{ID: "second", Commands: []fleet.Command{
+			{GrantDrain: &fleet.GrantDrain{Instance: "b2", Wave: "w"}},
+			{FinishDrain: &fleet.FinishDrain{Instance: "b2"}},
+			{GrantDrain: &fleet.GrantDrain{Instance: "a1", Wave: "w"}},
+			{StartReboot: &fleet.StartReboot{Instance: "a1"}},
+		}},
+	} {
+		if f.state, err = fleet.Apply(f.state, c); err != nil {
+			t.Fatal(err)
 		}
-	}
-	s.Fates = append(slices.Clone(s.Fates), fate)
-	return s, nil
-}
-
-func unavailable(s fleet.State, pool string) (n int) {
-	for _, i := range s.Instances {
-		if i.Pool == pool && (i.Phase != fleet.Serving || i.Failed) {
-			n++
+		if fate, _ := f.state.FateOf(c.ID); fate.Refusal != "" {
+			t.Fatalf("%s refused: %s", c.ID, fate.Refusal)
 		}
 	}
-	return n
+	return f
 }
 
-func whyNot(s fleet.State, instance, target string) (reason string) {
-	p := s.Pools[s.Instances[instance].Pool]
-	if n := unavailable(s, p.Name); n >= p.Budget {
-		return fmt.Sprintf("%s: pool %s has budget %d and %d unavailable", target, p.Name, p.Budget, n)
+func newOperator(f *fakeFleet) (o *Operator) {
+	o = &Operator{
+		Fleet: f, Peers: f, Usage: f, Secret: testSecret, Metrics: metrics.NewRegistry(), Parts: []Part{{"fake", f}},
 	}
-	return ""
-}
-
-func newFleet() *fakeFleet {
-	return &fakeFleet{state: fleet.State{
-		Version: 7,
-		Pools: map[string]fleet.Pool{
-			"a": {Name: "a", Budget: 1}, "b": {Name: "b", Budget: 1}, "s": {Name: "s", Spare: true},
-		},
-		Members: map[string]fleet.Member{"m": {Name: "m", Cap: 10}, "n": {Name: "n", Cap: 2, Share: 3, Minimum: 1}},
-		Instances: map[string]fleet.Instance{
-			"a1": {Name: "a1", Pool: "a", Phase: fleet.Draining, Wave: "w", Slots: 8, DataCentre: "north"},
-			"a2": {Name: "a2", Pool: "a", Phase: fleet.Serving, Slots: 8, DataCentre: "south"},
-			"b1": {Name: "b1", Pool: "b", Phase: fleet.Serving, Slots: 8, DataCentre: "north"},
-			"b2": {Name: "b2", Pool: "b", Phase: fleet.Serving, Slots: 8, DataCentre: "north", Maintained: "w"},
-		},
-		Waves: map[string]fleet.Wave{
-			"w":   {Name: "w", Pools: []string{"a", "b"}, State: fleet.WaveRunning},
-			"old": {Name: "old", Pools: []string{"s"}, State: fleet.WaveEnded},
-		},
-		Fates: []fleet.Fate{{ID: "first", Index: 6}},
-	}}
+	o.init()
+	return o
 }
 
 // start serves the API over HTTP and returns its address with a client.
 func start(t *testing.T, f *fakeFleet) (url string, c *operatorapi.Client) {
 	t.Helper()
-	registry := metrics.NewRegistry()
-	metrics.GetOrRegisterTimer("home.submit", registry).Update(20 * time.Millisecond)
-	metrics.GetOrRegisterGaugeFloat64("x.ratio", registry).Update(0.5)
-	o := &Operator{
-		Fleet: f, Peers: f, Usage: f, Secret: testSecret, Metrics: registry,
-		Rules: Rules{Apply: apply, WhyNotDrain: whyNot, WhyNotMove: whyNot, Unavailable: unavailable},
-		Parts: []Part{{"fake", f}},
-	}
+	o := newOperator(f)
+	metrics.GetOrRegisterTimer("home.submit", o.Metrics).Update(20 * time.Millisecond)
+	metrics.GetOrRegisterGaugeFloat64("x.ratio", o.Metrics).Update(0.5)
 	h, err := o.Handler()
 	if err != nil {
 		t.Fatal(err)
@@ -157,22 +158,22 @@
 // Guards against answers that differ from the state, and against advice without
 // the rule and the figure that forbid something.
 func TestQueries(t *testing.T) {
-	_, c := start(t, newFleet())
+	const busy, spent = `instance is draining for wave "w"`, `pool "a" has budget 1 and 1 unavailable instance (a1 draining)`
+	_, c := start(t, newFleet(t))
 	for text, want := range map[string][]string{
-		"show pools": {
-			"a 1 1 2 1 1 0 0 16 ", "b 1 0 2 2 0 0 0 16 ", "s 0 0 0 0 0 0 0 0 yes",
-		},
+		"show pools":   {"a 1 1 2 1 1 0 0 16 ", "b 1 0 2 2 0 0 0 16 ", "s 0 0 0 0 0 0 0 0 yes"},
 		"show members": {"m 10 1 0", "n 2 3 1"},
-		"show instances in pool a in dataCentre south": {
-			"a2 a serving  yes    south   8 0",
+		"show instances in pool a": {
+			"a1 a draining yes    w  north r 10.0.0.1:1 8 2", "a2 a serving   yes    south r 10.0.0.2:1 8 1",
 		},
+		"show instances in pool a in dataCentre south": {"a2 a serving   yes    south r 10.0.0.2:1 8 1"},
 		"show waves":               {"old ended s 0 0 0  ", "w running a, b 4 1 1  "},
-		"show versions":            {"north 2 5 7", "south 1 9 9", "north e1 0 7 2 ", "north e2 0 5 4 ", "south e3 3 9 0 "},
+		"show versions":            {"north 2 2 5", "south 1 9 9", "north e1 0 2 7 ", "north e2 0 5 4 ", "south e3 3 9 0 "},
 		"show usage":               {"m 5 8 10 1 9", "n 0 0 2 0 0", "a north m 3 4 5 1 7", "a south m 2 4 5 0 2", "a north m queue full 6"},
-		"show movable to pool b":   {"a1 a b no b: pool a has budget 1 and 1 unavailable", "a2 a b no b: pool a has budget 1 and 1 unavailable"},
-		"show movable":             {"a1 a s no s: pool a has budget 1 and 1 unavailable", "a2 a s no s: pool a has budget 1 and 1 unavailable", "b1 b s yes ", "b2 b s yes "},
-		"show drainable in wave w": {"a1 a w no w: pool a has budget 1 and 1 unavailable", "a2 a w no w: pool a has budget 1 and 1 unavailable", "b1 b w yes "},
-		"show change first":        {"first applied 6 "},
+		"show movable to pool b":   {"a1 a b no " + busy, "a2 a b no " + spent},
+		"show movable":             {"a1 a s no " + busy, "a2 a s no " + spent, "b1 b s yes ", "b2 b s yes "},
+		"show drainable in wave w": {"a1 a w no " + busy, "a2 a w no " + spent, "b1 b w yes "},
+		"show change first":        {"first applied 1 "},
 		"show change never":        {"never unknown  not among the last changes in force at entry e1"},
 	} {
 		reply, err := run(t, c, text, "", false)
@@ -186,7 +187,7 @@
 				got = append(got, strings.Join(r.Cells, " "))
 			}
 		}
-		if !slices.Equal(got, want) || reply.Version != 7 {
+		if !slices.Equal(got, want) || reply.Version != 2 {
 			t.Errorf("%s at version %d:\n%q, want\n%q", text, reply.Version, got, want)
 		}
 	}
@@ -195,7 +196,7 @@
 // Guards against errors that tell less than the parser knows, and against a
 // name that does not exist being answered with an empty table.
 func TestErrors(t *testing.T) {
-	_, c := start(t, newFleet())
+	_, c := start(t, newFleet(t))
 	for text, code := range map[string]int{
 		"show pools; show pool":                        http.StatusBadRequest,
 		" # nothing":                                   http.StatusBadRequest,
@@ -220,7 +221,7 @@
 // Guards against a change that is proposed twice under one id, reported as done
 // when its outcome is unknown, or made by a dry run.
 func TestChanges(t *testing.T) {
-	f := newFleet()
+	f := newFleet(t)
 	_, c := start(t, f)
 	const text = "set pool a budget 2; drop instance a1"
 	expect := func(text, id string, dry bool, state operatorapi.ChangeState, proposals int) (got operatorapi.ChangeFate) {
@@ -235,32 +236,74 @@
 		return got
 	}
 	expect(text, "", true, operatorapi.ChangeStateWouldApply, 0)
-	expect("set pool a budget 13", "", true, operatorapi.ChangeStateRefused, 0)
+	expect("set pool z budget 2", "", true, operatorapi.ChangeStateRefused, 0)
 	expect(text, "first", false, operatorapi.ChangeStateApplied, 0)
 	one := expect(text, "", false, operatorapi.ChangeStateApplied, 1)
-	two := expect(text, "", false, operatorapi.ChangeStateApplied, 2)
-	if one.ID == two.ID || one.ID == "" || len(f.proposed[0].Commands) != 2 || one.Index.Value != 8 {
+	two := expect("set pool a budget 1", "", false, operatorapi.ChangeStateApplied, 2)
+	if one.ID == two.ID || one.ID == "" || len(f.proposed[0].Commands) != 2 || one.Index.Value != 3 {
 		t.Errorf("got %+v and %+v", one, two)
 	}
-	refused := expect("set pool a budget 13", "thirteen", false, operatorapi.ChangeStateRefused, 3)
-	if refused.Reason.Value != "budget 13" {
-		t.Errorf("got %+v", refused)
+	for i, c := range []struct{ text, reason string }{
+		{"create pool a budget 2", `setPool "a": already exists`},
+		{"set pool z budget 2", `setPool "z": does not exist`},
+		{"create member m cap 2", `setMember "m": already exists`},
+		{"set member z cap 2", `setMember "z": does not exist`},
+	} {
+		got := expect(c.text, "", false, operatorapi.ChangeStateRefused, 3+i)
+		if got.Reason.Value != c.reason || got.Index.Value != int64(5+i) {
+			t.Errorf("%s: got %+v, want %s", c.text, got, c.reason)
+		}
 	}
 	f.err = errors.New("the log does not answer")
-	lost := expect(text, "lost", false, operatorapi.ChangeStateUnknown, 4)
+	lost := expect("set pool a budget 3", "lost", false, operatorapi.ChangeStateUnknown, 7)
 	if lost.ID != "lost" || !strings.Contains(lost.Reason.Value, "the log does not answer") {
 		t.Errorf("got %+v", lost)
 	}
-	expect(text, "lost", false, operatorapi.ChangeStateApplied, 4)
+	expect("set pool a budget 3", "lost", false, operatorapi.ChangeStateApplied, 7)
 	fate, err := c.GetChange(t.Context(), operatorapi.GetChangeParams{ID: "lost"})
 	if err != nil || fate.State != operatorapi.ChangeStateApplied {
 		t.Errorf("got %+v, %v", fate, err)
 	}
 }
 
+// Guards against two operators who both create a name: each entry sees the state
+// without it, and only the log can refuse the second one.
+func TestConcurrentCreates(t *testing.T) {
+	f := newFleet(t)
+	f.delay = time.Second
+	entries := []*Operator{newOperator(f), newOperator(f)}
+	synctest.Test(t, func(t *testing.T) {
+		var fates [2]operatorapi.ChangeFate
+		var wg sync.WaitGroup
+		for i, o := range entries {
+			wg.Go(func() {
+				text := fmt.Sprintf("create pool c budget %d", i+1)
+				reply, err := handler{o}.RunStatements(t.Context(), &operatorapi.Statements{Text: text})
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				fates[i] = reply.Change.Value
+			})
+		}
+		wg.Wait()
+		won, lost := 0, 1
+		if fates[0].State != operatorapi.ChangeStateApplied {
+			won, lost = 1, 0
+		}
+		if fates[won].State != operatorapi.ChangeStateApplied || fates[lost].State != operatorapi.ChangeStateRefused ||
+			fates[lost].Reason.Value != `setPool "c": already exists` || fates[won].Index.Value >= fates[lost].Index.Value {
+			t.Errorf("got %+v", fates)
+		}
+		if got := f.state.Pools["c"].Budget; got != won+1 {
+			t.Errorf("budget is %d, not the one of the change that was applied", got)
+		}
+	})
+}
+
 // Guards against calls without the secret, large bodies and floods.
 func TestAccess(t *testing.T) {
-	url, _ := start(t, newFleet())
+	url, _ := start(t, newFleet(t))
 	for _, token := range []string{"", "wrong", testSecret + "x"} {
 		other, err := operatorapi.NewClient(url, bearer(token))
 		if err != nil {
@@ -290,8 +333,7 @@
 	if answer.StatusCode != http.StatusRequestEntityTooLarge {
 		t.Errorf("large body answered with %d", answer.StatusCode)
 	}
-	o := &Operator{Secret: testSecret, Metrics: metrics.NewRegistry()}
-	o.init()
+	o := newOperator(newFleet(t))
 	var limited *operatorapi.ErrorStatusCode
 	for range 3 * callBurst {
 		_, err = handler{o}.HandleSecret(t.Context(), operatorapi.DumpStateOperation, operatorapi.Secret{Token: testSecret})
@@ -306,7 +348,7 @@
 
 // Guards against metrics and dumps that lose a part.
 func TestMetricsAndDump(t *testing.T) {
-	_, c := start(t, newFleet())
+	_, c := start(t, newFleet(t))
 	m, err := c.ListMetrics(t.Context())
 	if err != nil {
 		t.Fatal(err)
@@ -323,7 +365,7 @@
 		t.Fatal(err)
 	}
 	text, err := io.ReadAll(dump)
-	if err != nil || !strings.Contains(string(text), "entry e1 version 7") || !strings.Contains(string(text), "== fake\nstate of the fake\n") {
+	if err != nil || !strings.Contains(string(text), "entry e1 version 2") || !strings.Contains(string(text), "== fake\nstate of the fake\n") {
 		t.Errorf("got %q, %v", text, err)
 	}
 }
--- a/azurepointd/internal/operator/statements.go
+++ b/azurepointd/internal/operator/statements.go
@@ -69,8 +69,7 @@
 	return reply, nil
 }
 
-// change proposes the commands unless the change is known already; a dry run
-// only applies it to the version in force here.
+// change answers with the fate of the commands as one change.
 func (h handler) change(
 	ctx context.Context, r *operatorapi.Statements, text command.Text,
 ) (reply *operatorapi.Reply, err error) {
@@ -78,20 +77,26 @@
 	if err != nil {
 		return nil, failure(http.StatusBadRequest, err.Error())
 	}
+	fate := h.decide(ctx, c, r.DryRun.Value)
+	return &operatorapi.Reply{
+		Version: h.Fleet.State().Version,
+		Change:  operatorapi.NewOptChangeFate(fate),
+	}, nil
+}
+
+// decide proposes a change that is not known yet; a dry run only applies it to
+// the version in force here.
+func (h handler) decide(ctx context.Context, c fleet.Change, dryRun bool) (fate operatorapi.ChangeFate) {
 	s := h.Fleet.State()
-	if f, known := findFate(s, c.ID); known {
-		return &operatorapi.Reply{Version: s.Version, Change: operatorapi.NewOptChangeFate(answerFate(f))}, nil
-	}
-	next, err := h.Rules.Apply(*s, c)
-	if err != nil {
-		return nil, failure(http.StatusBadRequest, err.Error())
+	if f, known := s.FateOf(c.ID); known {
+		return answerFate(f)
 	}
-	if r.DryRun.Value {
-		return &operatorapi.Reply{Version: s.Version, Change: operatorapi.NewOptChangeFate(wouldBe(next, c.ID))}, nil
+	if dryRun {
+		return wouldBe(s, c)
 	}
-	fate := h.propose(ctx, c)
+	fate = h.propose(ctx, c)
 	h.record(c, fate)
-	return &operatorapi.Reply{Version: h.Fleet.State().Version, Change: operatorapi.NewOptChangeFate(fate)}, nil
+	return fate
 }
 
 func newChange(r *operatorapi.Statements, text command.Text) (c fleet.Change, err error) {
@@ -107,7 +112,7 @@
 	if len(c.Commands) > maxSteps {
 		return c, errors.Errorf("the change has %d steps, the most is %d", len(c.Commands), maxSteps)
 	}
-	return c, nil
+	return c, c.Check()
 }
 
 // propose waits for the log; whatever keeps it from saying what became of the
@@ -125,7 +130,6 @@
 			Reason: operatorapi.NewOptString(err.Error() + "; ask for the change, or send it again, with this id"),
 		}
 	}
-	fate.ID = c.ID
 	return answerFate(fate)
 }
 
@@ -155,13 +159,16 @@
 	}
 }
 
-// wouldBe is the fate that the change has in the state after a dry run.
-func wouldBe(next fleet.State, id string) operatorapi.ChangeFate {
-	f, _ := findFate(&next, id)
-	if f.Refusal != "" {
-		return refused(id, f.Refusal)
+// wouldBe is the fate that a change would have as the next one after the state.
+func wouldBe(s *fleet.State, c fleet.Change) operatorapi.ChangeFate {
+	next, err := fleet.Apply(*s, c)
+	if err != nil {
+		return refused(c.ID, err.Error())
+	}
+	if f, _ := next.FateOf(c.ID); f.Refusal != "" {
+		return refused(c.ID, f.Refusal)
 	}
-	return operatorapi.ChangeFate{ID: id, State: operatorapi.ChangeStateWouldApply}
+	return operatorapi.ChangeFate{ID: c.ID, State: operatorapi.ChangeStateWouldApply}
 }
 
 func answerFate(f fleet.Fate) operatorapi.ChangeFate {
@@ -176,7 +183,7 @@
 // fateOf is unknown for a change that is not among the last ones in force here:
 // it may be older, on its way, or never have been.
 func (h handler) fateOf(s *fleet.State, id string) operatorapi.ChangeFate {
-	if f, known := findFate(s, id); known {
+	if f, known := s.FateOf(id); known {
 		return answerFate(f)
 	}
 	return operatorapi.ChangeFate{
@@ -185,12 +192,3 @@
 		Reason: operatorapi.NewOptString("not among the last changes in force at entry " + h.Peers.Self().Name),
 	}
 }
-
-func findFate(s *fleet.State, id string) (f fleet.Fate, known bool) {
-	for _, f := range s.Fates {
-		if f.ID == id {
-			return f, true
-		}
-	}
-	return fleet.Fate{}, false
-}
--- a/azurepointd/internal/operator/table.go
+++ b/azurepointd/internal/operator/table.go
@@ -38,9 +38,9 @@
 	case command.ShowInstances:
 		return one(h.instances(s, string(q.Pool), string(q.DataCentre)))
 	case command.ShowMovable:
-		return one(h.movable(*s, string(q.Pool)))
+		return one(movable(s, string(q.Pool)))
 	case command.ShowDrainable:
-		return one(h.drainable(*s, string(q.Wave)))
+		return one(drainable(s, string(q.Wave)))
 	case command.ShowChange:
 		return one(h.changes(s, string(q.ID)), nil)
 	}
@@ -54,7 +54,7 @@
 func (h handler) list(s *fleet.State, l command.List) (tables []operatorapi.Table) {
 	switch l {
 	case command.Pools:
-		return []operatorapi.Table{h.pools(s)}
+		return []operatorapi.Table{pools(s)}
 	case command.Members:
 		return []operatorapi.Table{members(s)}
 	case command.Waves:
@@ -66,43 +66,41 @@
 	}
 }
 
-// poolCount is what a pool's instances add up to.
-type poolCount struct {
-	instances, serving, draining, releasing, failed, slots int
-}
-
-func (h handler) pools(s *fleet.State) (t operatorapi.Table) {
-	counts := make(map[string]poolCount)
-	for _, i := range s.Instances {
-		c := counts[i.Pool]
-		c.add(i)
-		counts[i.Pool] = c
-	}
+func pools(s *fleet.State) (t operatorapi.Table) {
+	parts := byPool(s)
 	t = newTable("pools", "pool", "budget", "unavailable", "instances", "serving", "draining", "releasing",
 		"failed", "slots", "spare")
 	for _, name := range sorted(s.Pools) {
-		p, c := s.Pools[name], counts[name]
-		add(&t, name, p.Budget, h.Rules.Unavailable(*s, name), c.instances, c.serving, c.draining, c.releasing,
-			c.failed, c.slots, yes(p.Spare))
+		p, part := s.Pools[name], parts[name]
+		c := count(part.Instances)
+		unavailable := part.Unavailable(name)
+		add(&t, name, p.Budget, unavailable, len(part.Instances), len(part.Instances)-unavailable, c.draining,
+			c.releasing, c.failed, c.slots, yes(p.Spare))
 	}
 	return t
 }
 
-// add counts a failed instance as failed and in its phase, but not as serving.
-func (c *poolCount) add(i fleet.Instance) {
-	c.instances++
-	c.slots += i.Slots
-	if i.Failed {
-		c.failed++
-	}
-	switch {
-	case i.Phase == fleet.Draining:
-		c.draining++
-	case i.Phase == fleet.Releasing:
-		c.releasing++
-	case !i.Failed:
-		c.serving++
+// poolCount is what the instances of a pool add up to; a failed instance counts
+// in its phase as well.
+type poolCount struct {
+	draining, releasing, failed, slots int
+}
+
+func count(instances map[string]fleet.Instance) (c poolCount) {
+	for _, i := range instances {
+		c.slots += i.Slots
+		if i.Failed {
+			c.failed++
+		}
+		switch i.Phase {
+		case fleet.Draining:
+			c.draining++
+		case fleet.Releasing:
+			c.releasing++
+		case fleet.Serving:
+		}
 	}
+	return c
 }
 
 func members(s *fleet.State) (t operatorapi.Table) {
@@ -118,15 +116,15 @@
 	if err = requirePool(s, pool); err != nil {
 		return t, err
 	}
-	t = newTable("instances", "instance", "pool", "phase", "failed", "leaving", "nextPool", "wave", "maintained",
-		"dataCentre", "rack", "address", "slots", "since")
+	t = newTable("instances", "instance", "pool", "phase", "rebooting", "failed", "leaving", "nextPool", "wave",
+		"maintained", "dataCentre", "rack", "address", "slots", "since")
 	for _, name := range sorted(s.Instances) {
 		i := s.Instances[name]
 		if (pool != "" && i.Pool != pool) || (dataCentre != "" && i.DataCentre != dataCentre) {
 			continue
 		}
-		add(&t, name, i.Pool, i.Phase, yes(i.Failed), yes(h.Fleet.Leaving(name)), i.NextPool, i.Wave, i.Maintained,
-			i.DataCentre, i.Rack, i.Address, i.Slots, i.Since)
+		add(&t, name, i.Pool, i.Phase, yes(i.Rebooting), yes(i.Failed), yes(h.Fleet.Leaving(name)), i.NextPool, i.Wave,
+			i.Maintained, i.DataCentre, i.Rack, i.Address, i.Slots, i.Since)
 	}
 	return t, nil
 }
--- a/coordination/command/statement.go
+++ b/coordination/command/statement.go
@@ -70,7 +70,7 @@
 	Instance Name `parser:"'cancel' 'move' @@"`
 }
 
-// CancelDrain gives back the grant of a drain that has not begun.
+// CancelDrain gives back the grant of a drain whose reboot has not begun.
 type CancelDrain struct {
 	Instance Name `parser:"'cancel' 'drain' @@"`
 }
