Say of an unknown change whether it can be ruled out

An entry that does not keep the fate of a change answered the same whether the change cannot be in the log or its fate was only dropped, so that an operator could send a change a second time. The answer now names the part of the log that is covered, from fleet.State.Recalls, for a question and for a change whose proposal fails, and a change that came into force in the meantime has its fate.

--- a/azurepointd/internal/operator/operator_test.go
+++ b/azurepointd/internal/operator/operator_test.go
@@ -24,15 +24,18 @@
 
 const testSecret = "operators-only-1234"
 
-// fakeFleet is what entries see of one log, which applies changes in order; with
-// an error it applies the change and loses the answer.
+// fakeFleet is what entries see of one log, which applies changes in order.
 type fakeFleet struct {
 	// delay is how long a proposed change takes to the log.
 	delay time.Duration
-	err   error
+	// err replaces the answer of the log after the change was applied.
+	err error
+	// behind keeps later changes from coming into force at the entries.
+	behind bool
 
 	mu       sync.Mutex
 	state    fleet.State
+	log      fleet.State
 	proposed []fleet.Change
 }
 
@@ -50,10 +53,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.proposed = append(f.proposed, c)
-	if f.state, err = fleet.Apply(f.state, c); err != nil {
+	if f.log, err = fleet.Apply(f.log, c); err != nil {
 		return fate, err
 	}
-	fate, _ = f.state.FateOf(c.ID)
+	if !f.behind {
+		f.state = f.log
+	}
+	fate, _ = f.log.FateOf(c.ID)
 	return fate, f.err
 }
 
@@ -94,25 +100,26 @@
 		t.Fatal(err)
 	}
 	f := &fakeFleet{}
-	for _, c := range []fleet.Change{
-		{ID: "first", Commands: text.Steps()},
-		{ID: "second", Commands: []fleet.Command{
-			{GrantDrain: &fleet.GrantDrain{Instance: "b2", Wave: "w"}},
-			{FinishDrain: &fleet.FinishDrain{Instance: "b2"}},
-			{GrantDrain: &fleet.GrantDrain{Instance: "a1", Wave: "w"}},
-			{StartReboot: &fleet.StartReboot{Instance: "a1"}},
-		}},
-	} {
-		if f.state, err = fleet.Apply(f.state, c); err != nil {
-			t.Fatal(err)
-		}
-		if fate, _ := f.state.FateOf(c.ID); fate.Refusal != "" {
-			t.Fatalf("%s refused: %s", c.ID, fate.Refusal)
-		}
-	}
+	f.apply(t, "first", text.Steps()...)
+	f.apply(t, "second",
+		fleet.Command{GrantDrain: &fleet.GrantDrain{Instance: "b2", Wave: "w"}},
+		fleet.Command{FinishDrain: &fleet.FinishDrain{Instance: "b2"}},
+		fleet.Command{GrantDrain: &fleet.GrantDrain{Instance: "a1", Wave: "w"}},
+		fleet.Command{StartReboot: &fleet.StartReboot{Instance: "a1"}},
+	)
 	return f
 }
 
+// apply makes a change that must not be refused.
+func (f *fakeFleet) apply(t *testing.T, id string, commands ...fleet.Command) {
+	t.Helper()
+	next, err := fleet.Apply(f.log, fleet.Change{ID: id, Commands: commands})
+	if fate, _ := next.FateOf(id); err != nil || fate.Refusal != "" {
+		t.Fatalf("%s refused: %s, %v", id, fate.Refusal, err)
+	}
+	f.log, f.state = next, next
+}
+
 func newOperator(f *fakeFleet) (o *Operator) {
 	o = &Operator{
 		Fleet: f, Peers: f, Usage: f, Secret: testSecret, Metrics: metrics.NewRegistry(), Parts: []Part{{"fake", f}},
@@ -174,7 +181,7 @@
 		"show movable":             {"a1 a s no " + busy, "a2 a s no " + spent, "b1 b s yes ", "b2 b s yes "},
 		"show drainable in wave w": {"a1 a w no " + busy, "a2 a w no " + spent, "b1 b w yes "},
 		"show change first":        {"first applied 1 "},
-		"show change never":        {"never unknown  not among the last changes in force at entry e1"},
+		"show change never":        {"never unknown  ruled out up to version 2 at entry e1; a later version may have it"},
 	} {
 		reply, err := run(t, c, text, "", false)
 		if err != nil {
@@ -218,8 +225,8 @@
 	}
 }
 
-// Guards against a change that is proposed twice under one id, reported as done
-// when its outcome is unknown, or made by a dry run.
+// Guards against a change that is made twice under one id, reported as done when
+// its outcome is unknown or as unknown when it is in force, or made by a dry run.
 func TestChanges(t *testing.T) {
 	f := newFleet(t)
 	_, c := start(t, f)
@@ -255,17 +262,55 @@
 		}
 	}
 	f.err = errors.New("the log does not answer")
-	lost := expect("set pool a budget 3", "lost", false, operatorapi.ChangeStateUnknown, 7)
+	expect("set pool a budget 3", "late", false, operatorapi.ChangeStateApplied, 7)
+	f.behind = true
+	lost := expect("set pool a budget 3", "lost", false, operatorapi.ChangeStateUnknown, 8)
 	if lost.ID != "lost" || !strings.Contains(lost.Reason.Value, "the log does not answer") {
 		t.Errorf("got %+v", lost)
 	}
-	expect("set pool a budget 3", "lost", false, operatorapi.ChangeStateApplied, 7)
+	f.err, f.behind = nil, false
+	again := expect("set pool a budget 3", "lost", false, operatorapi.ChangeStateApplied, 9)
+	if again.Index.Value != 10 || f.log.Version != 11 {
+		t.Errorf("got %+v at version %d", again, f.log.Version)
+	}
+	expect("set pool a budget 3", "lost", false, operatorapi.ChangeStateApplied, 9)
 	fate, err := c.GetChange(t.Context(), operatorapi.GetChangeParams{ID: "lost"})
 	if err != nil || fate.State != operatorapi.ChangeStateApplied {
 		t.Errorf("got %+v, %v", fate, err)
 	}
 }
 
+// Guards against an answer that rules out a change whose fate is no longer kept.
+func TestForgottenChanges(t *testing.T) {
+	f := newFleet(t)
+	_, c := start(t, f)
+	f.err, f.behind = errors.New("the log does not answer"), true
+	expect := func(id string, state operatorapi.ChangeState, reason string) {
+		t.Helper()
+		fate, err := c.GetChange(t.Context(), operatorapi.GetChangeParams{ID: id})
+		if err != nil || fate.State != state || !strings.HasPrefix(fate.Reason.Value, reason) {
+			t.Errorf("asked for: got %+v, %v", fate, err)
+		}
+		reply, err := run(t, c, "set pool a budget 2", id, false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fate = &reply.Change.Value
+		if fate.State != state || !strings.Contains(fate.Reason.Value, reason) {
+			t.Errorf("sent again: got %+v", fate)
+		}
+	}
+	expect("first", operatorapi.ChangeStateApplied, "")
+	expect("never", operatorapi.ChangeStateUnknown, "ruled out up to version 2 at entry e1")
+	one := fleet.Command{SetPool: &fleet.SetPool{Name: "a"}}
+	f.log = f.state
+	for n := range fleet.KeptFates {
+		f.apply(t, fmt.Sprint(n), one)
+	}
+	expect("first", operatorapi.ChangeStateUnknown,
+		"cannot be ruled out at entry e1, which keeps the fates from index 3 to version 4098 only")
+}
+
 // Guards against two operators who both create a name: each entry sees the state
 // without it, and only the log can refuse the second one.
 func TestConcurrentCreates(t *testing.T) {
--- a/azurepointd/internal/operator/statements.go
+++ b/azurepointd/internal/operator/statements.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"fmt"
 	"net/http"
 	"strings"
 	"time"
@@ -23,6 +24,8 @@
 	// maxSteps keeps a change with the longest names below the 1 MB that the
 	// key-value service takes as a value.
 	maxSteps = 4000
+	// firstIndex is the index of the first change in the log.
+	firstIndex = 1
 	// defaultAuthor is the author of a change that names none.
 	defaultAuthor = "operator"
 )
@@ -115,22 +118,22 @@
 	return c, c.Check()
 }
 
-// propose waits for the log; whatever keeps it from saying what became of the
-// change leaves the outcome unknown.
+// propose waits for the log; if the log does not say what became of the change,
+// the answer is what the version in force here has.
 func (h handler) propose(ctx context.Context, c fleet.Change) operatorapi.ChangeFate {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	var fate fleet.Fate
 	var err error
 	h.counts.propose.Time(func() { fate, err = h.Fleet.Propose(ctx, c) })
-	if err != nil {
-		return operatorapi.ChangeFate{
-			ID:     c.ID,
-			State:  operatorapi.ChangeStateUnknown,
-			Reason: operatorapi.NewOptString(err.Error() + "; ask for the change, or send it again, with this id"),
-		}
+	if err == nil {
+		return answerFate(fate)
+	}
+	answer := h.fateOf(h.Fleet.State(), c.ID)
+	if answer.State == operatorapi.ChangeStateUnknown {
+		answer.Reason.SetTo(fmt.Sprintf("%v; %s; ask for the change, or send it again, with this id", err, answer.Reason.Value))
 	}
-	return answerFate(fate)
+	return answer
 }
 
 // record counts and logs what became of a change.
@@ -180,15 +183,20 @@
 	return answer
 }
 
-// fateOf is unknown for a change that is not among the last ones in force here:
-// it may be older, on its way, or never have been.
+// fateOf is unknown for a change whose fate is not kept here; the reason says
+// whether the log may have the change all the same.
 func (h handler) fateOf(s *fleet.State, id string) operatorapi.ChangeFate {
 	if f, known := s.FateOf(id); known {
 		return answerFate(f)
 	}
+	reason := fmt.Sprintf("ruled out up to version %d at entry %s; a later version may have it", s.Version, h.Peers.Self().Name)
+	if !s.Recalls(firstIndex) {
+		reason = fmt.Sprintf("cannot be ruled out at entry %s, which keeps the fates from index %d to version %d only",
+			h.Peers.Self().Name, s.Fates[0].Index, s.Version)
+	}
 	return operatorapi.ChangeFate{
 		ID:     id,
 		State:  operatorapi.ChangeStateUnknown,
-		Reason: operatorapi.NewOptString("not among the last changes in force at entry " + h.Peers.Self().Name),
+		Reason: operatorapi.NewOptString(reason),
 	}
 }
