--- a/azurepointd/internal/operator/statements.go
+++ b/azurepointd/internal/operator/statements.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"fmt"
 	"net/http"
 	"strings"
 	"time"
@@ -23,6 +24,8 @@
 	// maxSteps keeps a change with the longest names below the 1 MB that the
 	// key-value service takes as a value.
 	maxSteps = 4000
+	// firstIndex is the index of the first change in the log.
+	firstIndex = 1
 	// defaultAuthor is the author of a change that names none.
 	defaultAuthor = "operator"
 )
@@ -69,8 +72,7 @@
 	return reply, nil
 }
 
-// change proposes the commands unless the change is known already; a dry run
-// only applies it to the version in force here.
+// change answers with the fate of the commands as one change.
 func (h handler) change(
 	ctx context.Context, r *operatorapi.Statements, text command.Text,
 ) (reply *operatorapi.Reply, err error) {
@@ -78,20 +80,26 @@
 	if err != nil {
 		return nil, failure(http.StatusBadRequest, err.Error())
 	}
+	fate := h.decide(ctx, c, r.DryRun.Value)
+	return &operatorapi.Reply{
+		Version: h.Fleet.State().Version,
+		Change:  operatorapi.NewOptChangeFate(fate),
+	}, nil
+}
+
+// decide proposes a change that is not known yet; a dry run only applies it to
+// the version in force here.
+func (h handler) decide(ctx context.Context, c fleet.Change, dryRun bool) (fate operatorapi.ChangeFate) {
 	s := h.Fleet.State()
-	if f, known := findFate(s, c.ID); known {
-		return &operatorapi.Reply{Version: s.Version, Change: operatorapi.NewOptChangeFate(answerFate(f))}, nil
-	}
-	next, err := h.Rules.Apply(*s, c)
-	if err != nil {
-		return nil, failure(http.StatusBadRequest, err.Error())
+	if f, known := s.FateOf(c.ID); known {
+		return answerFate(f)
 	}
-	if r.DryRun.Value {
-		return &operatorapi.Reply{Version: s.Version, Change: operatorapi.NewOptChangeFate(wouldBe(next, c.ID))}, nil
+	if dryRun {
+		return wouldBe(s, c)
 	}
-	fate := h.propose(ctx, c)
+	fate = h.propose(ctx, c)
 	h.record(c, fate)
-	return &operatorapi.Reply{Version: h.Fleet.State().Version, Change: operatorapi.NewOptChangeFate(fate)}, nil
+	return fate
 }
 
 func newChange(r *operatorapi.Statements, text command.Text) (c fleet.Change, err error) {
@@ -107,26 +115,25 @@
 	if len(c.Commands) > maxSteps {
 		return c, errors.Errorf("the change has %d steps, the most is %d", len(c.Commands), maxSteps)
 	}
-	return c, nil
+	return c, c.Check()
 }
 
-// propose waits for the log; whatever keeps it from saying what became of the
-// change leaves the outcome unknown.
+// propose waits for the log; if the log does not say what became of the change,
+// the answer is what the version in force here has.
 func (h handler) propose(ctx context.Context, c fleet.Change) operatorapi.ChangeFate {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	var fate fleet.Fate
 	var err error
 	h.counts.propose.Time(func() { fate, err = h.Fleet.Propose(ctx, c) })
-	if err != nil {
-		return operatorapi.ChangeFate{
-			ID:     c.ID,
-			State:  operatorapi.ChangeStateUnknown,
-			Reason: operatorapi.NewOptString(err.Error() + "; ask for the change, or send it again, with this id"),
-		}
+	if err == nil {
+		return answerFate(fate)
 	}
-	fate.ID = c.ID
-	return answerFate(fate)
+	answer := h.fateOf(h.Fleet.State(), c.ID)
+	if answer.State == operatorapi.ChangeStateUnknown {
+		answer.Reason.SetTo(fmt.Sprintf("%v; %s; ask for the change, or send it again, with this id", err, answer.Reason.Value))
+	}
+	return answer
 }
 
 // record counts and logs what became of a change.
@@ -155,13 +162,16 @@
 	}
 }
 
-// wouldBe is the fate that the change has in the state after a dry run.
-func wouldBe(next fleet.State, id string) operatorapi.ChangeFate {
-	f, _ := findFate(&next, id)
-	if f.Refusal != "" {
-		return refused(id, f.Refusal)
+// wouldBe is the fate that a change would have as the next one after the state.
+func wouldBe(s *fleet.State, c fleet.Change) operatorapi.ChangeFate {
+	next, err := fleet.Apply(*s, c)
+	if err != nil {
+		return refused(c.ID, err.Error())
+	}
+	if f, _ := next.FateOf(c.ID); f.Refusal != "" {
+		return refused(c.ID, f.Refusal)
 	}
-	return operatorapi.ChangeFate{ID: id, State: operatorapi.ChangeStateWouldApply}
+	return operatorapi.ChangeFate{ID: c.ID, State: operatorapi.ChangeStateWouldApply}
 }
 
 func answerFate(f fleet.Fate) operatorapi.ChangeFate {
@@ -173,24 +183,20 @@
 	return answer
 }
 
-// fateOf is unknown for a change that is not among the last ones in force here:
-// it may be older, on its way, or never have been.
+// fateOf is unknown for a change whose fate is not kept here; the reason says
+// whether the log may have the change all the same.
 func (h handler) fateOf(s *fleet.State, id string) operatorapi.ChangeFate {
-	if f, known := findFate(s, id); known {
+	if f, known := s.FateOf(id); known {
 		return answerFate(f)
 	}
+	reason := fmt.Sprintf("ruled out up to version %d at entry %s; a later version may have it", s.Version, h.Peers.Self().Name)
+	if !s.Recalls(firstIndex) {
+		reason = fmt.Sprintf("cannot be ruled out at entry %s, which keeps the fates from index %d to version %d only",
+			h.Peers.Self().Name, s.Fates[0].Index, s.Version)
+	}
 	return operatorapi.ChangeFate{
 		ID:     id,
 		State:  operatorapi.ChangeStateUnknown,
-		Reason: operatorapi.NewOptString("not among the last changes in force at entry " + h.Peers.Self().Name),
-	}
-}
-
-func findFate(s *fleet.State, id string) (f fleet.Fate, known bool) {
-	for _, f := range s.Fates {
-		if f.ID == id {
-			return f, true
-		}
+		Reason: operatorapi.NewOptString(reason),
 	}
-	return fleet.Fate{}, false
 }
