--- a/demo/internal/cli/check.go
+++ b/demo/internal/cli/check.go
@@ -9,6 +9,9 @@
 	"github.com/azurepoint/azurepoint/demo/internal/endpoint"
 )
 
+// taskSeparator ends the request's key in the id of a task.
+const taskSeparator = "~"
+
 // Counts are the totals of the demo's last line.
 type Counts struct {
 	Sent       int
