Dispatch grants of the pools that an entry owns

Homes need a dispatcher before they can run any request.

Add internal/dispatch over share.Queue: Grant waits, joins repeated requests and leaves the queue with its caller; Release returns slots; other entries' pools are answered with their owner; a planned stop and a lost pool hand the waiting requests over. A new owner reads the status of the endpoints before its first grants and counts tasks that it did not grant as busy. An endpoint that refused work stays closed until its status says serving.

--- /dev/null
+++ b/azurepointd/internal/dispatch/metrics.go
@@ -0,0 +1,13 @@
+package dispatch
+
+import "github.com/rcrowley/go-metrics"
+
+// Metrics of all pools of this entry.
+var (
+	granted   = metrics.NewRegisteredCounter("dispatch.granted", metrics.DefaultRegistry)
+	refusals  = metrics.NewRegisteredCounter("dispatch.refused", metrics.DefaultRegistry)
+	cancelled = metrics.NewRegisteredCounter("dispatch.cancelled", metrics.DefaultRegistry)
+	released  = metrics.NewRegisteredCounter("dispatch.released", metrics.DefaultRegistry)
+	takenBack = metrics.NewRegisteredCounter("dispatch.takenBack", metrics.DefaultRegistry)
+	waited    = metrics.NewRegisteredTimer("dispatch.wait", metrics.DefaultRegistry)
+)
--- /dev/null
+++ b/azurepointd/internal/dispatch/usage.go
@@ -0,0 +1,115 @@
+package dispatch
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/azurepoint/azurepoint/coordination/share"
+)
+
+// PoolUsage is who takes what of a pool that this entry dispatches.
+type PoolUsage struct {
+	Pool string
+	// Owned is false while grants remain after a hand-over.
+	Owned bool
+	// TakenAt is when this entry began to grant for the pool.
+	TakenAt   time.Time
+	Totals    share.Totals
+	Members   []MemberUsage
+	Endpoints []EndpointUsage
+}
+
+// MemberUsage is what one member takes of a pool.
+type MemberUsage struct {
+	share.Usage
+	// Cap is the most slots that the member may use in the whole fleet.
+	Cap int
+}
+
+// EndpointUsage is what is in use on one endpoint.
+type EndpointUsage struct {
+	Name  string
+	Slots int
+	// InUse is the slots that this dispatcher granted.
+	InUse int
+	// Busy is the slots in use by tasks that it did not grant.
+	Busy int
+	// Closed is why the endpoint gets no new work; empty means that it does.
+	Closed string
+}
+
+// Usage returns who takes what of each pool, by name.
+func (d *Dispatcher) Usage() (usage []PoolUsage) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range d.pools {
+		usage = append(usage, d.poolUsage(p, time.Now()))
+	}
+	slices.SortFunc(usage, func(a, b PoolUsage) int { return cmp.Compare(a.Pool, b.Pool) })
+	return usage
+}
+
+func (d *Dispatcher) poolUsage(p *pool, now time.Time) (u PoolUsage) {
+	u = PoolUsage{Pool: p.name, Owned: !p.handedOver, TakenAt: p.takenAt, Totals: p.queue.Totals()}
+	state := d.Fleet.State()
+	for _, m := range p.queue.Usage(now) {
+		u.Members = append(u.Members, MemberUsage{Usage: m, Cap: state.Members[m.Member].Cap})
+	}
+	for name, e := range p.endpoints {
+		_, slots := p.queue.Load(name)
+		u.Endpoints = append(u.Endpoints, EndpointUsage{
+			Name: name, Slots: e.instance.Slots, InUse: slots, Busy: e.busy, Closed: e.closed,
+		})
+	}
+	slices.SortFunc(u.Endpoints, func(a, b EndpointUsage) int { return cmp.Compare(a.Name, b.Name) })
+	return u
+}
+
+// InFlight returns how many grants on an instance were not released.
+func (d *Dispatcher) InFlight(instance string) (grants int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range d.pools {
+		n, _ := p.queue.Load(instance)
+		grants += n
+	}
+	return grants
+}
+
+// OldestGrantEnds returns when the last of the grants on an instance has ended
+// for certain, the clock error included; it is zero if there is none.
+func (d *Dispatcher) OldestGrantEnds(instance string) (end time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range d.pools {
+		for _, g := range p.queue.Grants() {
+			if g.Endpoint == instance && !g.Away {
+				end = latest(end, g.Until.Add(d.ClockError))
+			}
+		}
+	}
+	return end
+}
+
+// Dump writes the state of the dispatcher as text.
+func (d *Dispatcher) Dump(w io.Writer) {
+	var b strings.Builder
+	for _, p := range d.Usage() {
+		fmt.Fprintf(&b, "pool %s owned=%t since=%s slots=%d inUse=%d queued=%d bytes=%d ahead=%d long=%d away=%d\n",
+			p.Pool, p.Owned, p.TakenAt.UTC().Format(time.RFC3339), p.Totals.Capacity, p.Totals.InUse,
+			p.Totals.Queued, p.Totals.Bytes, p.Totals.Ahead, p.Totals.Long, p.Totals.Away)
+		for _, m := range p.Members {
+			fmt.Fprintf(&b, "  member %s inUse=%d share=%.1f minimum=%d cap=%d queued=%d granted=%d refused=%v\n",
+				m.Member, m.InUse, m.Share, m.Minimum, m.Cap, m.Queued, m.Granted, m.Refused)
+		}
+		for _, e := range p.Endpoints {
+			fmt.Fprintf(&b, "  endpoint %s slots=%d inUse=%d busy=%d closed=%s\n",
+				e.Name, e.Slots, e.InUse, e.Busy, e.Closed)
+		}
+	}
+	_, _ = io.WriteString(w, b.String()) // a broken connection of the reader
+}
--- /dev/null
+++ b/azurepointd/internal/event/dispatch.go
@@ -0,0 +1,14 @@
+package event
+
+import "github.com/apex/log"
+
+// Events of the dispatcher, 4000 to 4999.
+var (
+	PoolTaken       = Event{4001, log.InfoLevel, "dispatcher took a pool over"}
+	PoolHandedOver  = Event{4002, log.InfoLevel, "dispatcher handed a pool over"}
+	GrantTakenBack  = Event{4003, log.WarnLevel, "grant not released by its deadline, slots taken back"}
+	EndpointClosed  = Event{4004, log.InfoLevel, "endpoint gets no new work"}
+	EndpointOpened  = Event{4005, log.InfoLevel, "endpoint gets new work"}
+	StatusFailed    = Event{4006, log.WarnLevel, "endpoint status could not be read"}
+	DispatcherPause = Event{4007, log.WarnLevel, "dispatcher was paused, slots in use are counted again"}
+)
--- a/coordination/share/endpoint.go
+++ b/coordination/share/endpoint.go
@@ -13,6 +13,9 @@
 	Busy int
 	// Closed keeps new work away; work in flight goes on.
 	Closed bool
+	// Held keeps new work away for a moment: the endpoint counts for admission
+	// but gets no grants.
+	Held bool
 }
 
 type host struct {
@@ -29,7 +32,7 @@
 }
 
 func (h *host) free() int {
-	if h.Closed {
+	if h.Closed || h.Held {
 		return 0
 	}
 	return max(0, h.limit()-h.inUse-h.Busy)
@@ -38,7 +41,7 @@
 // fits lets a request that is larger than the limit run alone on the endpoint,
 // because a limit below its size would otherwise keep it out for ever.
 func (h *host) fits(slots int) bool {
-	if h.Closed {
+	if h.Closed || h.Held {
 		return false
 	}
 	return slots <= h.free() || (h.inUse+h.Busy == 0 && slots <= h.Slots)
--- a/coordination/share/property_test.go
+++ b/coordination/share/property_test.go
@@ -137,7 +137,9 @@
 			Name:   name,
 			Slots:  8,
 			Limit:  rapid.IntRange(1, 8).Draw(t, "limit"),
+			Busy:   rapid.IntRange(0, 3).Draw(t, "busy"),
 			Closed: rapid.Bool().Draw(t, "closed"),
+			Held:   rapid.IntRange(0, 3).Draw(t, "held") == 0,
 		})
 	}
 	m.decide(t)
