Use a port that no other process can be given in the test of the command line

TestScripts/failures failed once while other tests ran: the port of a server that was closed to have nothing listen there had been given to another process, which answered the call with 401.

--- a/azurepoint/internal/cli/cli_test.go
+++ b/azurepoint/internal/cli/cli_test.go
@@ -47,9 +47,9 @@
 				env.Defer(s.Close)
 				env.Setenv(name, strings.TrimPrefix(s.URL, "http://"))
 			}
-			closed := httptest.NewServer(nil)
-			env.Setenv("CLOSED", closed.Listener.Addr().String())
-			closed.Close()
+			// A port that was closed again may be given to another process; port 1 is
+			// below the range of ports that are given out.
+			env.Setenv("CLOSED", "127.0.0.1:1")
 			env.Setenv("AZUREPOINT_ADDRESS", env.Getenv("ADDRESS"))
 			env.Setenv("AZUREPOINT_SECRET_FILE", "secret")
 			return os.WriteFile(filepath.Join(env.WorkDir, "secret"), []byte(testSecret+"\n"), 0o600)
