Check the man page of the command line against its options

A page whose options, environment variables or commands differ from the program's went unnoticed. TestManPage compares the three sets in both directions; it failed for a renamed, a missing and an additional entry of the page. The page of the daemon has no such check yet, because its command line does not build without the rest of the daemon.

--- a/azurepoint/internal/cli/cli_test.go
+++ b/azurepoint/internal/cli/cli_test.go
@@ -6,6 +6,8 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -57,6 +59,41 @@
 	})
 }
 
+// Guards against a man page whose options, variables or commands are not those of
+// the program.
+func TestManPage(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/azurepoint.1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var help strings.Builder
+	for _, args := range [][]string{{"--help"}, {"run", "--help"}} {
+		if code := Run(t.Context(), args, nil, &help, &help); code != ExitDone {
+			t.Fatalf("%v exits with %d", args, code)
+		}
+	}
+	for _, form := range []struct{ help, page string }{
+		{`--([a-z-]+)`, `(?:Fl|,) -([a-z-]+)`},
+		{`env: ([A-Z_]+)`, `Ev ([A-Z_]+)`},
+		{`(?m)^  ([a-z]+) `, `Cm ((?:[a-z]+[ ,|]*)+)`},
+	} {
+		want, got := matches(form.help, help.String()), matches(form.page, string(page))
+		if len(want) == 0 || !slices.Equal(got, want) {
+			t.Errorf("the page has %q, the program %q", got, want)
+		}
+	}
+}
+
+// matches returns the different words in the first group of all matches.
+func matches(form, text string) (all []string) {
+	separators := func(r rune) bool { return strings.ContainsRune(" ,|", r) }
+	for _, m := range regexp.MustCompile(form).FindAllStringSubmatch(text, -1) {
+		all = append(all, strings.FieldsFunc(m[1], separators)...)
+	}
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
 // losing cuts the connection of the first answers after the handler has run.
 func losing(h http.Handler, answers int) http.Handler {
 	var mu sync.Mutex
