--- a/demo/internal/cli/check.go
+++ b/demo/internal/cli/check.go
@@ -22,6 +22,9 @@
 	Lost       int
 	MovesDone  int
 	DrainsDone int
+	// Reasons counts the requests without an answer by what their callers were
+	// told.
+	Reasons map[string]int
 }
 
 // String returns the last line of the demo.
@@ -47,6 +50,7 @@
 		}
 	}
 	c.Sent = len(records)
+	c.Reasons = make(map[string]int)
 	for _, r := range records {
 		violations = append(violations, checkRecord(&c, r, starts[r.Key], ends)...)
 	}
@@ -61,6 +65,9 @@
 		c.Doubled++
 		report("started %d times but may not be repeated", starts)
 	}
+	if r.State != callerapi.OutcomeStateDone {
+		c.Reasons[string(r.State)+": "+r.Reason]++
+	}
 	switch r.State {
 	case callerapi.OutcomeStateDone:
 		c.Done++
--- a/demo/internal/cli/cli.go
+++ b/demo/internal/cli/cli.go
@@ -68,6 +68,10 @@
 		defer func() { _ = os.RemoveAll(folder) }()
 		logs = folder
 	}
+	if err := os.MkdirAll(logs, 0o750); err != nil {
+		fmt.Fprintln(stderr, "demo:", err)
+		return exitFailed
+	}
 	f := &fleet{}
 	f.group.Bin, f.group.Logs = o.Bin, logs
 	defer f.group.StopAll(stopWithin)
@@ -83,6 +87,9 @@
 	ctx, cancel := context.WithTimeout(ctx, o.Within)
 	defer cancel()
 	counts, violations, err := f.exercise(ctx, o, stdout)
+	for reason, count := range counts.Reasons {
+		fmt.Fprintf(stdout, "demo: %d without an answer: %s\n", count, reason)
+	}
 	for _, v := range violations {
 		fmt.Fprintln(stdout, "violated:", v)
 	}
--- a/demo/internal/cli/fleet.go
+++ b/demo/internal/cli/fleet.go
@@ -97,14 +97,13 @@
 }
 
 func (f *fleet) startEntries(ctx context.Context) (err error) {
+	free, err := freeAddresses(ctx, 3*len(entryPlaces))
+	if err != nil {
+		return err
+	}
 	var peers []string
-	for _, p := range entryPlaces {
-		e := &entry{entryPlace: p}
-		for _, address := range []*string{&e.caller, &e.operator, &e.peer} {
-			if *address, err = freeAddress(ctx); err != nil {
-				return err
-			}
-		}
+	for i, p := range entryPlaces {
+		e := &entry{entryPlace: p, caller: free[3*i], operator: free[3*i+1], peer: free[3*i+2]}
 		peers = append(peers, e.peer)
 		f.entries = append(f.entries, e)
 	}
@@ -165,13 +164,17 @@
 	fmt.Fprintf(w, "operator secret: %s\n", operatorSecret)
 }
 
-// freeAddress returns a loopback address that was free a moment ago; entries
-// need theirs before they start, because their peers' settings name them.
-func freeAddress(ctx context.Context) (address string, err error) {
-	l, err := new(net.ListenConfig).Listen(ctx, "tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "cli: find a free port")
+// freeAddresses returns loopback addresses that were free a moment ago; entries
+// need theirs before they start, because their peers' settings name them. All are
+// held until the last is found, so that no two are the same.
+func freeAddresses(ctx context.Context, count int) (addresses []string, err error) {
+	for range count {
+		l, err := new(net.ListenConfig).Listen(ctx, "tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Wrap(err, "cli: find a free port")
+		}
+		defer func() { _ = l.Close() }()
+		addresses = append(addresses, l.Addr().String())
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return addresses, nil
 }
