--- a/demo/internal/process/process.go
+++ b/demo/internal/process/process.go
@@ -49,7 +49,7 @@
 		}
 	}()
 	p = &Process{Name: name, exited: make(chan error, 1)}
-	p.log, err = os.Create(filepath.Join(g.Logs, name+".log"))
+	p.log, err = os.Create(filepath.Join(g.Logs, name+".log")) //nolint:gosec // names are the demo's own
 	if err != nil {
 		return nil, err
 	}
