Send one heartbeat for each pair of entries and count the bytes of control

Change: of two live entries the first by name sends. A lost entry is still greeted from both sides, so a cut heals either way.

--- a/azurepointd/internal/cli/daemon.go
+++ b/azurepointd/internal/cli/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/azurepoint/azurepoint/azurepointd/internal/peer"
 	"github.com/azurepoint/azurepoint/azurepointd/internal/platform"
 	"github.com/azurepoint/azurepoint/azurepointd/internal/settings"
+	"github.com/azurepoint/azurepoint/azurepointd/internal/traffic"
 	"github.com/azurepoint/azurepoint/azurepointd/internal/upkeep"
 	store "github.com/azurepoint/azurepoint/coordination/platform"
 )
@@ -28,6 +29,9 @@
 const (
 	// stopWithin bounds a planned stop; requests still open then are cut.
 	stopWithin = 2 * time.Minute
+	// maxIdleConnections is kept open to the platform: the watches of the log and
+	// of the instance list, a lease, and a change.
+	maxIdleConnections = 8
 	// announceWithin bounds the round of heartbeats that tells of the stop.
 	announceWithin = 2 * time.Second
 )
@@ -69,6 +73,7 @@
 		Address:     s.Platform.Address.String(),
 		Name:        s.Entry.Name,
 		CallTimeout: s.Platform.Timeout,
+		HTTP:        meteredClient("platform"),
 	}
 	d = &daemon{settings: s, ended: make(chan partEnd, 16)}
 	d.registration = &peer.Registration{Registry: client, Name: s.Entry.Name, Address: s.Listen.Peer.String()}
@@ -174,6 +179,9 @@
 		if err != nil {
 			return err
 		}
+		if l.name == "peers" {
+			s.listener = traffic.NewMeter("peer").Listener(s.listener)
+		}
 		d.services = append(d.services, s)
 	}
 	fmt.Fprintln(stdout, "listening", d.services[0].listener.Addr(), d.services[1].listener.Addr(), d.services[2].listener.Addr())
@@ -236,6 +244,15 @@
 	event.StateDumped.Log(nil)
 }
 
+// meteredClient returns an HTTP client whose bytes are counted under a name.
+func meteredClient(name string) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         traffic.NewMeter(name).DialContext,
+		MaxIdleConnsPerHost: maxIdleConnections,
+		IdleConnTimeout:     time.Minute,
+	}}
+}
+
 func texts(addresses []netip.AddrPort) (all []string) {
 	for _, a := range addresses {
 		all = append(all, a.String())
--- a/azurepointd/internal/peer/connection.go
+++ b/azurepointd/internal/peer/connection.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/azurepoint/azurepoint/api/peerrpc"
+	"github.com/azurepoint/azurepoint/azurepointd/internal/traffic"
 	"github.com/azurepoint/azurepoint/coordination/membership"
 )
 
@@ -54,6 +55,7 @@
 			Protocols:       &protocols,
 			MaxConnsPerHost: maxConnectionsPerEntry,
 			IdleConnTimeout: time.Minute,
+			DialContext:     traffic.NewMeter("peer").DialContext,
 		},
 	}
 	lost, cancel := context.WithCancel(context.Background())
--- a/azurepointd/internal/peer/heartbeat.go
+++ b/azurepointd/internal/peer/heartbeat.go
@@ -45,7 +45,7 @@
 // Announce sends one heartbeat to all and waits for the answers; a planned stop
 // uses it to tell that this entry is leaving.
 func (d *Directory) Announce(ctx context.Context) {
-	done := d.sendAll(ctx)
+	done := d.send(ctx, d.targets(true))
 	for range cap(done) {
 		<-done
 	}
@@ -68,7 +68,7 @@
 // beat sends a round of heartbeats without waiting for slow entries.
 func (d *Directory) beat(ctx context.Context) {
 	d.discover(ctx)
-	d.sendAll(ctx)
+	d.send(ctx, d.targets(false))
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
@@ -76,10 +76,9 @@
 	metrics.GetOrRegisterGauge("peer.live", nil).Update(int64(len(d.view.Live(d.DataCentre, now))))
 }
 
-// sendAll sends a heartbeat to each target; the channel's capacity is the
-// number of targets, each of which sends once when it is done.
-func (d *Directory) sendAll(ctx context.Context) (done chan struct{}) {
-	targets := d.targets()
+// send sends a heartbeat to each target; the channel's capacity is the number of
+// targets, each of which sends once when it is done.
+func (d *Directory) send(ctx context.Context, targets []target) (done chan struct{}) {
 	done = make(chan struct{}, len(targets))
 	for _, t := range targets {
 		go func() {
@@ -112,10 +111,11 @@
 	transient bool
 }
 
-// targets returns where to send heartbeats: all known entries of the data
-// centre, one entry of each other data centre if this entry is the relay, and
-// addresses to greet that no live entry has.
-func (d *Directory) targets() (targets []target) {
+// targets returns where to send heartbeats: entries of the data centre, one
+// entry of each other data centre if this entry is the relay, and addresses to
+// greet that no live entry has. A heartbeat and its answer tell both sides of the
+// other, so of two live entries only the first by name sends, unless all is set.
+func (d *Directory) targets(all bool) (targets []target) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
@@ -130,12 +130,15 @@
 		targets = append(targets, target{connection: newConnection(e.Address, d.Secret), transient: true})
 	}
 	for _, e := range d.view.All() {
-		if e.Name != d.Name && e.DataCentre == d.DataCentre {
+		mine := all || d.Name < e.Name || !e.Alive(now)
+		if mine && e.Name != d.Name && e.DataCentre == d.DataCentre {
 			add(e)
 		}
 	}
 	for _, e := range d.remoteRelays(now) {
-		add(e)
+		if all || d.DataCentre < e.DataCentre || !e.Alive(now) {
+			add(e)
+		}
 	}
 	for _, address := range append(slices.Clone(d.Join), d.greeted...) {
 		if !slices.Contains(addresses, address) && !d.knows(address, now) {
