--- a/demo/internal/cli/cli.go
+++ b/demo/internal/cli/cli.go
@@ -21,6 +21,9 @@
 	exitFailed   = 3
 )
 
+// stopWithin bounds the end of all processes together.
+const stopWithin = 8 * time.Second
+
 type options struct {
 	Bin      string        `arg:"--bin" default:"bin" help:"folder of the built programs"`
 	Requests int           `arg:"--requests" default:"600" help:"how many requests to send"`
@@ -72,21 +75,25 @@
 		fmt.Fprintln(stderr, "demo:", err)
 		return exitFailed
 	}
-	f := &fleet{}
-	f.group.Bin, f.group.Logs = o.Bin, logs
-	defer f.group.StopAll(stopWithin)
-	if err := f.start(ctx); err != nil {
+	f := newFleet()
+	f.Group.Bin, f.Group.Logs = o.Bin, logs
+	defer f.Group.StopAll(stopWithin)
+	err := f.Start(ctx)
+	if err == nil {
+		err = configure(ctx, f)
+	}
+	if err != nil {
 		fmt.Fprintln(stderr, "demo:", err)
 		return exitFailed
 	}
 	if o.Hold {
-		f.print(stdout)
+		f.Print(stdout)
 		<-ctx.Done()
 		return exitDone
 	}
 	ctx, cancel := context.WithTimeout(ctx, o.Within)
 	defer cancel()
-	counts, violations, err := f.exercise(ctx, o, stdout)
+	counts, violations, err := exercise{f}.run(ctx, o, stdout)
 	for reason, count := range counts.Reasons {
 		fmt.Fprintf(stdout, "demo: %d without an answer: %s\n", count, reason)
 	}
--- a/demo/internal/cli/exercise.go
+++ b/demo/internal/cli/exercise.go
@@ -10,6 +10,7 @@
 	"github.com/azurepoint/azurepoint/api/callerapi"
 	"github.com/azurepoint/azurepoint/demo/internal/caller"
 	"github.com/azurepoint/azurepoint/demo/internal/endpoint"
+	"github.com/azurepoint/azurepoint/demo/internal/fleet"
 	"github.com/azurepoint/azurepoint/demo/internal/operator"
 )
 
@@ -35,21 +36,26 @@
 	{Member: "accounts", Pool: "payroll", Urgency: callerapi.UrgencyBatch, RunMillis: 250},
 }
 
-// exercise sends the load in rounds, one for each change or disturbance, and
+// exercise disturbs a running fleet while requests are sent through it.
+type exercise struct {
+	*fleet.Fleet
+}
+
+// run sends the load in rounds, one for each change or disturbance, and
 // checks the whole history at the end.
-func (f *fleet) exercise(ctx context.Context, o options, stdout io.Writer) (c Counts, violations []string, err error) {
+func (x exercise) run(ctx context.Context, o options, stdout io.Writer) (c Counts, violations []string, err error) {
 	load := &caller.Load{Kinds: kinds, Deadline: requestDeadline}
-	for _, e := range f.entries {
-		load.Entries = append(load.Entries, e.caller)
+	for _, e := range x.Entries {
+		load.Entries = append(load.Entries, e.Caller)
 	}
 	steps := []struct {
 		name string
 		run  func(ctx context.Context) error
 	}{
-		{"set a cap", f.setCap},
-		{"move an instance", f.move},
-		{"drain an endpoint", f.drain},
-		{"kill an entry", f.kill},
+		{"set a cap", x.setCap},
+		{"move an instance", x.move},
+		{"drain an endpoint", x.drain},
+		{"kill an entry", x.kill},
 	}
 	var records []caller.Record
 	share := (o.Requests + len(steps) - 1) / len(steps)
@@ -65,7 +71,7 @@
 			break
 		}
 	}
-	events, historyErr := f.history(ctx)
+	events, historyErr := x.history(ctx)
 	if historyErr != nil {
 		return c, nil, historyErr
 	}
@@ -73,42 +79,42 @@
 	if err != nil {
 		return c, violations, err
 	}
-	return c, violations, f.countChanges(ctx, stdout, &c)
+	return c, violations, x.countChanges(ctx, stdout, &c)
 }
 
-func (f *fleet) setCap(ctx context.Context) (err error) {
-	_, err = f.operators.Run(ctx, "demo-cap", "set member phones cap 20")
+func (x exercise) setCap(ctx context.Context) (err error) {
+	_, err = x.Operators.Run(ctx, "demo-cap", "set member phones cap 20")
 	return err
 }
 
-func (f *fleet) move(ctx context.Context) (err error) {
-	if _, err = f.operators.Run(ctx, "demo-move", "move "+movedInstance+" to spare"); err != nil {
+func (x exercise) move(ctx context.Context) (err error) {
+	if _, err = x.Operators.Run(ctx, "demo-move", "move "+movedInstance+" to spare"); err != nil {
 		return err
 	}
-	return f.waitForCell(ctx, "show instances", movedInstance, "pool", "spare")
+	return x.waitForCell(ctx, "show instances", movedInstance, "pool", "spare")
 }
 
 // drain maintains the cover pool; its budget lets one endpoint go at a time, so
 // that the other one stays in service.
-func (f *fleet) drain(ctx context.Context) (err error) {
-	if _, err = f.operators.Run(ctx, "demo-wave", "declare wave "+wave+" for cover"); err != nil {
+func (x exercise) drain(ctx context.Context) (err error) {
+	if _, err = x.Operators.Run(ctx, "demo-wave", "declare wave "+wave+" for cover"); err != nil {
 		return err
 	}
-	return f.waitForCell(ctx, "show waves", wave, "state", "ended")
+	return x.waitForCell(ctx, "show waves", wave, "state", "ended")
 }
 
-func (f *fleet) kill(ctx context.Context) (err error) {
-	f.operators.Entries = slices.DeleteFunc(f.operators.Entries, func(address string) bool {
-		return address == f.entries[killedEntry].operator
+func (x exercise) kill(ctx context.Context) (err error) {
+	x.Operators.Entries = slices.DeleteFunc(x.Operators.Entries, func(address string) bool {
+		return address == x.Entries[killedEntry].Operator
 	})
-	return f.entries[killedEntry].process.Kill()
+	return x.Entries[killedEntry].Process.Kill()
 }
 
 // waitForCell asks until the cell of a row has the wanted value.
-func (f *fleet) waitForCell(ctx context.Context, query, row, column, want string) (err error) {
+func (x exercise) waitForCell(ctx context.Context, query, row, column, want string) (err error) {
 	last := ""
 	for {
-		reply, err := f.operators.Run(ctx, "", query)
+		reply, err := x.Operators.Run(ctx, "", query)
 		if err == nil {
 			cell, _ := operator.Cell(reply, row, column)
 			if cell == want {
@@ -125,9 +131,9 @@
 }
 
 // history returns what all endpoints ran.
-func (f *fleet) history(ctx context.Context) (events []endpoint.Event, err error) {
-	for _, p := range places {
-		part, err := endpoint.History(ctx, p.name, f.endpoints[p.name].Addresses[0])
+func (x exercise) history(ctx context.Context) (events []endpoint.Event, err error) {
+	for _, p := range x.Places {
+		part, err := endpoint.History(ctx, p.Name, x.Endpoints[p.Name].Addresses[0])
 		if err != nil {
 			return nil, err
 		}
@@ -137,8 +143,8 @@
 }
 
 // countChanges asks what holds after all and counts the changes that took effect.
-func (f *fleet) countChanges(ctx context.Context, stdout io.Writer, c *Counts) (err error) {
-	reply, err := f.operators.Run(ctx, "", "show pools; show instances; show waves; show members")
+func (x exercise) countChanges(ctx context.Context, stdout io.Writer, c *Counts) (err error) {
+	reply, err := x.Operators.Run(ctx, "", "show pools; show instances; show waves; show members")
 	if err != nil {
 		return err
 	}
@@ -151,8 +157,8 @@
 	if pool, _ := operator.Cell(reply, movedInstance, "pool"); pool == "spare" {
 		c.MovesDone++
 	}
-	for _, p := range places {
-		if maintained, _ := operator.Cell(reply, p.name, "maintained"); maintained == wave {
+	for _, p := range x.Places {
+		if maintained, _ := operator.Cell(reply, p.Name, "maintained"); maintained == wave {
 			c.DrainsDone++
 		}
 	}
--- /dev/null
+++ b/demo/internal/fleet/fleet.go
@@ -0,0 +1,164 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/azurepoint/azurepoint/demo/internal/operator"
+	"github.com/azurepoint/azurepoint/demo/internal/process"
+)
+
+const (
+	peerSecret = "demo secret of the entries"
+	// OperatorSecret is the secret of the operators' API.
+	OperatorSecret = "demo secret of the operators"
+)
+
+// Place is where one endpoint stands.
+type Place struct {
+	Name       string
+	DataCentre string
+	Pool       string
+}
+
+// EntryPlace is where one entry stands.
+type EntryPlace struct {
+	Name       string
+	DataCentre string
+}
+
+// Entry is a running entry with its addresses.
+type Entry struct {
+	EntryPlace
+	Process  *process.Process
+	Caller   string
+	Operator string
+	Peer     string
+
+	settingsPath string
+}
+
+// Fleet is the set of running processes; the fields above Platform are set
+// before Start.
+type Fleet struct {
+	Group   process.Group
+	Places  []Place
+	Entries []*Entry
+	// RebootTime is how long an endpoint takes to reboot.
+	RebootTime time.Duration
+	// Settings are more lines of the entries' settings files.
+	Settings string
+
+	Platform  *process.Process
+	Endpoints map[string]*process.Process
+	Operators operator.Client
+}
+
+// Start starts every process; the configuration is still empty.
+func (f *Fleet) Start(ctx context.Context) (err error) {
+	f.Platform, err = f.Group.Start(ctx, "platform", "platformd")
+	if err != nil {
+		return err
+	}
+	f.Endpoints = make(map[string]*process.Process)
+	for _, p := range f.Places {
+		f.Endpoints[p.Name], err = f.Group.Start(ctx, p.Name, "endpointd", "--name", p.Name,
+			"--data-centre", p.DataCentre, "--platform", f.Platform.Addresses[0],
+			"--reboot-time", f.RebootTime.String())
+		if err != nil {
+			return err
+		}
+	}
+	if err = f.writeSettings(ctx); err != nil {
+		return err
+	}
+	f.Operators.Secret = OperatorSecret
+	for _, e := range f.Entries {
+		if err = f.StartEntry(ctx, e); err != nil {
+			return err
+		}
+		f.Operators.Entries = append(f.Operators.Entries, e.Operator)
+	}
+	return nil
+}
+
+// StartEntry starts an entry, or starts it again after its process has ended.
+func (f *Fleet) StartEntry(ctx context.Context, e *Entry) (err error) {
+	e.Process, err = f.Group.Start(ctx, e.Name, "azurepointd", e.settingsPath)
+	return err
+}
+
+func (f *Fleet) writeSettings(ctx context.Context) (err error) {
+	free, err := freeAddresses(ctx, 3*len(f.Entries))
+	if err != nil {
+		return err
+	}
+	var peers []string
+	for i, e := range f.Entries {
+		e.Caller, e.Operator, e.Peer = free[3*i], free[3*i+1], free[3*i+2]
+		peers = append(peers, e.Peer)
+	}
+	for _, e := range f.Entries {
+		e.settingsPath = filepath.Join(f.Group.Logs, e.Name+".ini")
+		text := e.settings(f.Platform.Addresses[0], peers) + f.Settings
+		if err = os.WriteFile(e.settingsPath, []byte(text), 0o600); err != nil {
+			return errors.Wrap(err, "fleet: write settings")
+		}
+	}
+	return nil
+}
+
+// settings returns the settings file of an entry.
+func (e *Entry) settings(platform string, peers []string) string {
+	return fmt.Sprintf(`[entry]
+name = %s
+dataCentre = %s
+
+[listen]
+caller = %s
+operator = %s
+peer = %s
+
+[peers]
+join = %s
+secret = "%s"
+
+[platform]
+address = %s
+
+[operators]
+secret = "%s"
+
+`, e.Name, e.DataCentre, e.Caller, e.Operator, e.Peer, strings.Join(peers, ", "), peerSecret, platform, OperatorSecret)
+}
+
+// Print writes where the fleet can be reached.
+func (f *Fleet) Print(w io.Writer) {
+	for _, e := range f.Entries {
+		fmt.Fprintf(w, "entry %s dataCentre=%s callers=http://%s operators=%s\n", e.Name, e.DataCentre, e.Caller, e.Operator)
+	}
+	fmt.Fprintf(w, "operator secret: %s\n", OperatorSecret)
+}
+
+// freeAddresses returns loopback addresses that were free a moment ago; entries
+// need theirs before they start, because their peers' settings name them. All are
+// held until the last is found, so that no two are the same.
+func freeAddresses(ctx context.Context, count int) (addresses []string, err error) {
+	for range count {
+		l, err := new(net.ListenConfig).Listen(ctx, "tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Wrap(err, "fleet: find a free port")
+		}
+		defer func() { _ = l.Close() }()
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses, nil
+}
