--- a/Makefile
+++ b/Makefile
@@ -52,3 +52,7 @@
 
 clean:
 	rm -rf bin
+
+# Measures what entries spend on control at several sizes of the real daemons.
+capacity: build
+	bin/demo --bin bin --capacity
--- a/demo/internal/cli/cli.go
+++ b/demo/internal/cli/cli.go
@@ -11,6 +11,8 @@
 
 	"github.com/alexflint/go-arg"
 	"github.com/go-faster/errors"
+
+	"github.com/azurepoint/azurepoint/demo/internal/capacity"
 )
 
 // Exit codes of the program.
@@ -30,6 +32,7 @@
 	Parallel int           `arg:"--parallel" default:"24" help:"how many callers wait at once"`
 	Within   time.Duration `arg:"--within" default:"55s" help:"end of the whole run"`
 	Keep     string        `arg:"--logs" help:"folder for the logs; a temporary one that is removed if empty"`
+	Capacity bool          `arg:"--capacity" help:"measure instead what entries spend on control at several sizes"`
 	Hold     bool          `arg:"--hold" help:"only start the fleet, print the addresses, and keep it until interrupted"`
 }
 
@@ -61,6 +64,13 @@
 }
 
 func run(ctx context.Context, o options, stdout, stderr io.Writer) (code int) {
+	if o.Capacity {
+		if err := capacity.Run(ctx, o.Bin, stdout); err != nil {
+			fmt.Fprintln(stderr, "demo:", err)
+			return exitFailed
+		}
+		return exitDone
+	}
 	logs := o.Keep
 	if logs == "" {
 		folder, err := os.MkdirTemp("", "azurepoint-demo-")
--- a/demo/internal/operator/client.go
+++ b/demo/internal/operator/client.go
@@ -77,3 +77,14 @@
 	}
 	return "", false
 }
+
+// Metrics returns the metrics of one entry.
+func (c *Client) Metrics(ctx context.Context, address string) (m operatorapi.Metrics, err error) {
+	client, err := operatorapi.NewClient("http://"+address, secretSource(c.Secret),
+		operatorapi.WithClient(&http.Client{Timeout: callTimeout}))
+	if err != nil {
+		return nil, err
+	}
+	m, err = client.ListMetrics(ctx)
+	return m, errors.Wrapf(err, "operator: metrics of %s", address)
+}
--- a/demo/internal/process/process.go
+++ b/demo/internal/process/process.go
@@ -139,3 +139,8 @@
 		}
 	}
 }
+
+// ID returns the process number.
+func (p *Process) ID() int {
+	return p.command.Process.Pid
+}
