--- a/demo/internal/capacity/observe.go
+++ b/demo/internal/capacity/observe.go
@@ -107,5 +107,5 @@
 		Watches float64 `json:"watches"`
 	}
 	err = json.NewDecoder(response.Body).Decode(&counters)
-	return counters.Reads + counters.Writes + counters.Watches, errors.Wrap(err, "read counters")
+	return counters.Reads + counters.Writes + counters.Watches, err
 }
--- a/demo/internal/operator/client.go
+++ b/demo/internal/operator/client.go
@@ -85,6 +85,8 @@
 	if err != nil {
 		return nil, err
 	}
-	m, err = client.ListMetrics(ctx)
-	return m, errors.Wrapf(err, "operator: metrics of %s", address)
+	if m, err = client.ListMetrics(ctx); err != nil {
+		return nil, errors.Wrapf(err, "operator: metrics of %s", address)
+	}
+	return m, nil
 }
