--- /dev/null
+++ b/azurepointd/internal/caller/handler.go
@@ -0,0 +1,149 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/azurepoint/azurepoint/api/callerapi"
+	"github.com/azurepoint/azurepoint/api/peerrpc"
+	"github.com/azurepoint/azurepoint/coordination/register"
+)
+
+// DefaultClockError is how far the clocks of two instances differ at most; see
+// section 11 of the design.
+const DefaultClockError = 250 * time.Millisecond
+
+// Handler implements the callers' API; Peers and Fleet are set before use.
+type Handler struct {
+	Peers Peers
+	Fleet Fleet
+	// ClockError is a setting; zero means DefaultClockError.
+	ClockError time.Duration
+
+	mutex    sync.Mutex
+	sequence int64
+	turn     int
+	places   places
+}
+
+// IssueKeys issues request keys.
+func (h *Handler) IssueKeys(_ context.Context, order *callerapi.KeyOrder) (list *callerapi.KeyList, err error) {
+	s, err := h.site(order.Pool)
+	if err != nil {
+		return nil, err
+	}
+	// The API gives times in whole seconds.
+	expiresAt := time.Now().Add(KeyLifetime).Truncate(time.Second)
+	list = &callerapi.KeyList{Keys: []string{}, ExpiresAt: expiresAt}
+	for range order.Count.Or(1) {
+		text := h.issue(s, expiresAt).String()
+		if len(text) > register.MaxKeyBytes {
+			return nil, refusef(500, "", "the names of the entries are too long for a key of %d bytes", register.MaxKeyBytes)
+		}
+		list.Keys = append(list.Keys, text)
+	}
+	countKeys.Inc(int64(len(list.Keys)))
+	return list, nil
+}
+
+// SubmitRequest runs a request and waits for its outcome until its deadline.
+func (h *Handler) SubmitRequest(ctx context.Context, s *callerapi.Submission) (o *callerapi.Outcome, err error) {
+	countSubmissions.Inc(1)
+	now := time.Now()
+	k, err := h.checkKey(s.Key, now)
+	if err != nil {
+		return nil, err
+	}
+	if err := h.checkContent(k, s, now); err != nil {
+		return nil, err
+	}
+	q := submission(s)
+	refusal := h.checkNow(k, s, now)
+	if refusal != nil {
+		// An earlier copy of the request may have been taken before the deadline
+		// passed or the configuration changed. A passed deadline lets the home
+		// join it, and makes sure that no copy under way runs later.
+		q.DeadlineUnixMillis = 1
+	}
+	outcome, err := h.submit(ctx, k, q)
+	switch {
+	case err != nil:
+		return nil, err
+	case refusal != nil && outcome.State == register.NotRun:
+		return nil, refusal
+	case outcome.State == register.Pending:
+		outcome.State = register.Unknown
+	}
+	return answer(s.Key, outcome), nil
+}
+
+// LookupRequest returns what is known of a request.
+func (h *Handler) LookupRequest(ctx context.Context, p callerapi.LookupRequestParams) (o *callerapi.Outcome, err error) {
+	return h.ask(ctx, p.Key, peerrpc.Peer.Lookup)
+}
+
+// CancelRequest cancels a request.
+func (h *Handler) CancelRequest(ctx context.Context, p callerapi.CancelRequestParams) (o *callerapi.Outcome, err error) {
+	return h.ask(ctx, p.Key, peerrpc.Peer.Cancel)
+}
+
+// Dump writes the state as text.
+func (h *Handler) Dump(w io.Writer) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	_, _ = fmt.Fprintf(w, "caller: next sequence %d, %d pools with serving instances\n", h.sequence, len(h.places.serving))
+}
+
+func (h *Handler) ask(ctx context.Context, key string, call keyCall) (o *callerapi.Outcome, err error) {
+	k, err := h.checkKey(key, time.Now())
+	if err != nil {
+		return nil, err
+	}
+	outcome, err := h.inquire(ctx, k, call)
+	if err != nil {
+		return nil, err
+	}
+	return answer(key, outcome), nil
+}
+
+func submission(s *callerapi.Submission) *peerrpc.SubmitRequest {
+	return &peerrpc.SubmitRequest{
+		Key:                s.Key,
+		Member:             s.Member,
+		Pool:               s.Pool,
+		Urgency:            string(s.Urgency.Or(callerapi.UrgencyNormal)),
+		Repeatable:         s.Repeatable.Or(false),
+		DeadlineUnixMillis: s.Deadline.UnixMilli(),
+		Slots:              int32(s.Slots.Or(1)),
+		RunMillis:          int64(s.RunMillis.Or(0)),
+		Payload:            s.Payload.Or(""),
+	}
+}
+
+func answer(key string, o register.Outcome) *callerapi.Outcome {
+	a := &callerapi.Outcome{Key: key, State: callerapi.OutcomeState(o.State)}
+	if o.Reason != "" {
+		a.Reason = callerapi.NewOptString(o.Reason)
+	}
+	switch o.State {
+	case register.Done:
+		a.Answer = callerapi.NewOptString(o.Answer)
+	case register.Unknown, register.Pending:
+		a.AskAt = callerapi.NewOptString("/v1/requests/" + key)
+	case register.NotRun:
+	}
+	if o.State == register.Unknown {
+		countUnknown.Inc(1)
+	}
+	return a
+}
+
+func (h *Handler) clockError() time.Duration {
+	if h.ClockError > 0 {
+		return h.ClockError
+	}
+	return DefaultClockError
+}
--- a/azurepointd/internal/endpoint/client.go
+++ b/azurepointd/internal/endpoint/client.go
@@ -39,6 +39,10 @@
 }
 
 // Client runs and settles tasks at endpoints; the zero value is ready.
+//
+// The endpoint API carries times in whole seconds, rounded down. A lease may
+// therefore end up to a second early at the endpoint, but never late, and a
+// fence never ends before the lease that it is for.
 type Client struct {
 	// Connections is the most tasks at one endpoint at once; zero means
 	// DefaultConnections.
--- a/azurepointd/internal/endpoint/result.go
+++ b/azurepointd/internal/endpoint/result.go
@@ -30,6 +30,8 @@
 	Kind   Kind
 	Answer string
 	Reason string
+	// Unreachable is set when no connection could be made.
+	Unreachable bool
 }
 
 // Settled tells whether the result never changes.
@@ -46,7 +48,7 @@
 	case errors.As(err, &refused):
 		return Result{Kind: NotStarted, Reason: "refused: " + string(refused.Response.Code) + ": " + refused.Response.Message}
 	case errors.As(err, &broken) && broken.Op == "dial":
-		return Result{Kind: NotStarted, Reason: "unreachable: " + err.Error()}
+		return Result{Kind: NotStarted, Reason: "unreachable: " + err.Error(), Unreachable: true}
 	}
 	r := resultOf(id, answer, err)
 	if r.Kind == NotStarted || r.Kind == Running {
--- /dev/null
+++ b/azurepointd/internal/home/claim.go
@@ -0,0 +1,90 @@
+package home
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/go-faster/errors"
+
+	"github.com/azurepoint/azurepoint/api/peerrpc"
+	"github.com/azurepoint/azurepoint/azurepointd/internal/event"
+	"github.com/azurepoint/azurepoint/coordination/register"
+)
+
+// needsClaim tells whether the backup must accept the request's tasks.
+func (h *Home) needsClaim(r *run) bool {
+	return !r.request.GetRepeatable() && !h.SingleCopy && r.key.Backup != ""
+}
+
+// checkBackup returns an error if the claim of the request is bound to fail, so
+// that it need not wait for a grant first.
+func (h *Home) checkBackup(r *run) (err error) {
+	if !h.needsClaim(r) {
+		return nil
+	}
+	_, err = h.dialBackup(r.key)
+	return err
+}
+
+// claim records the attempt here and at the backup. After an error the task is
+// never sent, whether or not the backup holds the claim.
+func (h *Home) claim(ctx context.Context, r *run, a register.Attempt) (err error) {
+	h.mutex.Lock()
+	err = h.Register.Claim(r.key, a, time.Now())
+	h.mutex.Unlock()
+	if err != nil || !h.needsClaim(r) {
+		return err
+	}
+	peer, err := h.dialBackup(r.key)
+	if err != nil {
+		return err
+	}
+	r.claimed = true
+	countClaims.Inc(1)
+	ctx, cancel := context.WithTimeout(ctx, messageTimeout)
+	defer cancel()
+	reply, err := peer.Claim(ctx, &peerrpc.ClaimRequest{
+		Key: r.key.String(), Endpoint: a.Endpoint, Address: a.Address, Task: a.Task,
+		LeaseUntilUnixMillis: a.LeaseUntil.UnixMilli(),
+	})
+	if err != nil {
+		countClaimsLost.Inc(1)
+		event.ClaimUnanswered.Log(log.Fields{"key": r.key.String(), "backup": r.key.Backup, "error": err.Error()})
+		return errors.Wrap(err, "the backup did not answer the claim")
+	}
+	if !reply.GetAccepted() {
+		event.ClaimRefused.Log(log.Fields{"key": r.key.String(), "reason": reply.GetReason()})
+		return errors.New("the backup refused the claim: " + reply.GetReason())
+	}
+	return nil
+}
+
+func (h *Home) dialBackup(k register.Key) (peer peerrpc.Peer, err error) {
+	peer, err = h.Peers.Dial(k.Backup, k.BackupIncarnation)
+	if err != nil {
+		return nil, errors.Wrap(err, "the key's backup is gone; take a new key")
+	}
+	return peer, nil
+}
+
+// tellBackup gives the backup the outcome of a claim.
+func (h *Home) tellBackup(ctx context.Context, r *run) {
+	if !r.claimed {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, messageTimeout)
+	defer cancel()
+	peer, err := h.dialBackup(r.key)
+	if err == nil {
+		_, err = peer.Conclude(ctx, message(r.key, r.outcome))
+	}
+	if err != nil {
+		event.ConcludeLost.Log(log.Fields{"key": r.key.String(), "error": err.Error()})
+	}
+}
+
+func reportConflict(k register.Key, o register.Outcome) {
+	countConflicts.Inc(1)
+	event.OutcomeConflict.Log(log.Fields{"key": k.String(), "state": string(o.State), "reason": o.Reason})
+}
--- /dev/null
+++ b/azurepointd/internal/home/needs.go
@@ -0,0 +1,27 @@
+package home
+
+import (
+	"context"
+	"time"
+
+	"github.com/azurepoint/azurepoint/api/peerrpc"
+	"github.com/azurepoint/azurepoint/azurepointd/internal/endpoint"
+	"github.com/azurepoint/azurepoint/coordination/membership"
+)
+
+// Peers is the view of the other entries.
+type Peers interface {
+	Self() membership.Entry
+	// Owner returns the entry of the own data centre that has a duty.
+	Owner(duty string) membership.Entry
+	// Dial returns an error if the entry is not live in that incarnation.
+	Dial(name string, incarnation int64) (peer peerrpc.Peer, err error)
+}
+
+// Endpoints runs and settles tasks; *endpoint.Client implements it.
+type Endpoints interface {
+	TaskID(ctx context.Context, address, base string) (id string, err error)
+	Run(ctx context.Context, address string, t endpoint.Task) (r endpoint.Result)
+	Settle(ctx context.Context, address, id string, leaseUntil time.Time) (r endpoint.Result)
+	Stop(ctx context.Context, address, id string, leaseUntil time.Time) (r endpoint.Result)
+}
