--- /dev/null
+++ b/coordination/quota/split_test.go
@@ -0,0 +1,51 @@
+package quota
+
+import (
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func sum(parts []int) (total int) {
+	for _, p := range parts {
+		total += p
+	}
+	return total
+}
+
+// Guards the two rules that the ledger rests on: the parts add up to the cap
+// exactly, and none of them shrinks when the cap is raised.
+func TestDivisionsAddUpAndNeverShrink(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := rapid.SliceOfN(rapid.IntRange(0, 60), 1, 16).Draw(t, "weights")
+		limit := rapid.IntRange(0, 400).Draw(t, "cap")
+		for name, divide := range map[string]func(int, []int) []int{"Split": Split, "Fill": Fill} {
+			parts, next := divide(limit, weights), divide(limit+1, weights)
+			if name == "Split" && sum(weights) == 0 {
+				continue
+			}
+			if sum(parts) != limit || sum(next) != limit+1 {
+				t.Fatalf("%s: parts %v of %d, %v of %d", name, parts, limit, next, limit+1)
+			}
+			for i := range parts {
+				if next[i] < parts[i] {
+					t.Fatalf("%s: part %d shrinks from %v to %v", name, i, parts, next)
+				}
+			}
+		}
+	})
+}
+
+// Guards the proportions: Webster's result is known for these claims.
+func TestSplitIsProportional(t *testing.T) {
+	if got, want := Split(100, []int{53, 24, 23}), []int{53, 24, 23}; !slices.Equal(got, want) {
+		t.Errorf("parts %v, want %v", got, want)
+	}
+	if got, want := Split(7, []int{53, 24, 23}), []int{3, 2, 2}; !slices.Equal(got, want) {
+		t.Errorf("parts %v, want %v", got, want)
+	}
+	if got, want := Fill(20, []int{2, 40, 0, 9}), []int{2, 9, 0, 9}; !slices.Equal(got, want) {
+		t.Errorf("parts %v, want %v", got, want)
+	}
+}
