Send lists of entries only where they differ

Change: heartbeats carry a hash of the live entries, and the list only when the hashes differ; relays speak for a whole data centre at once, in every fourth heartbeat.

--- a/azurepointd/internal/peer/directory.go
+++ b/azurepointd/internal/peer/directory.go
@@ -56,6 +56,7 @@
 	view        membership.View
 	leaving     bool
 	connections map[string]*connection
+	contacts    map[string]*contact
 	greeted     []string
 	discoverAt  time.Time
 }
--- a/azurepointd/internal/peer/directory_test.go
+++ b/azurepointd/internal/peer/directory_test.go
@@ -67,9 +67,10 @@
 
 func waitFor(t *testing.T, what string, condition func() bool) {
 	t.Helper()
+	deadline := time.Now().Add(20 * time.Second)
 	for !condition() {
-		if t.Context().Err() != nil {
-			t.Fatalf("test ended before: %s", what)
+		if time.Now().After(deadline) {
+			t.Fatalf("not reached: %s", what)
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
@@ -142,3 +143,28 @@
 		t.Errorf("live entries: %s", live)
 	}
 }
+
+// Guards against lists of entries in every heartbeat, whose size grows with the
+// square of the number of entries, and against remote entries that are lost once
+// the lists stop.
+func TestSteadyHeartbeatsCarryNoListsAndKeepRemoteEntries(t *testing.T) {
+	a := startEntry(t, "a1", "a")
+	b := startEntry(t, "a2", "a", a.Address)
+	c := startEntry(t, "b1", "b", a.Address)
+	all := []*testEntry{a, b, c}
+	for _, e := range all {
+		waitFor(t, e.Name+" sees all", func() bool {
+			return names(e.Remote("a")) == "a1 a2" && names(e.Remote("b")) == "b1"
+		})
+	}
+	waitFor(t, "no lists between a1 and a2", func() bool {
+		return len(a.message(b.Self()).Peers) == 0 && len(b.message(a.Self()).Peers) == 0
+	})
+	for _, e := range []*testEntry{a, b} {
+		until := e.Remote("b")[0].AliveUntil
+		waitFor(t, e.Name+" keeps b1", func() bool {
+			live := e.Remote("b")
+			return len(live) == 1 && live[0].AliveUntil.After(until.Add(time.Second))
+		})
+	}
+}
--- a/azurepointd/internal/peer/heartbeat.go
+++ b/azurepointd/internal/peer/heartbeat.go
@@ -15,9 +15,12 @@
 	// relayDuty is the duty of exchanging heartbeats with other data centres, so
 	// that their number grows with data centres and not with entries.
 	relayDuty = "relay"
-	// remoteGraceBeats is how many heartbeats news of another data centre may
-	// need on its way through the two relays.
-	remoteGraceBeats = 6
+	// relayBeats is how many heartbeats there are to one exchange between data
+	// centres, which nothing urgent waits for.
+	relayBeats = 4
+	// remoteGraceBeats is how much longer an entry of another data centre counts
+	// as live: three exchanges, since news goes through two relays.
+	remoteGraceBeats = 3 * relayBeats
 	// discoverEvery is the interval between calls of Discover.
 	discoverEvery = 10 * time.Second
 )
@@ -53,8 +56,8 @@
 
 // Heartbeat answers the heartbeat of another entry with the own view.
 func (d *Directory) Heartbeat(_ context.Context, m *peerrpc.HeartbeatMessage) (*peerrpc.HeartbeatMessage, error) {
-	d.absorb(m)
-	return d.message(), nil
+	sender := d.absorb(m)
+	return d.message(sender), nil
 }
 
 func (d *Directory) end() {
@@ -82,7 +85,7 @@
 	done = make(chan struct{}, len(targets))
 	for _, t := range targets {
 		go func() {
-			d.exchange(ctx, t.client)
+			d.exchange(ctx, t)
 			if t.transient {
 				t.drop()
 			}
@@ -92,11 +95,11 @@
 	return done
 }
 
-func (d *Directory) exchange(ctx context.Context, client peerrpc.Peer) {
+func (d *Directory) exchange(ctx context.Context, t target) {
 	// A heartbeat older than the lifetime no longer proves that its sender lives.
 	ctx, cancel := context.WithTimeout(ctx, d.lifetime())
 	defer cancel()
-	reply, err := client.Heartbeat(ctx, d.message())
+	reply, err := t.client.Heartbeat(ctx, d.message(t.entry))
 	if err != nil {
 		metrics.GetOrRegisterCounter("peer.heartbeatsFailed", nil).Inc(1)
 		return
@@ -108,6 +111,8 @@
 // this heartbeat, because no live entry is known at its address.
 type target struct {
 	*connection
+	// entry is empty for an address that no known entry has.
+	entry     membership.Entry
 	transient bool
 }
 
@@ -124,10 +129,10 @@
 	add := func(e membership.Entry) {
 		addresses = append(addresses, e.Address)
 		if e.Alive(now) {
-			targets = append(targets, target{connection: d.connect(e)})
+			targets = append(targets, target{connection: d.connect(e), entry: e})
 			return
 		}
-		targets = append(targets, target{connection: newConnection(e.Address, d.Secret), transient: true})
+		targets = append(targets, target{connection: newConnection(e.Address, d.Secret), entry: e, transient: true})
 	}
 	for _, e := range d.view.All() {
 		mine := all || d.Name < e.Name || !e.Alive(now)
@@ -136,7 +141,8 @@
 		}
 	}
 	for _, e := range d.remoteRelays(now) {
-		if all || d.DataCentre < e.DataCentre || !e.Alive(now) {
+		mine := d.DataCentre < e.DataCentre && d.due(e, now)
+		if all || mine || !e.Alive(now) {
 			add(e)
 		}
 	}
@@ -211,78 +217,3 @@
 		d.greeted = addresses
 	}()
 }
-
-func (d *Directory) message() *peerrpc.HeartbeatMessage {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := time.Now()
-	m := &peerrpc.HeartbeatMessage{Sender: toInfo(d.self(now))}
-	for _, e := range d.view.All() {
-		if e.Name != d.Name && e.Alive(now) {
-			m.Peers = append(m.Peers, toInfo(e))
-		}
-	}
-	return m
-}
-
-// absorb takes in what another entry said of itself and of others.
-func (d *Directory) absorb(m *peerrpc.HeartbeatMessage) {
-	if m.GetSender().GetName() == "" {
-		return
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := time.Now()
-	sender := fromInfo(m.Sender)
-	sender.AliveUntil = now.Add(d.lifetime())
-	d.observe(sender, now)
-	for _, info := range m.Peers {
-		d.absorbHearsay(fromInfo(info), sender, now)
-	}
-	d.dropLost(now)
-}
-
-// absorbHearsay takes in an entry that the sender has heard. An entry of the own
-// data centre is only contacted, since its own heartbeats decide whether it is
-// live; one of another data centre counts as live by the relays' word.
-func (d *Directory) absorbHearsay(e, sender membership.Entry, now time.Time) {
-	limit := now.Add(d.lifetime() + remoteGraceBeats*d.interval())
-	switch e.DataCentre {
-	case d.DataCentre:
-		if known, found := d.view.Find(e.Name); found && known.Incarnation >= e.Incarnation {
-			return
-		}
-		e.AliveUntil = now
-	case sender.DataCentre:
-		e.AliveUntil = e.AliveUntil.Add(remoteGraceBeats * d.interval())
-	}
-	if e.AliveUntil.After(limit) {
-		// The sender's clock may be ahead of ours.
-		e.AliveUntil = limit
-	}
-	d.observe(e, now)
-}
-
-func toInfo(e membership.Entry) *peerrpc.PeerInfo {
-	return &peerrpc.PeerInfo{
-		Name:                 e.Name,
-		DataCentre:           e.DataCentre,
-		Incarnation:          e.Incarnation,
-		Address:              e.Address,
-		Version:              e.Version,
-		Leaving:              e.Leaving,
-		AliveUntilUnixMillis: e.AliveUntil.UnixMilli(),
-	}
-}
-
-func fromInfo(i *peerrpc.PeerInfo) membership.Entry {
-	return membership.Entry{
-		Name:        i.GetName(),
-		DataCentre:  i.GetDataCentre(),
-		Incarnation: i.GetIncarnation(),
-		Address:     i.GetAddress(),
-		Version:     i.GetVersion(),
-		Leaving:     i.GetLeaving(),
-		AliveUntil:  time.UnixMilli(i.GetAliveUntilUnixMillis()),
-	}
-}
