Dispatch with caps, learning, health and overflow

The first dispatcher granted by declared run times and knew neither caps nor bad endpoints nor the spare pool.

Requests are queued with the learned run time and size; endpoints have an adaptive limit and are ejected on evidence against their peers; caps are kept by quota.Ledger with loans over Borrow. Requests that find no slot at home wait at the spare pool's dispatcher as well; which queued request gets such a slot is decided when it is granted, so the order of the home queue holds. A loan to another data centre is copied to the next keeper of the pool before it is answered, and a new keeper asks the other entries what is lent. A process that stood still issues no grant for a second.

The tests failed without the copy of a loan, caps, ejection, learned sizes and run times, overflow, the return of unused slots, foreign tasks, the pause after a refusal and the hold after a pause. They also showed that ties in the choice of an endpoint went to the first by name, so that an idle pool's bad endpoint had no peers to compare with; the endpoint with the oldest grant is taken now.

--- a/azurepointd/internal/dispatch/dispatcher.go
+++ b/azurepointd/internal/dispatch/dispatcher.go
@@ -9,13 +9,20 @@
 
 	"github.com/azurepoint/azurepoint/azurepointd/internal/event"
 	"github.com/azurepoint/azurepoint/coordination/fleet"
+	"github.com/azurepoint/azurepoint/coordination/limit"
 	"github.com/azurepoint/azurepoint/coordination/membership"
+	"github.com/azurepoint/azurepoint/coordination/quota"
+	"github.com/azurepoint/azurepoint/coordination/share"
 )
 
 // refreshEvery is how often ownership and the list of leaving instances are
 // read; 250 ms is well within the 5 s in which a leaving endpoint may get work.
 const refreshEvery = 250 * time.Millisecond
 
+// takeEvery is how often all pools are looked at for a change of owner; it costs
+// one hash for each pool and entry.
+const takeEvery = time.Second
+
 // pauseLimit is how long the loop may stand still before the dispatcher counts
 // as paused; another entry may have granted the same slots meanwhile.
 const pauseLimit = 3 * time.Second
@@ -35,14 +42,28 @@
 	// ClockError is the largest difference between two clocks.
 	ClockError time.Duration
 
-	mu       sync.Mutex
-	pools    map[string]*pool
-	version  int64
-	seen     bool
-	stopping bool
-	lastLoop time.Time
-	kicked   chan struct{}
-	tasks    sync.WaitGroup
+	mu      sync.Mutex
+	pools   map[string]*pool
+	version int64
+	seen    bool
+	// centres are the other data centres with instances as of a version.
+	centres   []string
+	centresAt int64
+	estimator limit.Estimator
+	ledger    quota.Ledger
+	shortages map[quota.Account]*shortage
+	// lenderPauses is until when a data centre is not asked for loans.
+	lenderPauses map[string]time.Time
+	stopping     bool
+	lastLoop     time.Time
+	kicked       chan struct{}
+	// ownedAt is when all pools were looked at for their owner last.
+	ownedAt time.Time
+	// refreshedAt is when the ownership and the endpoints were looked at last.
+	refreshedAt time.Time
+	tasks       sync.WaitGroup
+	// ended is set once no more tasks may be started.
+	ended bool
 }
 
 // Run does what time and configuration changes cause until the context ends;
@@ -53,6 +74,9 @@
 	go func() {
 		defer close(done)
 		d.loop(ctx, wake)
+		d.mu.Lock()
+		d.ended = true
+		d.mu.Unlock()
 		d.tasks.Wait()
 	}()
 	return done
@@ -97,10 +121,15 @@
 		p.expire(now)
 		p.decide(now)
 		d.readStatuses(ctx, p, now)
+		d.settleBooks(ctx, p)
+		d.askSpare(ctx, p, now)
 		if at, found := p.queue.Next(); found && at.Before(next) {
 			next = at
 		}
 	}
+	d.borrowAll(ctx, now)
+	d.returnLoans(ctx, now)
+	queued.Update(d.queued())
 	// A pause bounds the rate of the loop while an item stays due.
 	return latest(next, now.Add(time.Millisecond))
 }
@@ -123,28 +152,78 @@
 // refresh follows the configuration and the ownership of the pools.
 func (d *Dispatcher) refresh(now time.Time) {
 	state := d.Fleet.State()
-	if state == nil {
+	current := d.seen && state != nil && state.Version == d.version
+	if state == nil || (current && now.Sub(d.refreshedAt) < refreshEvery) {
 		return
 	}
+	d.refreshedAt = now
 	if !d.seen || state.Version != d.version {
 		d.seen, d.version = true, state.Version
 		d.follow(state, now)
 	}
+	d.confirm(state, now)
+	if now.Sub(d.ownedAt) >= takeEvery {
+		d.ownedAt = now
+		d.takeOwned(state, now)
+	}
 	for name, p := range d.pools {
 		d.checkOwner(p)
-		p.reopen(d.Fleet, now)
+		p.reopen(now)
+		d.ledger.SetForeign(name, p.busy())
 		if p.handedOver && p.idle() {
 			delete(d.pools, name)
 		}
 	}
 }
 
+// takeOwned takes over the pools that nobody asked for yet: their parts of caps
+// can be lent, and the status of their endpoints is known when a request comes.
+func (d *Dispatcher) takeOwned(state *fleet.State, now time.Time) {
+	for name := range state.Pools {
+		if _, own := d.owner(name); own {
+			d.pool(name, now)
+		}
+	}
+}
+
 // follow gives the pools their instances and members of a new version.
 func (d *Dispatcher) follow(state *fleet.State, now time.Time) {
+	d.followCaps(state)
 	instances := d.ownInstances(state)
-	for name, p := range d.pools {
-		p.follow(state, instances[name], now)
+	for _, p := range d.pools {
+		d.followPool(p, state, instances, now)
+	}
+}
+
+func (d *Dispatcher) followPool(p *pool, state *fleet.State, instances map[string][]fleet.Instance, now time.Time) {
+	p.follow(instances[p.name], now)
+	p.followSpare(state, instances)
+	for _, m := range state.Members {
+		p.queue.SetMember(share.Member{Name: m.Name, Weight: m.Share, Minimum: d.ledger.Minimum(m.Name, m.Minimum)})
+	}
+}
+
+// settleBooks finds out what an earlier keeper of a pool lent, once.
+func (d *Dispatcher) settleBooks(ctx context.Context, p *pool) {
+	if p.settled || p.handedOver {
+		return
+	}
+	p.settled, p.settling = true, true
+	d.start(func() { d.settle(ctx, p) })
+}
+
+// start runs a task that Run waits for; the caller holds the lock.
+func (d *Dispatcher) start(task func()) {
+	if !d.ended {
+		d.tasks.Go(task)
+	}
+}
+
+func (d *Dispatcher) queued() (requests int64) {
+	for _, p := range d.pools {
+		requests += int64(p.queue.Totals().Queued)
 	}
+	return requests
 }
 
 // ownInstances returns the instances of the own data centre by pool.
@@ -167,7 +246,7 @@
 	case !own && !p.handedOver:
 		d.handOver(p)
 	case own && p.handedOver:
-		p.take(time.Now())
+		d.takeOver(p, time.Now())
 	}
 }
 
@@ -177,6 +256,7 @@
 		return
 	}
 	p.handedOver = true
+	d.ledger.Close(p.name)
 	next, _ := d.owner(p.name)
 	event.PoolHandedOver.Log(log.Fields{"pool": p.name, "owner": next.Name, "waiting": len(p.waiters)})
 	p.dismiss(next.Name)
@@ -219,14 +299,24 @@
 	if d.pools == nil {
 		d.pools = make(map[string]*pool)
 	}
-	p = newPool(name, d.ClockError, d.Endpoints != nil)
+	if !d.seen {
+		d.refresh(now)
+	}
+	p = d.newPool(name)
 	d.pools[name] = p
-	p.follow(state, d.ownInstances(state)[name], now)
-	p.take(now)
-	p.reopen(d.Fleet, now)
+	d.followPool(p, state, d.ownInstances(state), now)
+	d.takeOver(p, now)
 	return p, true
 }
 
+// takeOver begins to grant for a pool.
+func (d *Dispatcher) takeOver(p *pool, now time.Time) {
+	p.take(now)
+	p.reopen(now)
+	d.ledger.Open(p.name)
+	d.kick()
+}
+
 // wake returns the channel that makes the loop take a step.
 func (d *Dispatcher) wake() <-chan struct{} {
 	d.mu.Lock()
--- a/azurepointd/internal/dispatch/endpoint.go
+++ b/azurepointd/internal/dispatch/endpoint.go
@@ -10,6 +10,8 @@
 	"github.com/azurepoint/azurepoint/api/endpointapi"
 	"github.com/azurepoint/azurepoint/azurepointd/internal/event"
 	"github.com/azurepoint/azurepoint/coordination/fleet"
+	"github.com/azurepoint/azurepoint/coordination/health"
+	"github.com/azurepoint/azurepoint/coordination/limit"
 )
 
 // statusTimeout bounds one reading of an endpoint's status.
@@ -19,6 +21,10 @@
 // other dispatchers or refuses work.
 const recheckAfter = 500 * time.Millisecond
 
+// usageEvery is how often a status is read for the sizes of tasks and for an
+// endpoint that drains by itself, which has to get no work within 5 s.
+const usageEvery = 4 * time.Second
+
 // Pauses after a refusal when no status can be read; each refusal doubles it.
 const (
 	shortestPause = 2 * time.Second
@@ -28,6 +34,7 @@
 // endpoint is what the dispatcher knows of an instance of the pool.
 type endpoint struct {
 	instance fleet.Instance
+	limiter  limit.Limiter
 	// closed is why the endpoint gets no work; empty means that it does.
 	closed string
 	// refused is set by a refusal of the endpoint until its status says that
@@ -43,13 +50,15 @@
 	foreign []endpointapi.Usage
 	// busy is the slots in use by tasks that this dispatcher did not grant.
 	busy int
-	// checkAt is when the status is read next; zero means not at all.
+	// checkAt is when the status is read next.
 	checkAt time.Time
 	reading bool
+	// unreachable is set while the status cannot be read.
+	unreachable bool
 }
 
 // closedFor returns why the endpoint gets no new work, or nothing.
-func (e *endpoint) closedFor(f Fleet, now time.Time) (reason string) {
+func (e *endpoint) closedFor(f Fleet, state health.State, now time.Time) (reason string) {
 	if e.refused && !e.retryAt.IsZero() && !now.Before(e.retryAt) {
 		e.refused = false
 	}
@@ -62,6 +71,8 @@
 		return "leaving"
 	case e.refused:
 		return "refused"
+	case state == health.Ejected:
+		return "ejected"
 	default:
 		return ""
 	}
@@ -95,11 +106,11 @@
 		return
 	}
 	for _, e := range p.endpoints {
-		if e.checkAt.IsZero() || e.reading || now.Before(e.checkAt) {
+		if e.reading || now.Before(e.checkAt) {
 			continue
 		}
 		e.reading = true
-		d.tasks.Go(func() { d.readStatus(ctx, p, e) })
+		d.start(func() { d.readStatus(ctx, p, e) })
 	}
 }
 
@@ -117,23 +128,35 @@
 	e.reading = false
 	now := time.Now()
 	if err != nil {
-		e.unread = false
-		e.checkAt = now.Add(recheckAfter)
-		event.StatusFailed.Log(log.Fields{"endpoint": name, "error": err.Error()})
+		e.fail(now, err)
 	} else {
 		_, own := p.queue.Load(name)
 		e.note(status, own, now)
+		p.learnUsage(status)
 	}
-	p.reopen(d.Fleet, now)
+	p.reopen(now)
+	d.ledger.SetForeign(p.name, p.busy())
 	p.decide(now)
 	d.kick()
 }
 
+// fail notes that the status could not be read. Work goes on: the homes may
+// reach an endpoint that this entry does not reach.
+func (e *endpoint) fail(now time.Time, err error) {
+	e.unread = false
+	e.checkAt = now.Add(recheckAfter)
+	if !e.unreachable {
+		event.StatusFailed.Log(log.Fields{"endpoint": e.instance.Name, "error": err.Error()})
+	}
+	e.unreachable = true
+}
+
 // note takes over what an endpoint says of itself, given the slots that this
 // dispatcher granted there. Tasks are not told apart by their names: a task
 // that runs while nothing is granted here belongs to an earlier dispatcher.
+// After a refusal, all tasks beyond the own grants count as such.
 func (e *endpoint) note(s *endpointapi.Status, own int, now time.Time) {
-	e.refused = s.State != endpointapi.EndpointStateServing
+	serving := s.State == endpointapi.EndpointStateServing
 	running := runningTasks(s)
 	if e.unread && own == 0 {
 		e.foreign = running
@@ -142,9 +165,13 @@
 			return !slices.Contains(s.Running, u.Task)
 		})
 	}
-	e.unread = false
-	e.busy = max(slotsOf(e.foreign), slotsOf(running)-own)
-	e.checkAt = time.Time{}
+	e.busy = slotsOf(e.foreign)
+	if e.refused && serving {
+		e.busy = max(e.busy, slotsOf(running)-own)
+		e.limiter.Refuse(own + e.busy)
+	}
+	e.unread, e.unreachable, e.refused = false, false, !serving
+	e.checkAt = now.Add(usageEvery)
 	if e.refused || e.busy > 0 {
 		e.checkAt = now.Add(recheckAfter)
 		return
--- a/azurepointd/internal/dispatch/grant.go
+++ b/azurepointd/internal/dispatch/grant.go
@@ -32,7 +32,7 @@
 	case <-ctx.Done():
 	}
 	if ctx.Err() != nil {
-		d.leave(r, waiter)
+		d.leave(ctx, r, waiter)
 		return nil, ctx.Err()
 	}
 	return reply, nil
@@ -77,7 +77,7 @@
 		return &peerrpc.GrantReply{Reason: fmt.Sprintf("unknownPool: %q is not in version %d", r.GetPool(), d.version)}, nil
 	}
 	if p.handedOver {
-		p.take(now)
+		d.takeOver(p, now)
 	}
 	if g, held := p.queue.Granted(request.ID); held {
 		return p.reply(g), nil
@@ -92,7 +92,7 @@
 	waiter = make(chan *peerrpc.GrantReply, 1)
 	p.waiters[r.ID] = waiter
 	if !p.queue.Queued(r.ID) {
-		p.refuse(p.queue.Push(r, now))
+		p.refuse(p.queue.Push(p.estimate(r, now), now))
 	}
 	p.decide(now)
 	d.kick()
@@ -101,7 +101,7 @@
 
 // leave takes a request whose caller is gone out of the queue, and takes back
 // a grant that the caller does not know of.
-func (d *Dispatcher) leave(r *peerrpc.GrantRequest, waiter chan *peerrpc.GrantReply) {
+func (d *Dispatcher) leave(ctx context.Context, r *peerrpc.GrantRequest, waiter chan *peerrpc.GrantReply) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	p, found := d.pools[r.GetPool()]
@@ -112,14 +112,14 @@
 	if p.waiters[r.GetId()] == waiter {
 		delete(p.waiters, r.GetId())
 		p.queue.Cancel(r.GetId())
+		delete(p.declared, r.GetId())
 		cancelled.Inc(1)
 		return
 	}
 	select {
 	case reply := <-waiter:
 		if reply.GetGranted() {
-			p.queue.Release(r.GetId())
-			p.decide(now)
+			d.release(ctx, p, &peerrpc.ReleaseRequest{Id: r.GetId(), Endpoint: reply.GetEndpoint(), Result: resultUnused}, now)
 		}
 	default:
 	}
@@ -145,12 +145,15 @@
 		return q, fmt.Errorf("member is empty")
 	case r.GetSlots() < 0 || r.GetRunMillis() < 0:
 		return q, fmt.Errorf("slots %d or run time %d ms is negative", r.GetSlots(), r.GetRunMillis())
+	case time.Duration(r.GetRunMillis())*time.Millisecond > longestLease:
+		return q, fmt.Errorf("run time %d ms exceeds the longest lease %s", r.GetRunMillis(), longestLease)
 	}
 	return share.Request{
 		ID:       r.GetId(),
+		Group:    groupOf(r.GetId()),
 		Member:   r.GetMember(),
 		Urgency:  urgency,
-		Slots:    int(r.GetSlots()),
+		Slots:    max(1, int(r.GetSlots())),
 		Run:      time.Duration(r.GetRunMillis()) * time.Millisecond,
 		Deadline: time.UnixMilli(r.GetDeadlineUnixMillis()),
 		Avoid:    r.GetAvoid(),
--- a/azurepointd/internal/dispatch/pool.go
+++ b/azurepointd/internal/dispatch/pool.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -8,6 +9,8 @@
 	"github.com/azurepoint/azurepoint/api/peerrpc"
 	"github.com/azurepoint/azurepoint/azurepointd/internal/event"
 	"github.com/azurepoint/azurepoint/coordination/fleet"
+	"github.com/azurepoint/azurepoint/coordination/health"
+	"github.com/azurepoint/azurepoint/coordination/limit"
 	"github.com/azurepoint/azurepoint/coordination/share"
 )
 
@@ -15,6 +18,12 @@
 // lock guards it.
 type pool struct {
 	name      string
+	fleet     Fleet
+	estimator *limit.Estimator
+	detector  health.Detector
+	overflow  overflow
+	// declared is what the queued and granted requests declare, by request.
+	declared  map[string]limit.Declared
 	queue     share.Queue
 	waiters   map[string]chan *peerrpc.GrantReply
 	endpoints map[string]*endpoint
@@ -26,13 +35,20 @@
 	takenAt time.Time
 	// heldUntil is when grants are issued again after the process was paused.
 	heldUntil time.Time
+	// settling is set while the other entries are asked for loans of the pool;
+	// settled once they were.
+	settling bool
+	settled  bool
 }
 
-func newPool(name string, clockError time.Duration, readsStatus bool) (p *pool) {
+func (d *Dispatcher) newPool(name string) (p *pool) {
 	return &pool{
 		name:        name,
-		readsStatus: readsStatus,
-		queue:       share.Queue{ClockError: clockError},
+		fleet:       d.Fleet,
+		estimator:   &d.estimator,
+		readsStatus: d.Endpoints != nil,
+		queue:       share.Queue{ClockError: d.ClockError, Quota: members{d: d, pool: name}},
+		declared:    make(map[string]limit.Declared),
 		waiters:     make(map[string]chan *peerrpc.GrantReply),
 		endpoints:   make(map[string]*endpoint),
 	}
@@ -40,7 +56,7 @@
 
 // take begins to grant for the pool.
 func (p *pool) take(now time.Time) {
-	p.handedOver = false
+	p.handedOver, p.settled = false, false
 	p.takenAt = now
 	p.recount(now)
 	for _, e := range p.endpoints {
@@ -56,40 +72,45 @@
 	}
 }
 
-// follow takes over the instances and members of a version.
-func (p *pool) follow(state *fleet.State, instances []fleet.Instance, now time.Time) {
-	present := make(map[string]bool, len(instances))
+// follow takes over the instances of a version.
+func (p *pool) follow(instances []fleet.Instance, now time.Time) {
+	names := make([]string, 0, len(instances))
 	for _, i := range instances {
-		present[i.Name] = true
+		names = append(names, i.Name)
 		e, known := p.endpoints[i.Name]
 		if !known {
 			e = &endpoint{checkAt: now}
 			p.endpoints[i.Name] = e
 		}
 		e.instance = i
+		e.limiter.Slots = i.Slots
 	}
 	for name := range p.endpoints {
-		if !present[name] {
+		if !slices.Contains(names, name) {
 			delete(p.endpoints, name)
 			p.queue.DropEndpoint(name)
 		}
 	}
-	for _, m := range state.Members {
-		p.queue.SetMember(share.Member{Name: m.Name, Weight: m.Share})
-	}
+	p.detector.SetEndpoints(names)
 }
 
-// reopen tells the queue which endpoints may get new work.
-func (p *pool) reopen(f Fleet, now time.Time) {
+// reopen tells the queue which endpoints may get new work, and how much.
+func (p *pool) reopen(now time.Time) {
 	for _, e := range p.endpoints {
-		reason := e.closedFor(f, now)
+		state := p.detector.State(e.instance.Name, now)
+		reason := e.closedFor(p.fleet, state, now)
 		if reason != e.closed {
 			e.log(p.name, reason)
 			e.closed = reason
 		}
+		slots := e.limiter.Limit()
+		if state == health.Probing {
+			slots = 1
+		}
 		p.queue.SetEndpoint(share.Endpoint{
 			Name:   e.instance.Name,
 			Slots:  e.instance.Slots,
+			Limit:  slots,
 			Busy:   e.busy,
 			Closed: reason != "",
 			Held:   e.unread,
@@ -97,10 +118,30 @@
 	}
 }
 
+// reading tells whether endpoints get no work only until their status is read.
+func (p *pool) reading() bool {
+	for _, e := range p.endpoints {
+		if e.unread && e.closed == "" {
+			return true
+		}
+	}
+	return false
+}
+
+// busy returns the slots in use on the endpoints by unknown tasks.
+func (p *pool) busy() (slots int) {
+	for _, e := range p.endpoints {
+		slots += e.busy
+	}
+	return slots
+}
+
 // expire takes back the grants that were not released in time.
 func (p *pool) expire(now time.Time) {
 	for _, g := range p.queue.Overdue(now) {
 		takenBack.Inc(1)
+		delete(p.declared, g.Request.ID)
+		delete(p.overflow.grants, g.Request.ID)
 		event.GrantTakenBack.Log(log.Fields{
 			"pool": p.name, "endpoint": g.Endpoint, "member": g.Request.Member, "request": g.Request.ID,
 		})
@@ -128,6 +169,7 @@
 func (p *pool) refuse(refused []share.Refusal) {
 	for _, r := range refused {
 		refusals.Inc(1)
+		delete(p.declared, r.Request.ID)
 		p.answer(r.Request.ID, &peerrpc.GrantReply{Reason: r.String()})
 	}
 }
@@ -142,6 +184,9 @@
 	if e, found := p.endpoints[g.Endpoint]; found {
 		r.Address = e.instance.Address
 	}
+	if s, away := p.overflow.grants[g.Request.ID]; away {
+		r.Address = s.address
+	}
 	return r
 }
 
@@ -159,6 +204,7 @@
 func (p *pool) dismiss(owner string) {
 	for id := range p.waiters {
 		p.queue.Cancel(id)
+		delete(p.declared, id)
 		p.answer(id, elsewhere(owner))
 	}
 }
--- a/azurepointd/internal/dispatch/release.go
+++ b/azurepointd/internal/dispatch/release.go
@@ -7,41 +7,31 @@
 	"github.com/azurepoint/azurepoint/api/peerrpc"
 )
 
-// Results of a task as a home reports them in a release.
-const (
-	resultDone    = "done"
-	resultRefused = "refused"
-)
-
 // Release returns the slots of a grant and notes what was seen of the task; it
 // is also served for pools that another entry owns by now, and for grants that
 // this entry does not know.
-func (d *Dispatcher) Release(_ context.Context, r *peerrpc.ReleaseRequest) (*peerrpc.Empty, error) {
+func (d *Dispatcher) Release(ctx context.Context, r *peerrpc.ReleaseRequest) (*peerrpc.Empty, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	p, found := d.pools[r.GetPool()]
-	if !found {
-		return &peerrpc.Empty{}, nil
+	if p, found := d.pools[r.GetPool()]; found {
+		released.Inc(1)
+		d.release(ctx, p, r, time.Now())
 	}
-	now := time.Now()
-	p.queue.Cancel(r.GetId())
-	p.queue.Release(r.GetId())
-	released.Inc(1)
-	d.learn(p, r, now)
-	p.decide(now)
-	d.kick()
 	return &peerrpc.Empty{}, nil
 }
 
-// learn notes what the result of a task tells of its endpoint.
-func (d *Dispatcher) learn(p *pool, r *peerrpc.ReleaseRequest, now time.Time) {
-	run := time.Duration(r.GetRunMillis()) * time.Millisecond
-	if r.GetResult() == resultDone {
-		p.queue.Observe(run)
+// release gives the slots of a grant to the next request; the caller holds the
+// lock.
+func (d *Dispatcher) release(ctx context.Context, p *pool, r *peerrpc.ReleaseRequest, now time.Time) {
+	if p.queue.Cancel(r.GetId()) {
+		p.answer(r.GetId(), &peerrpc.GrantReply{Reason: "released before it was granted"})
 	}
-	e, found := p.endpoints[r.GetEndpoint()]
-	if found && r.GetResult() == resultRefused {
-		e.refuse(now, d.Endpoints != nil)
-		p.reopen(d.Fleet, now)
+	g, _ := p.queue.Release(r.GetId())
+	if s, away := p.overflow.grants[r.GetId()]; away {
+		delete(p.overflow.grants, r.GetId())
+		d.releaseSpare(ctx, s, r)
 	}
+	p.learn(g, r, now)
+	p.decide(now)
+	d.kick()
 }
--- a/azurepointd/internal/dispatch/usage.go
+++ b/azurepointd/internal/dispatch/usage.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/azurepoint/azurepoint/coordination/quota"
 	"github.com/azurepoint/azurepoint/coordination/share"
 )
 
@@ -28,6 +29,8 @@
 	share.Usage
 	// Cap is the most slots that the member may use in the whole fleet.
 	Cap int
+	// Part is the part of the cap that this pool has without a loan.
+	Part int
 }
 
 // EndpointUsage is what is in use on one endpoint.
@@ -38,6 +41,8 @@
 	InUse int
 	// Busy is the slots in use by tasks that it did not grant.
 	Busy int
+	// Limit is how many slots may be in use at once.
+	Limit int
 	// Closed is why the endpoint gets no new work; empty means that it does.
 	Closed string
 }
@@ -55,14 +60,17 @@
 
 func (d *Dispatcher) poolUsage(p *pool, now time.Time) (u PoolUsage) {
 	u = PoolUsage{Pool: p.name, Owned: !p.handedOver, TakenAt: p.takenAt, Totals: p.queue.Totals()}
-	state := d.Fleet.State()
 	for _, m := range p.queue.Usage(now) {
-		u.Members = append(u.Members, MemberUsage{Usage: m, Cap: state.Members[m.Member].Cap})
+		u.Members = append(u.Members, MemberUsage{
+			Usage: m,
+			Cap:   d.ledger.Cap(m.Member),
+			Part:  d.ledger.Part(quota.Account{Member: m.Member, Pool: p.name}),
+		})
 	}
 	for name, e := range p.endpoints {
 		_, slots := p.queue.Load(name)
 		u.Endpoints = append(u.Endpoints, EndpointUsage{
-			Name: name, Slots: e.instance.Slots, InUse: slots, Busy: e.busy, Closed: e.closed,
+			Name: name, Slots: e.instance.Slots, InUse: slots, Busy: e.busy, Limit: e.limiter.Limit(), Closed: e.closed,
 		})
 	}
 	slices.SortFunc(u.Endpoints, func(a, b EndpointUsage) int { return cmp.Compare(a.Name, b.Name) })
@@ -103,12 +111,12 @@
 			p.Pool, p.Owned, p.TakenAt.UTC().Format(time.RFC3339), p.Totals.Capacity, p.Totals.InUse,
 			p.Totals.Queued, p.Totals.Bytes, p.Totals.Ahead, p.Totals.Long, p.Totals.Away)
 		for _, m := range p.Members {
-			fmt.Fprintf(&b, "  member %s inUse=%d share=%.1f minimum=%d cap=%d queued=%d granted=%d refused=%v\n",
-				m.Member, m.InUse, m.Share, m.Minimum, m.Cap, m.Queued, m.Granted, m.Refused)
+			fmt.Fprintf(&b, "  member %s inUse=%d share=%.1f minimum=%d cap=%d part=%d queued=%d granted=%d refused=%v\n",
+				m.Member, m.InUse, m.Share, m.Minimum, m.Cap, m.Part, m.Queued, m.Granted, m.Refused)
 		}
 		for _, e := range p.Endpoints {
-			fmt.Fprintf(&b, "  endpoint %s slots=%d inUse=%d busy=%d closed=%s\n",
-				e.Name, e.Slots, e.InUse, e.Busy, e.Closed)
+			fmt.Fprintf(&b, "  endpoint %s slots=%d limit=%d inUse=%d busy=%d closed=%s\n",
+				e.Name, e.Slots, e.Limit, e.InUse, e.Busy, e.Closed)
 		}
 	}
 	_, _ = io.WriteString(w, b.String()) // a broken connection of the reader
--- a/coordination/limit/estimator.go
+++ b/coordination/limit/estimator.go
@@ -16,9 +16,9 @@
 const longQuantile = 2.33
 
 // defaultSpread is the assumed spread of a declared run time while nothing is
-// known of it: one standard deviation is the factor of ten that declared values
-// may be off by.
-var defaultSpread = math.Log(10)
+// known of it: declared values may be off by a factor of ten, which is taken as
+// the longest of a hundred.
+var defaultSpread = math.Log(10) / longQuantile
 
 // Kind is the requests of one member in one pool.
 type Kind struct {
--- a/coordination/quota/division.go
+++ b/coordination/quota/division.go
@@ -97,6 +97,17 @@
 	return p.slots
 }
 
+// Minimum returns what a data centre guarantees of a member's minimum. Each of
+// its pools guarantees that much, because the pools that a member sends work to
+// are not known in advance.
+func (l *Ledger) Minimum(member string, minimum int) (slots int) {
+	if len(l.divisions) == 0 {
+		return 0
+	}
+	split := func(weights []int) []int { return Split(minimum, weights) }
+	return choose(rotated(l.newest().centres, rotation(member)), l.DataCentre, split)
+}
+
 // binding tells whether the member could exceed its cap at all: whether the cap
 // is below the slots of the fleet by a division in effect.
 func (l *Ledger) binding(member string) bool {
--- a/coordination/quota/loan.go
+++ b/coordination/quota/loan.go
@@ -19,6 +19,8 @@
 	To    string
 	Slots int
 	Until time.Time
+	// Lender is the entry that the borrower got the loan from.
+	Lender string
 }
 
 func (x Loan) same(y Loan) bool {
@@ -137,6 +139,11 @@
 	return until
 }
 
+// LoansEnd returns when all loans that exist now have ended.
+func (l *Ledger) LoansEnd(now time.Time) (end time.Time) {
+	return now.Add(l.maxLoan() + 2*l.ClockError)
+}
+
 // Borrowed takes a loan into the books of a pool, kept by this entry.
 func (l *Ledger) Borrowed(pool string, x Loan, now time.Time) {
 	if x.Slots <= 0 || !now.Before(x.Until) {
--- a/coordination/share/endpoint.go
+++ b/coordination/share/endpoint.go
@@ -22,6 +22,8 @@
 	Endpoint
 	inUse  int
 	grants int
+	// last is the serial number of the last grant here.
+	last int64
 }
 
 func (h *host) limit() int {
@@ -137,7 +139,10 @@
 	return slots + max(q.away, q.overflow.Slots)
 }
 
-// pick returns the endpoint with the most free slots that fits the request.
+// pick returns the endpoint with the most free slots that fits the request, and
+// of several the one whose last grant is oldest. Taking the first by name sent
+// all work of an idle pool to one endpoint, which then had no peers to be
+// compared with.
 func (q *Queue) pick(r Request) (best *host) {
 	slots := r.slots()
 	for _, n := range q.names {
@@ -145,7 +150,7 @@
 		if n == q.reserved.endpoint || !h.fits(slots) || h.avoidedBy(r) {
 			continue
 		}
-		if best == nil || h.free() > best.free() {
+		if best == nil || h.free() > best.free() || (h.free() == best.free() && h.last < best.last) {
 			best = h
 		}
 	}
--- a/coordination/share/queue.go
+++ b/coordination/share/queue.go
@@ -70,6 +70,7 @@
 	reserved    reservation
 	typical     float64
 	pass        int64
+	serial      int64
 	recheck     bool
 	checkAt     time.Time
 }
@@ -258,6 +259,10 @@
 	if t, found := q.hosts[h.Endpoint]; found {
 		t.inUse += slots
 		t.grants += grants
+		if grants > 0 {
+			q.serial++
+			t.last = q.serial
+		}
 	}
 }
 
