Follow the change log in the daemon and run the whole path

One entry of a data centre watches the log and the instance list; the others ask it, so calls on the key-value service grow with data centres.

--- a/azurepointd/internal/cli/daemon.go
+++ b/azurepointd/internal/cli/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/azurepoint/azurepoint/azurepointd/internal/settings"
 	"github.com/azurepoint/azurepoint/azurepointd/internal/traffic"
 	"github.com/azurepoint/azurepoint/azurepointd/internal/upkeep"
+	"github.com/azurepoint/azurepoint/coordination/changelog"
 	store "github.com/azurepoint/azurepoint/coordination/platform"
 )
 
@@ -88,7 +89,7 @@
 		Interval:    s.Peers.Heartbeat,
 		Lifetime:    s.Peers.Lifetime,
 	}
-	d.follower = &platform.Follower{Peers: d.directory, Store: client, Instances: client}
+	d.follower = &platform.Follower{Peers: d.directory, Instances: client, Log: changelog.Log{Store: client}}
 	d.directory.Version = d.follower.Version
 	endpoints := &endpoint.Client{}
 	d.dispatcher = &dispatch.Dispatcher{
@@ -196,6 +197,7 @@
 	d.watch("registration", d.registration.Run(ctx))
 	d.watch("peers", d.directory.Run(ctx))
 	d.watch("changes", d.follower.Run(ctx))
+	d.watch("home", d.home.Run(ctx))
 	d.watch("dispatch", d.dispatcher.Run(ctx))
 	d.watch("upkeep", d.upkeep.Run(ctx))
 }
@@ -217,9 +219,7 @@
 	ctx, cancel := context.WithTimeout(ctx, stopWithin)
 	defer cancel()
 	d.dispatcher.Stop()
-	if err := d.home.Stop(ctx); err != nil {
-		event.StopCutShort.Log(log.Fields{"part": "home", "error": err.Error()})
-	}
+	d.home.Stop(ctx)
 	for _, s := range d.services {
 		s.shut(ctx)
 	}
--- a/azurepointd/internal/cli/usage.go
+++ b/azurepointd/internal/cli/usage.go
@@ -25,13 +25,13 @@
 				Queued:     m.Queued,
 				Granted:    m.Granted,
 			})
-			for reason, count := range m.Refused {
+			for _, c := range m.Refused {
 				r.Refusals = append(r.Refusals, operator.Refusal{
 					DataCentre: u.dataCentre,
 					Pool:       p.Pool,
 					Member:     m.Member,
-					Reason:     string(reason),
-					Count:      count,
+					Reason:     string(c.Reason),
+					Count:      c.Count,
 				})
 			}
 		}
--- a/azurepointd/internal/endpoint/client.go
+++ b/azurepointd/internal/endpoint/client.go
@@ -163,8 +163,8 @@
 	return c.call(ctx, address, "status", endpointapi.Invoker.GetStatus)
 }
 
-// StartDrain makes an endpoint refuse new tasks.
-func (c *Client) StartDrain(ctx context.Context, address string) (s *endpointapi.Status, err error) {
+// Drain makes an endpoint refuse new tasks.
+func (c *Client) Drain(ctx context.Context, address string) (s *endpointapi.Status, err error) {
 	return c.call(ctx, address, "start drain", endpointapi.Invoker.StartDrain)
 }
 
--- /dev/null
+++ b/azurepointd/internal/upkeep/log_test.go
@@ -0,0 +1,179 @@
+package upkeep
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"context"
+	"errors"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/azurepoint/azurepoint/coordination/fleet"
+	"github.com/azurepoint/azurepoint/coordination/maintenance"
+)
+
+var errNoAnswer = errors.New("no answer")
+
+// fakeLog applies changes in order, with the checks of the log that matter here.
+type fakeLog struct {
+	mu     sync.Mutex
+	dice   *dice
+	states []*fleet.State
+	times  []time.Time
+	// down refuses every write; slow makes a write take effect late, if its
+	// index is still free, after its proposer may have given up; lossy loses
+	// one answer in four.
+	down, slow, lossy bool
+	// unchecked applies grants beyond the budget, as a negative control.
+	unchecked bool
+}
+
+func (l *fakeLog) head() (s *fleet.State) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.states[len(l.states)-1]
+}
+
+// at returns the state that was in force at a time.
+func (l *fakeLog) at(t time.Time) (s *fleet.State) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for k := len(l.states) - 1; k > 0; k-- {
+		if !l.times[k].After(t) {
+			return l.states[k]
+		}
+	}
+	return l.states[0]
+}
+
+// propose writes at the index after the proposer's version, and at later ones
+// until its context ends.
+func (l *fakeLog) propose(ctx context.Context, c fleet.Change) (f fleet.Fate, err error) {
+	for {
+		index := l.head().Version + 1
+		delay := 5 * time.Millisecond
+		if l.is(&l.slow) {
+			delay = l.dice.between(0, 12*time.Second)
+		}
+		type result struct {
+			fate    fleet.Fate
+			written bool
+		}
+		done := make(chan result, 1)
+		time.AfterFunc(delay, func() {
+			f, written := l.write(index, c)
+			done <- result{f, written}
+		})
+		select {
+		case r := <-done:
+			switch {
+			case l.is(&l.down) || r.written && l.is(&l.lossy) && l.dice.chance(4):
+				return fleet.Fate{}, errNoAnswer
+			case r.written:
+				return r.fate, nil
+			case ctx.Err() != nil:
+				return fleet.Fate{}, ctx.Err()
+			}
+		case <-ctx.Done():
+			return fleet.Fate{}, ctx.Err()
+		}
+	}
+}
+
+func (l *fakeLog) is(flag *bool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return *flag
+}
+
+func (l *fakeLog) write(index int64, c fleet.Change) (f fleet.Fate, written bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.states[len(l.states)-1]
+	for _, f = range s.Fates {
+		if f.ID == c.ID {
+			return f, true
+		}
+	}
+	if l.down || index != s.Version+1 {
+		return fleet.Fate{}, false
+	}
+	next := *s
+	next.Version = index
+	next.Pools, next.Waves, next.Instances = maps.Clone(s.Pools), maps.Clone(s.Waves), maps.Clone(s.Instances)
+	f = fleet.Fate{ID: c.ID, Index: index}
+	if os.Getenv("DEBUGSEED") != "" {
+		fmt.Println("   LOG", index, c.Author, time.Now().Format("04:05.000"), cmdString(c))
+	}
+	for _, command := range c.Commands {
+		if f.Refusal = l.apply(&next, command); f.Refusal != "" {
+			next.Pools, next.Waves, next.Instances = s.Pools, s.Waves, s.Instances
+			break
+		}
+	}
+	next.Fates = append(s.Fates[:len(s.Fates):len(s.Fates)], f)
+	l.states = append(l.states, &next)
+	l.times = append(l.times, time.Now())
+	return f, true
+}
+
+func (l *fakeLog) apply(s *fleet.State, c fleet.Command) (refusal string) {
+	put := func(name string, from fleet.Phase, f func(i *fleet.Instance)) string {
+		i := s.Instances[name]
+		if from != "" && i.Phase != from {
+			return name + " is " + string(i.Phase)
+		}
+		old := i
+		if f(&i); old.Phase != i.Phase || old.Pool != i.Pool {
+			i.Since = s.Version
+		}
+		s.Instances[name] = i
+		return ""
+	}
+	serve := func(i *fleet.Instance) { i.Phase, i.Wave, i.NextPool = fleet.Serving, "", "" }
+	switch {
+	case c.GrantDrain != nil:
+		i, w := s.Instances[c.GrantDrain.Instance], s.Waves[c.GrantDrain.Wave]
+		if w.State != fleet.WaveRunning || i.Failed || !l.unchecked && spent(s, i.Pool) >= s.Pools[i.Pool].Budget {
+			return "no budget or wave"
+		}
+		return put(i.Name, fleet.Serving, func(i *fleet.Instance) { i.Phase, i.Wave = fleet.Draining, w.Name })
+	case c.FinishDrain != nil:
+		return put(c.FinishDrain.Instance, fleet.Draining, func(i *fleet.Instance) { i.Maintained = i.Wave; serve(i) })
+	case c.CancelDrain != nil:
+		return put(c.CancelDrain.Instance, fleet.Draining, serve)
+	case c.MarkFailed != nil:
+		return put(c.MarkFailed.Instance, "", func(i *fleet.Instance) { i.Failed = true })
+	case c.MarkAlive != nil:
+		return put(c.MarkAlive.Instance, "", func(i *fleet.Instance) { i.Failed = false })
+	case c.StartMove != nil:
+		i := s.Instances[c.StartMove.Instance]
+		if !l.unchecked && !i.Failed && spent(s, i.Pool) >= s.Pools[i.Pool].Budget {
+			return "no budget"
+		}
+		return put(i.Name, fleet.Serving, func(i *fleet.Instance) { i.Phase, i.NextPool = fleet.Releasing, c.StartMove.Pool })
+	case c.FinishMove != nil:
+		return put(c.FinishMove.Instance, fleet.Releasing, func(i *fleet.Instance) { i.Pool = i.NextPool; serve(i) })
+	case c.SetWave != nil:
+		w := s.Waves[c.SetWave.Name]
+		w.Name, w.State, w.Reason = c.SetWave.Name, c.SetWave.State, c.SetWave.Reason
+		s.Waves[w.Name] = w
+	case c.SetPool != nil:
+		s.Pools[c.SetPool.Name] = fleet.Pool{Name: c.SetPool.Name, Budget: *c.SetPool.Budget}
+	}
+	return ""
+}
+
+func spent(s *fleet.State, pool string) (n int) {
+	for _, i := range s.Instances {
+		if i.Pool == pool && maintenance.Unavailable(i) {
+			n++
+		}
+	}
+	return n
+}
+
+func cmdString(c fleet.Change) string { b, _ := json.Marshal(c.Commands); return string(b) }
