--- a/azurepointd/internal/cli/daemon.go
+++ b/azurepointd/internal/cli/daemon.go
@@ -99,9 +99,11 @@
 		Peers: d.directory, Endpoints: endpoints,
 		ClockError: s.Limits.ClockError, SingleCopy: s.Requests.Copies == 1,
 	}
+	h := &holdings{dataCentre: s.Entry.DataCentre, follower: d.follower, dispatcher: d.dispatcher, home: d.home}
+	d.directory.Held = h.held
 	d.caller = &caller.Handler{Peers: d.directory, Fleet: d.follower, ClockError: s.Limits.ClockError}
 	d.upkeep = &upkeep.Upkeep{
-		Peers: d.directory, Fleet: d.follower, Grants: d.dispatcher, Endpoints: endpoints,
+		Peers: d.directory, Fleet: d.follower, Grants: d.dispatcher, Endpoints: endpoints, Reports: d.directory,
 		Settings: upkeep.Settings{
 			FailAfter:    s.Upkeep.FailedAfter,
 			BackWithin:   s.Upkeep.RebootDeadline,
--- a/azurepointd/internal/home/grant.go
+++ b/azurepointd/internal/home/grant.go
@@ -100,9 +100,30 @@
 		until: until, dispatcher: owner, result: releaseUnused,
 	}
 	r.last = g
+	h.hold(g.endpoint, 1)
 	return g
 }
 
+// Holds returns how many grants for the instance are held here, from their
+// arrival until no task can be sent under them any more.
+func (h *Home) Holds(instance string) (grants int) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.held[instance]
+}
+
+func (h *Home) hold(instance string, change int) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.held == nil {
+		h.held = make(map[string]int)
+	}
+	h.held[instance] += change
+	if h.held[instance] == 0 {
+		delete(h.held, instance)
+	}
+}
+
 // ask waits for the answer of one dispatcher, as long as it is the dispatcher.
 func (h *Home) ask(queue context.Context, r *run, id string, owner membership.Entry) (reply *peerrpc.GrantReply, err error) {
 	peer, err := h.Peers.Dial(owner.Name, owner.Incarnation)
@@ -155,6 +176,9 @@
 		return
 	}
 	r.last = nil
+	if g.endpoint != "" {
+		h.hold(g.endpoint, -1)
+	}
 	ctx, cancel := context.WithTimeout(ctx, messageTimeout)
 	defer cancel()
 	peer, err := h.Peers.Dial(g.dispatcher.Name, g.dispatcher.Incarnation)
--- a/azurepointd/internal/home/home.go
+++ b/azurepointd/internal/home/home.go
@@ -51,6 +51,7 @@
 	mutex        sync.Mutex
 	runs         map[string]*run
 	payloadBytes int
+	held         map[string]int
 	owners       ownerCache
 	stopping     bool
 	drained      chan struct{}
--- a/azurepointd/internal/peer/directory.go
+++ b/azurepointd/internal/peer/directory.go
@@ -49,6 +49,9 @@
 	Interval time.Duration
 	// Lifetime is how long an entry counts as live after a heartbeat.
 	Lifetime time.Duration
+	// Held returns the draining and releasing instances for which this entry has
+	// a grant that has not ended; nil means none.
+	Held func() (instances []string)
 	// Local answers calls to this entry itself.
 	Local peerrpc.Peer
 
@@ -57,6 +60,7 @@
 	leaving     bool
 	connections map[string]*connection
 	contacts    map[string]*contact
+	reports     map[string]report
 	greeted     []string
 	discoverAt  time.Time
 }
--- a/azurepointd/internal/peer/heartbeat.go
+++ b/azurepointd/internal/peer/heartbeat.go
@@ -56,7 +56,8 @@
 
 // Heartbeat answers the heartbeat of another entry with the own view.
 func (d *Directory) Heartbeat(_ context.Context, m *peerrpc.HeartbeatMessage) (*peerrpc.HeartbeatMessage, error) {
-	sender := d.absorb(m)
+	// The message may have been on its way for as long as its sender waits.
+	sender := d.absorb(m, time.Now().Add(-d.lifetime()))
 	return d.message(sender), nil
 }
 
@@ -99,12 +100,13 @@
 	// A heartbeat older than the lifetime no longer proves that its sender lives.
 	ctx, cancel := context.WithTimeout(ctx, d.lifetime())
 	defer cancel()
+	sent := time.Now()
 	reply, err := t.client.Heartbeat(ctx, d.message(t.entry))
 	if err != nil {
 		metrics.GetOrRegisterCounter("peer.heartbeatsFailed", nil).Inc(1)
 		return
 	}
-	d.absorb(reply)
+	d.absorb(reply, sent)
 }
 
 // target is a connection to send a heartbeat on; a transient one serves only
--- a/azurepointd/internal/peer/news.go
+++ b/azurepointd/internal/peer/news.go
@@ -21,11 +21,14 @@
 // the other one knows others, because a list in every heartbeat would grow with
 // the square of the number of entries.
 func (d *Directory) message(to membership.Entry) (m *peerrpc.HeartbeatMessage) {
+	version, held := d.holdings()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
 	d.view.Observe(d.self(now), now)
-	m = &peerrpc.HeartbeatMessage{Sender: toInfo(d.self(now)), Digest: d.digest(now)}
+	m = &peerrpc.HeartbeatMessage{Sender: toInfo(d.self(now)), Digest: d.digest(now), Held: held}
+	// The holdings are those of this version or a later one.
+	m.Sender.Version = version
 	c := d.contact(to.Name)
 	if c.digest != m.Digest {
 		for _, e := range d.view.All() {
@@ -103,8 +106,9 @@
 	return h.Sum64()
 }
 
-// absorb takes in what another entry said of itself and of others.
-func (d *Directory) absorb(m *peerrpc.HeartbeatMessage) (sender membership.Entry) {
+// absorb takes in what another entry said of itself and of others at that time
+// or later.
+func (d *Directory) absorb(m *peerrpc.HeartbeatMessage, at time.Time) (sender membership.Entry) {
 	if m.GetSender().GetName() == "" {
 		return sender
 	}
@@ -118,6 +122,7 @@
 	}
 	d.observe(sender, now)
 	d.contact(sender.Name).digest = m.Digest
+	d.keepReport(sender, m.Held, at)
 	for _, info := range m.Peers {
 		d.absorbHearsay(fromInfo(info), sender, now)
 	}
--- a/demo/internal/cli/layout.go
+++ b/demo/internal/cli/layout.go
@@ -17,7 +17,6 @@
 func newFleet() (f *fleet.Fleet) {
 	return &fleet.Fleet{
 		RebootTime: rebootTime,
-		Settings:   "[dispatch]\nlongestGrant = 11s\n",
 		Places: []fleet.Place{
 			{Name: "cover-1", DataCentre: "north", Pool: "cover"},
 			{Name: "cover-2", DataCentre: "south", Pool: "cover"},
