Carry the endpoint's fence in grants

Cause: a task under a grant for the pool that an instance has left could be sent late and start in the next pool, so a move had to wait for the longest possible grant, up to an hour, after each start of an entry. Change: the endpoint's fence rises with each reboot and each end of a drain; grants carry it, and a task id that names another fence is refused.

--- a/api/endpointapi/oas_json_gen.go
+++ b/api/endpointapi/oas_json_gen.go
@@ -304,6 +304,10 @@
 		e.FieldStart("incarnation")
 		e.Int64(s.Incarnation)
 	}
+	{
+		e.FieldStart("fence")
+		e.Int64(s.Fence)
+	}
 	{
 		e.FieldStart("slots")
 		e.Int(s.Slots)
@@ -336,15 +340,16 @@
 	}
 }
 
-var jsonFieldsNameOfStatus = [8]string{
+var jsonFieldsNameOfStatus = [9]string{
 	0: "name",
 	1: "state",
 	2: "incarnation",
-	3: "slots",
-	4: "connections",
-	5: "running",
-	6: "usage",
-	7: "reportedAt",
+	3: "fence",
+	4: "slots",
+	5: "connections",
+	6: "running",
+	7: "usage",
+	8: "reportedAt",
 }
 
 // Decode decodes Status from json.
@@ -352,7 +357,7 @@
 	if s == nil {
 		return errors.New("invalid: unable to decode Status to nil")
 	}
-	var requiredBitSet [1]uint8
+	var requiredBitSet [2]uint8
 
 	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
 		switch string(k) {
@@ -390,8 +395,20 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"incarnation\"")
 			}
-		case "slots":
+		case "fence":
 			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Int64()
+				s.Fence = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"fence\"")
+			}
+		case "slots":
+			requiredBitSet[0] |= 1 << 4
 			if err := func() error {
 				v, err := d.Int()
 				s.Slots = int(v)
@@ -403,7 +420,7 @@
 				return errors.Wrap(err, "decode field \"slots\"")
 			}
 		case "connections":
-			requiredBitSet[0] |= 1 << 4
+			requiredBitSet[0] |= 1 << 5
 			if err := func() error {
 				v, err := d.Int()
 				s.Connections = int(v)
@@ -415,7 +432,7 @@
 				return errors.Wrap(err, "decode field \"connections\"")
 			}
 		case "running":
-			requiredBitSet[0] |= 1 << 5
+			requiredBitSet[0] |= 1 << 6
 			if err := func() error {
 				s.Running = make([]string, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -452,7 +469,7 @@
 				return errors.Wrap(err, "decode field \"usage\"")
 			}
 		case "reportedAt":
-			requiredBitSet[0] |= 1 << 7
+			requiredBitSet[1] |= 1 << 0
 			if err := func() error {
 				v, err := json.DecodeDateTime(d)
 				s.ReportedAt = v
@@ -472,8 +489,9 @@
 	}
 	// Validate required fields.
 	var failures []validate.FieldError
-	for i, mask := range [1]uint8{
-		0b10111111,
+	for i, mask := range [2]uint8{
+		0b01111111,
+		0b00000001,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
--- a/api/endpointapi/oas_schemas_gen.go
+++ b/api/endpointapi/oas_schemas_gen.go
@@ -328,6 +328,9 @@
 	State EndpointState `json:"state"`
 	// Rises with each reboot.
 	Incarnation int64 `json:"incarnation"`
+	// Rises with each reboot and each end of a drain. A task id that ends in "@" and a number is refused
+	// unless the number is the fence.
+	Fence       int64 `json:"fence"`
 	Slots       int   `json:"slots"`
 	Connections int   `json:"connections"`
 	// Ids of running tasks.
@@ -352,6 +355,11 @@
 	return s.Incarnation
 }
 
+// GetFence returns the value of Fence.
+func (s *Status) GetFence() int64 {
+	return s.Fence
+}
+
 // GetSlots returns the value of Slots.
 func (s *Status) GetSlots() int {
 	return s.Slots
@@ -392,6 +400,11 @@
 	s.Incarnation = val
 }
 
+// SetFence sets the value of Fence.
+func (s *Status) SetFence(val int64) {
+	s.Fence = val
+}
+
 // SetSlots sets the value of Slots.
 func (s *Status) SetSlots(val int) {
 	s.Slots = val
--- a/azurepointd/internal/dispatch/endpoint.go
+++ b/azurepointd/internal/dispatch/endpoint.go
@@ -43,6 +43,9 @@
 	// retryAt is when a refusal is forgotten if no status can be read.
 	retryAt time.Time
 	pause   time.Duration
+	// fence is that of the last status; grants carry it, so that tasks sent late
+	// are refused once the endpoint has rebooted or has been moved.
+	fence int64
 	// unread is set from a take-over until the first reading of the status.
 	unread bool
 	// foreign are the tasks that ran before this dispatcher granted anything
@@ -171,6 +174,7 @@
 		e.limiter.Refuse(own + e.busy)
 	}
 	e.unread, e.unreachable, e.refused = false, false, !serving
+	e.fence = s.Fence
 	e.checkAt = now.Add(usageEvery)
 	if e.refused || e.busy > 0 {
 		e.checkAt = now.Add(recheckAfter)
--- a/azurepointd/internal/dispatch/overflow.go
+++ b/azurepointd/internal/dispatch/overflow.go
@@ -52,6 +52,8 @@
 	id      string
 	pool    string
 	address string
+	// fence is the endpoint's at the time of the grant.
+	fence int64
 	owner   string
 }
 
@@ -173,7 +175,7 @@
 		// The grant may have been issued before the call ended.
 		d.releaseSpare(ctx, spareGrant{id: x.id, pool: r.GetPool(), owner: owner.Name}, &peerrpc.ReleaseRequest{Result: resultUnused})
 	default:
-		d.placeSpare(ctx, p, x, reply, spareGrant{id: x.id, pool: r.GetPool(), address: reply.GetAddress(), owner: owner.Name}, now)
+		d.placeSpare(ctx, p, x, reply, spareGrant{id: x.id, pool: r.GetPool(), address: reply.GetAddress(), fence: reply.GetFence(), owner: owner.Name}, now)
 	}
 }
 
--- a/azurepointd/internal/dispatch/pool.go
+++ b/azurepointd/internal/dispatch/pool.go
@@ -82,6 +82,10 @@
 			e = &endpoint{checkAt: now}
 			p.endpoints[i.Name] = e
 		}
+		if known && e.instance.Since != i.Since {
+			// The fence rises with a drain, and grants carry it.
+			e.unread, e.checkAt = p.readsStatus, now
+		}
 		e.instance = i
 		e.limiter.Slots = i.Slots
 	}
@@ -183,9 +187,11 @@
 	}
 	if e, found := p.endpoints[g.Endpoint]; found {
 		r.Address = e.instance.Address
+		r.Fence = e.fence
 	}
 	if s, away := p.overflow.grants[g.Request.ID]; away {
 		r.Address = s.address
+		r.Fence = s.fence
 	}
 	return r
 }
--- a/azurepointd/internal/endpoint/client.go
+++ b/azurepointd/internal/endpoint/client.go
@@ -56,20 +56,26 @@
 	hosts map[string]*host
 }
 
-// TaskID completes a task's id with the endpoint's incarnation. An error means
+// TaskID completes a task's id with the endpoint's fence. An error means
 // that the endpoint gave no status; nothing was sent to it.
 func (c *Client) TaskID(ctx context.Context, address, base string) (id string, err error) {
 	h := c.host(address)
-	incarnation := h.knownIncarnation()
-	if incarnation == 0 {
+	fence := h.knownFence()
+	if fence == 0 {
 		status, err := c.Status(ctx, address)
 		if err != nil {
 			return "", err
 		}
-		incarnation = status.Incarnation
-		h.setIncarnation(incarnation)
+		fence = status.Fence
+		h.setFence(fence)
 	}
-	return fmt.Sprintf("%s@%d", base, incarnation), nil
+	return FencedID(base, fence), nil
+}
+
+// FencedID returns the id of a task that only starts while the endpoint has this
+// fence.
+func FencedID(base string, fence int64) (id string) {
+	return fmt.Sprintf("%s@%d", base, fence)
 }
 
 // Run sends a task and waits for its end. A result that is open after a broken
@@ -82,7 +88,7 @@
 	defer h.leave()
 	r = c.send(ctx, h, t)
 	if r.Kind != Done {
-		h.setIncarnation(0)
+		h.setFence(0)
 	}
 	if r.Settled() {
 		return r
--- a/azurepointd/internal/endpoint/client_test.go
+++ b/azurepointd/internal/endpoint/client_test.go
@@ -85,7 +85,7 @@
 }
 
 func (s *slow) GetStatus(context.Context) (*endpointapi.Status, error) {
-	return &endpointapi.Status{Incarnation: s.statuses.Add(1)}, nil
+	return &endpointapi.Status{Fence: s.statuses.Add(1)}, nil
 }
 
 func (s *slow) RunTask(ctx context.Context, _ *endpointapi.Task, _ endpointapi.RunTaskParams) (*endpointapi.TaskResult, error) {
@@ -121,7 +121,7 @@
 }
 
 // An id with the incarnation of before a restart would be refused for ever.
-func TestIncarnationIsAskedAgainAfterAFailure(t *testing.T) {
+func TestFenceIsAskedAgainAfterAFailure(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &slow{settled: func() *endpointapi.TaskResult {
 			return &endpointapi.TaskResult{ID: "a@1", State: endpointapi.TaskStateStopped}
--- a/azurepointd/internal/endpoint/host.go
+++ b/azurepointd/internal/endpoint/host.go
@@ -46,10 +46,10 @@
 	// err is why there is no API, for example a malformed address.
 	err error
 
-	mutex       sync.Mutex
-	inUse       int
-	incarnation int64
-	usedAt      time.Time
+	mutex  sync.Mutex
+	inUse  int
+	fence  int64
+	usedAt time.Time
 }
 
 func (h *host) enter(limit int) bool {
@@ -68,16 +68,16 @@
 	h.inUse--
 }
 
-func (h *host) knownIncarnation() int64 {
+func (h *host) knownFence() int64 {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	return h.incarnation
+	return h.fence
 }
 
-func (h *host) setIncarnation(incarnation int64) {
+func (h *host) setFence(fence int64) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	h.incarnation = incarnation
+	h.fence = fence
 }
 
 func (h *host) idle(before time.Time) bool {
--- a/azurepointd/internal/home/grant.go
+++ b/azurepointd/internal/home/grant.go
@@ -46,6 +46,8 @@
 	endpoint string
 	address  string
 	until    time.Time
+	// fence is the endpoint's at the time of the grant; 0 if unknown.
+	fence int64
 	// dispatcher is the entry that gave the grant and gets it back.
 	dispatcher membership.Entry
 	task       string
@@ -97,7 +99,7 @@
 	}
 	g = &grant{
 		id: id, pool: r.request.GetPool(), endpoint: reply.GetEndpoint(), address: reply.GetAddress(),
-		until: until, dispatcher: owner, result: releaseUnused,
+		until: until, fence: reply.GetFence(), dispatcher: owner, result: releaseUnused,
 	}
 	r.last = g
 	h.hold(g.endpoint, 1)
--- a/azurepointd/internal/home/run.go
+++ b/azurepointd/internal/home/run.go
@@ -117,7 +117,7 @@
 // try claims and sends one task; again tells whether another grant could help
 // after a task that did not start.
 func (h *Home) try(ctx context.Context, r *run, g *grant) (result endpoint.Result, again bool) {
-	task, err := h.Endpoints.TaskID(ctx, g.address, g.id)
+	task, err := h.taskID(ctx, g)
 	if err != nil {
 		g.result = releaseFailed
 		return endpoint.Result{Kind: endpoint.NotStarted, Reason: err.Error()}, true
@@ -148,6 +148,15 @@
 	return result, true
 }
 
+// taskID names the fence that the dispatcher saw. The fence of a later status
+// could be that of another pool, to which the instance has moved since.
+func (h *Home) taskID(ctx context.Context, g *grant) (id string, err error) {
+	if g.fence != 0 {
+		return endpoint.FencedID(g.id, g.fence), nil
+	}
+	return h.Endpoints.TaskID(ctx, g.address, g.id)
+}
+
 func (h *Home) mayRetry() bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
--- a/coordination/fleet/wave.go
+++ b/coordination/fleet/wave.go
@@ -123,7 +123,6 @@
 		return reason
 	}
 	i.Rebooting = true
-	i.Since = d.Version
 	d.putInstance(i)
 	return ""
 }
--- a/endpointd/internal/worker/result.go
+++ b/endpointd/internal/worker/result.go
@@ -7,13 +7,13 @@
 	"github.com/azurepoint/azurepoint/api/endpointapi"
 )
 
-// result returns what is known of an id. A task of an earlier incarnation counts
-// as stopped, because this one cannot know whether it had started.
+// result returns what is known of an id. A task meant for a time before the last
+// reboot counts as stopped, because it cannot be known whether it had started.
 func (w *Worker) result(id string) *endpointapi.TaskResult {
 	if t, known := w.tasks[id]; known {
 		return t.result()
 	}
-	if w.otherIncarnation(id) {
+	if fence, named := fenceOf(id); named && fence < w.incarnation {
 		return &endpointapi.TaskResult{
 			ID:      id,
 			State:   endpointapi.TaskStateStopped,
@@ -34,12 +34,18 @@
 	return r
 }
 
-// otherIncarnation tells whether the id names an incarnation that is not this.
-func (w *Worker) otherIncarnation(id string) bool {
+// fenceOf returns the fence that an id names.
+func fenceOf(id string) (fence int64, named bool) {
 	at := strings.LastIndex(id, "@")
 	if at < 0 {
-		return false
+		return 0, false
 	}
-	meant, err := strconv.ParseInt(id[at+1:], 10, 64)
-	return err == nil && meant != w.incarnation
+	fence, err := strconv.ParseInt(id[at+1:], 10, 64)
+	return fence, err == nil
+}
+
+// otherFence tells whether the id names a fence that is not the present one.
+func (w *Worker) otherFence(id string) bool {
+	fence, named := fenceOf(id)
+	return named && fence != w.fence
 }
--- a/endpointd/internal/worker/task.go
+++ b/endpointd/internal/worker/task.go
@@ -129,8 +129,8 @@
 // check returns why a task must not start now.
 func (w *Worker) check(id string, order *endpointapi.Task, now time.Time) (err error) {
 	switch {
-	case w.otherIncarnation(id):
-		return refusef(endpointapi.RefusalCodeFenced, "task %q is meant for another incarnation than %d", id, w.incarnation)
+	case w.otherFence(id):
+		return refusef(endpointapi.RefusalCodeFenced, "task %q is meant for another fence than %d", id, w.fence)
 	case now.Before(w.fences[id]):
 		return refusef(endpointapi.RefusalCodeFenced, "task %q is fenced until %s", id, w.fences[id].Format(time.RFC3339Nano))
 	case !now.Before(order.LeaseUntil):
--- a/endpointd/internal/worker/worker.go
+++ b/endpointd/internal/worker/worker.go
@@ -18,8 +18,10 @@
 	// RebootTime is how long a reboot keeps the endpoint out of reach.
 	RebootTime time.Duration
 
-	mutex       sync.Mutex
-	state       endpointapi.EndpointState
+	mutex sync.Mutex
+	state endpointapi.EndpointState
+	// fence rises with each incarnation and each end of a drain.
+	fence       int64
 	incarnation int64
 	rebootUntil time.Time
 	waiting     int
@@ -98,7 +100,11 @@
 func (w *Worker) setState(to endpointapi.EndpointState) (s *endpointapi.Status, err error) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.boot(time.Now())
+	now := time.Now()
+	w.boot(now)
+	if w.state == endpointapi.EndpointStateDraining && to == endpointapi.EndpointStateServing {
+		w.raiseFence(now)
+	}
 	w.state = to
 	return w.status(), nil
 }
@@ -113,17 +119,24 @@
 		return
 	}
 	w.state = endpointapi.EndpointStateServing
-	w.incarnation = max(w.incarnation+1, now.UnixMilli())
+	w.raiseFence(now)
+	w.incarnation = w.fence
 	w.tasks = make(map[string]*task)
 	w.fences = make(map[string]time.Time)
 	w.measuredAt = now
 }
 
+// raiseFence makes tasks that were meant for the time before be refused.
+func (w *Worker) raiseFence(now time.Time) {
+	w.fence = max(w.fence+1, now.UnixMilli())
+}
+
 func (w *Worker) status() *endpointapi.Status {
 	return &endpointapi.Status{
 		Name:        w.Name,
 		State:       w.state,
 		Incarnation: w.incarnation,
+		Fence:       w.fence,
 		Slots:       w.Slots,
 		Connections: w.Connections,
 		Running:     w.running(),
