--- a/azurepointd/internal/home/worker_test.go
+++ b/azurepointd/internal/home/worker_test.go
@@ -149,7 +149,7 @@
 	return deliver(ctx, c.from, c.to, c.tag("status", ""), func(context.Context) (*endpointapi.Status, error) {
 		c.to.mutex.Lock()
 		defer c.to.mutex.Unlock()
-		return &endpointapi.Status{Incarnation: c.to.incarnation}, nil
+		return &endpointapi.Status{Incarnation: c.to.incarnation, Fence: c.to.incarnation}, nil
 	})
 }
 
