Release moved instances by the endpoint's fence

Change: the endpoint of a releasing instance is told to refuse new tasks; once it has refused for a while and is idle, the instance moves, and the fence that rises when it takes tasks again keeps out late ones. A reboot needs no more for the same reason.

--- a/azurepointd/internal/upkeep/drain.go
+++ b/azurepointd/internal/upkeep/drain.go
@@ -89,12 +89,11 @@
 	u.call(ctx, s, "drain", now.Add(u.settings.StallLimit), u.Endpoints.Drain)
 }
 
-// reboot reboots an endpoint that has refused new tasks for a while, runs none
-// and for which no grant is left: a task sent to a rebooting endpoint would end
-// without a known outcome.
+// reboot reboots an endpoint that has refused new tasks for a while and runs none.
+// Grants may be left: a task sent during the reboot cannot connect, and one sent
+// later is refused for its fence, so neither runs.
 func (u *Upkeep) reboot(ctx context.Context, s *sight, now time.Time) {
-	refusing := !s.drainedAt.IsZero() && !now.Before(s.drainedAt.Add(u.settings.Dwell)) && s.askedAt.After(s.drainedAt)
-	if !refusing || len(s.status.Running) > 0 || !u.quiet(s, now) || !u.current() {
+	if !u.refusing(s, now) || len(s.status.Running) > 0 || !u.current() {
 		return
 	}
 	if !u.sealed(s) {
@@ -107,6 +106,11 @@
 	u.call(ctx, s, "reboot", now.Add(u.settings.StallLimit), u.Endpoints.Reboot)
 }
 
+// refusing tells whether the endpoint has refused new tasks for a while.
+func (u *Upkeep) refusing(s *sight, now time.Time) bool {
+	return !s.drainedAt.IsZero() && !now.Before(s.drainedAt.Add(u.settings.Dwell)) && s.askedAt.After(s.drainedAt)
+}
+
 // sealed tells whether no record of an earlier owner that gives the drain back
 // can still take effect: a write may reach the log late, but only at an index
 // that is free, and an own later record has taken it.
@@ -150,9 +154,10 @@
 
 // undo makes an endpoint serve that drains without a grant, after a call by an
 // entry with an old view. An endpoint that drains for another reason, such as
-// its own stop, is left alone: only one that was in a drain is touched.
+// its own stop, is left alone: only one that was in a drain, or whose last change
+// was the end of a move, is touched.
 func (u *Upkeep) undo(ctx context.Context, s *sight, now time.Time) {
-	if !s.owned || !s.wasDrained || !u.fresh(s, now) || u.Fleet.Leaving(s.instance.Name) {
+	if !s.owned || !s.closedByUpkeep() || !u.fresh(s, now) || u.Fleet.Leaving(s.instance.Name) {
 		return
 	}
 	if s.status.State != endpointapi.EndpointStateDraining {
@@ -162,6 +167,12 @@
 	u.serve(ctx, s, now)
 }
 
+// closedByUpkeep tells whether a drain or a move made the endpoint refuse tasks.
+func (s *sight) closedByUpkeep() bool {
+	moved := s.instance.Moved != 0 && s.instance.Moved == s.instance.Since
+	return s.wasDrained || moved
+}
+
 // quiet tells whether no task can come any more under a grant given before the
 // drain: none is known here, every live entry has the version, and the grants
 // of earlier owners have ended or every entry reports none.
--- a/azurepointd/internal/upkeep/sight.go
+++ b/azurepointd/internal/upkeep/sight.go
@@ -249,7 +249,7 @@
 
 // learn remembers what a status says of the present phase.
 func (u *Upkeep) learn(s *sight, now time.Time) {
-	if s.instance.Phase != fleet.Draining || s.askedAt.Before(s.seenAt) {
+	if s.instance.Phase == fleet.Serving || s.askedAt.Before(s.seenAt) {
 		return
 	}
 	if !s.baseKnown {
--- a/coordination/fleet/instance.go
+++ b/coordination/fleet/instance.go
@@ -103,6 +103,7 @@
 	}
 	from := i.Pool
 	i.Pool = i.NextPool
+	i.Moved = d.Version
 	i.NextPool = ""
 	i.Phase = Serving
 	i.Since = d.Version
--- a/coordination/fleet/model.go
+++ b/coordination/fleet/model.go
@@ -65,6 +65,8 @@
 	Rebooting bool `json:"rebooting,omitempty"`
 	// Maintained is the last wave that the instance came back from.
 	Maintained string `json:"maintained,omitempty"`
+	// Moved is the version of the end of the last move; zero means none.
+	Moved int64 `json:"moved,omitempty"`
 	// Since is the version of the last change of Pool or Phase.
 	Since int64 `json:"since"`
 }
