--- a/demo/internal/process/process.go
+++ b/demo/internal/process/process.go
@@ -94,9 +94,14 @@
 	_ = p.log.Close()
 }
 
-// Kill ends the process at once, without a chance to clean up.
+// Kill ends the process at once, without a chance to clean up, and waits for its
+// end, so that its addresses are free again.
 func (p *Process) Kill() (err error) {
-	return p.command.Process.Kill()
+	if err = p.command.Process.Kill(); err != nil {
+		return errors.Wrapf(err, "process: kill %s", p.Name)
+	}
+	p.exited <- <-p.exited
+	return nil
 }
 
 // Freeze stops the process from running until Thaw.
