Record a reboot before it begins

Cause: a record that gives a drain back could reach the log late, while the instance rebooted. The owner took an index with a repeated grant to rule that out; startReboot says the same plainly, and the log refuses to cancel the drain from then on.

--- a/azurepointd/internal/dispatch/overflow.go
+++ b/azurepointd/internal/dispatch/overflow.go
@@ -54,7 +54,7 @@
 	address string
 	// fence is the endpoint's at the time of the grant.
 	fence int64
-	owner   string
+	owner string
 }
 
 // followSpare takes over the spare pool of a version.
--- a/azurepointd/internal/event/upkeep.go
+++ b/azurepointd/internal/event/upkeep.go
@@ -19,5 +19,6 @@
 	EndpointRefused = Event{6013, log.InfoLevel, "endpoint call failed or was refused"}
 	ProposalRefused = Event{6014, log.InfoLevel, "proposal refused"}
 	ProposalUnknown = Event{6015, log.WarnLevel, "proposal without an answer"}
+	RebootRecorded  = Event{6017, log.InfoLevel, "reboot recorded; the drain can no longer be given back"}
 	EntryStalled    = Event{6016, log.WarnLevel, "entry did not run for longer than its limit; waits before it acts"}
 )
--- a/azurepointd/internal/upkeep/drain.go
+++ b/azurepointd/internal/upkeep/drain.go
@@ -45,7 +45,7 @@
 		u.fence(ctx, s, now)
 	case serving && s.rebooted():
 		u.finish(ctx, s)
-	case draining && (s.rebooted() || s.handBack != ""):
+	case draining && (s.rebooted() || s.handBack != "" && !s.instance.Rebooting):
 		u.serve(ctx, s, now)
 	case serving && s.handBack != "":
 		u.giveBack(ctx, s)
@@ -89,15 +89,15 @@
 	u.call(ctx, s, "drain", now.Add(u.settings.StallLimit), u.Endpoints.Drain)
 }
 
-// reboot reboots an endpoint that has refused new tasks for a while and runs none.
-// Grants may be left: a task sent during the reboot cannot connect, and one sent
-// later is refused for its fence, so neither runs.
+// reboot reboots an endpoint that has refused new tasks for a while, runs none
+// and for which no grant is left: a task sent to a rebooting endpoint would end
+// without a known outcome.
 func (u *Upkeep) reboot(ctx context.Context, s *sight, now time.Time) {
-	if !u.refusing(s, now) || len(s.status.Running) > 0 || !u.current() {
+	if !u.refusing(s, now) || len(s.status.Running) > 0 || !u.quiet(s, now) || !u.current() {
 		return
 	}
-	if !u.sealed(s) {
-		u.seal(ctx, s)
+	if !s.instance.Rebooting {
+		u.startReboot(ctx, s)
 		return
 	}
 	s.backBy = now.Add(u.settings.BackWithin)
@@ -111,19 +111,12 @@
 	return !s.drainedAt.IsZero() && !now.Before(s.drainedAt.Add(u.settings.Dwell)) && s.askedAt.After(s.drainedAt)
 }
 
-// sealed tells whether no record of an earlier owner that gives the drain back
-// can still take effect: a write may reach the log late, but only at an index
-// that is free, and an own later record has taken it.
-func (u *Upkeep) sealed(s *sight) bool {
-	return u.proposer.decidedAt.After(u.pools[s.instance.Pool])
-}
-
-// seal takes an index by proposing the grant again. It is refused while the
-// drain is in force, and a new grant if it was given back in between.
-func (u *Upkeep) seal(ctx context.Context, s *sight) {
-	fields := log.Fields{"wave": s.instance.Wave, "instances": []string{s.instance.Name}, "again": true}
-	u.propose(ctx, u.mine("seal"), event.DrainsGranted, fields,
-		fleet.Command{GrantDrain: &fleet.GrantDrain{Instance: s.instance.Name, Wave: s.instance.Wave}})
+// startReboot records the reboot before it begins: from then on nobody can give
+// the drain back, not even a record that is still on its way to the log.
+func (u *Upkeep) startReboot(ctx context.Context, s *sight) {
+	fields := log.Fields{"instance": s.instance.Name, "wave": s.instance.Wave}
+	u.propose(ctx, u.once("startReboot", s), event.RebootRecorded, fields,
+		fleet.Command{StartReboot: &fleet.StartReboot{Instance: s.instance.Name}})
 }
 
 // finish records that the instance serves again.
--- a/azurepointd/internal/upkeep/log_test.go
+++ b/azurepointd/internal/upkeep/log_test.go
@@ -133,7 +133,9 @@
 		s.Instances[name] = i
 		return ""
 	}
-	serve := func(i *fleet.Instance) { i.Phase, i.Wave, i.NextPool = fleet.Serving, "", "" }
+	serve := func(i *fleet.Instance) {
+		i.Phase, i.Wave, i.NextPool, i.Rebooting = fleet.Serving, "", "", false
+	}
 	switch {
 	case c.GrantDrain != nil:
 		i, w := s.Instances[c.GrantDrain.Instance], s.Waves[c.GrantDrain.Wave]
@@ -143,6 +145,10 @@
 		return put(i.Name, fleet.Serving, func(i *fleet.Instance) { i.Phase, i.Wave = fleet.Draining, w.Name })
 	case c.FinishDrain != nil:
 		return put(c.FinishDrain.Instance, fleet.Draining, func(i *fleet.Instance) { i.Maintained = i.Wave; serve(i) })
+	case c.StartReboot != nil:
+		return put(c.StartReboot.Instance, fleet.Draining, func(i *fleet.Instance) { i.Rebooting = true })
+	case c.CancelDrain != nil && s.Instances[c.CancelDrain.Instance].Rebooting:
+		return "reboot has begun"
 	case c.CancelDrain != nil:
 		return put(c.CancelDrain.Instance, fleet.Draining, serve)
 	case c.MarkFailed != nil:
@@ -156,7 +162,7 @@
 		}
 		return put(i.Name, fleet.Serving, func(i *fleet.Instance) { i.Phase, i.NextPool = fleet.Releasing, c.StartMove.Pool })
 	case c.FinishMove != nil:
-		return put(c.FinishMove.Instance, fleet.Releasing, func(i *fleet.Instance) { i.Pool = i.NextPool; serve(i) })
+		return put(c.FinishMove.Instance, fleet.Releasing, func(i *fleet.Instance) { i.Pool, i.Moved = i.NextPool, s.Version; serve(i) })
 	case c.SetWave != nil:
 		w := s.Waves[c.SetWave.Name]
 		w.Name, w.State, w.Reason = c.SetWave.Name, c.SetWave.State, c.SetWave.Reason
--- a/azurepointd/internal/upkeep/propose.go
+++ b/azurepointd/internal/upkeep/propose.go
@@ -36,10 +36,6 @@
 	fates   chan fate
 	running int
 	holds   map[string]*hold
-	// decidedAt is when the latest proposal began whose fate is known. Its
-	// record took an index, so no write that was begun earlier at the same index
-	// or below can still take effect.
-	decidedAt time.Time
 	// downUntil holds back new grants while the service gives no answers.
 	downUntil time.Time
 	backoff   time.Duration
@@ -147,9 +143,6 @@
 		return
 	}
 	q.backoff = 0
-	if f.begun.After(q.decidedAt) {
-		q.decidedAt = f.begun
-	}
 	if f.fate.Refusal != "" {
 		h.version, h.refused = f.fate.Index, f.fate.Index
 		refusals().Inc(1)
