List the proofs of the properties and run them with make prove

The page holds the commands, and make prove runs exactly these. A listed test without a pass counts as failed.

--- a/Makefile
+++ b/Makefile
@@ -50,6 +50,23 @@
 demo: build
 	bin/demo --bin bin
 
+# Runs the tests of docs/proofs.md, which lists its commands in indented lines. A
+# listed test that did not report a pass counts as failed, so that a renamed,
+# skipped or unbuilt one is noticed.
+prove:
+	@log=$$(mktemp) && list=$$(mktemp) && grep '^    go test' docs/proofs.md >$$list; passed=0; failed=0; \
+	while read -r line; do \
+		echo "$$line"; \
+		SEEDS=$(SEEDS) sh -c "$$line -count=1 -v" >$$log 2>&1 </dev/null; \
+		grep -oE '(caught|fails) with seeds? .{0,60}' $$log; \
+		for t in $$(echo "$$line" | sed 's/.*(\(.*\)).*/\1/; s/|/ /g'); do \
+			if grep -q "^--- PASS: $$t (" $$log; then passed=$$((passed + 1)); \
+			else failed=$$((failed + 1)); echo "failed: $$t"; grep -v '\[rapid\]' $$log | tail -n 40; fi; \
+		done; \
+	done <$$list; rm -f $$log $$list; \
+	echo "$$passed passed, $$failed failed"; \
+	test $$passed -gt 0 && test $$failed -eq 0
+
 clean:
 	rm -rf bin
 
