--- a/azurepointd/internal/dispatch/learn.go
+++ b/azurepointd/internal/dispatch/learn.go
@@ -23,7 +23,7 @@
 	resultUnknown = "unknown"
 )
 
-// longestLease leaves room for the grace of the lease and the clock error below
+// longestLease is used where no setting bounds a grant; it leaves room for the grace of the lease and the clock error below
 // the hour that a use of a cap may last (quota.Ledger.Hold).
 const longestLease = time.Hour - 20*time.Second
 
--- a/azurepointd/internal/upkeep/move.go
+++ b/azurepointd/internal/upkeep/move.go
@@ -26,16 +26,21 @@
 		fleet.Command{FinishMove: &fleet.FinishMove{Instance: s.instance.Name}})
 }
 
-// released tells whether no task of the present pool runs or can still start: the
-// endpoint refuses new tasks and is idle, and the fence that rises when it takes
-// tasks again keeps out those that are sent late. A silent instance that is marked
-// as failed runs no task once every lease has ended.
+// released is the rule of section 7. Entries that are gone count until their
+// lease and their grants have ended even if they had the version, because such
+// an entry may be stopped with a task that it is about to send. The endpoint also
+// refuses new tasks, so that its fence has risen when the next pool gets it. A
+// silent instance that is marked as failed runs no task once every lease has
+// ended.
 func (u *Upkeep) released(s *sight, now time.Time) bool {
+	if !u.goneEnded(now) {
+		return false
+	}
 	if s.instance.Failed && !u.fresh(s, now) {
 		ended := s.heldAt.Add(u.settings.LongestGrant + u.settings.ClockError)
-		return u.goneEnded(now) && !s.heldAt.IsZero() && !now.Before(ended)
+		return !s.heldAt.IsZero() && !now.Before(ended)
 	}
-	return u.fresh(s, now) && len(s.status.Running) == 0 && u.refusing(s, now)
+	return u.fresh(s, now) && len(s.status.Running) == 0 && u.refusing(s, now) && u.quiet(s, now)
 }
 
 // close makes the endpoint of a releasing instance refuse new tasks.
--- a/demo/internal/cli/layout.go
+++ b/demo/internal/cli/layout.go
@@ -17,6 +17,8 @@
 func newFleet() (f *fleet.Fleet) {
 	return &fleet.Fleet{
 		RebootTime: rebootTime,
+		// A move waits until the grants of entries that are gone have ended.
+		Settings: "[dispatch]\nlongestGrant = 11s\n",
 		Places: []fleet.Place{
 			{Name: "cover-1", DataCentre: "north", Pool: "cover"},
 			{Name: "cover-2", DataCentre: "south", Pool: "cover"},
