--- a/azurepointd/internal/event/changes.go
+++ b/azurepointd/internal/event/changes.go
@@ -14,5 +14,5 @@
 	ListUnreachable     = Event{5008, log.WarnLevel, "instance list does not answer; the leaving instances stay"}
 	ListReachable       = Event{5009, log.InfoLevel, "instance list answers again"}
 	TakenFromPeer       = Event{5010, log.InfoLevel, "configuration taken from a peer that was ahead"}
-	ChangeUnknown       = Event{5011, log.WarnLevel, "outcome of a change unknown"}
+	RecordUnknown       = Event{5011, log.WarnLevel, "outcome of a change unknown"}
 )
--- a/azurepointd/internal/platform/follower.go
+++ b/azurepointd/internal/platform/follower.go
@@ -94,7 +94,7 @@
 	switch {
 	case errors.Is(err, changelog.ErrOutcomeUnknown):
 		count("unknown")
-		event.ChangeUnknown.Log(log.Fields{"change": c.ID, "error": err.Error()})
+		event.RecordUnknown.Log(log.Fields{"change": c.ID, "error": err.Error()})
 	case err != nil:
 		count("failed")
 	case fate.Refusal != "":
