Run the change log over HTTP against the stand-in

The history checks use a fake store. This run proposes from three clients over HTTP while the stand-in loses a third of the answers to writes, and checks that each change is in the log once and that records are removed.

--- /dev/null
+++ b/platformd/internal/server/log_test.go
@@ -0,0 +1,52 @@
+package server
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/azurepoint/azurepoint/coordination/changelog"
+	"github.com/azurepoint/azurepoint/coordination/fleet"
+)
+
+// Guards against a change log that works with the fakes of its own tests only:
+// three clients propose over HTTP while a third of the answers to writes is lost.
+func TestChangeLogOverHTTP(t *testing.T) {
+	s := start(t, 0)
+	s.put(t, "/standin/faults", `{"loseAnswers":0.3}`)
+	const clients, changes = 3, 20
+	ended := make(chan *changelog.Log)
+	for c := range clients {
+		l := &changelog.Log{Store: s.client(fmt.Sprint("c", c)), SnapshotEvery: 10, Margin: 5}
+		go func() {
+			defer func() { ended <- l }()
+			for n := range changes {
+				budget := n
+				f, err := l.Propose(t.Context(), fleet.Change{
+					ID:       fmt.Sprintf("%d-%d", c, n),
+					Commands: []fleet.Command{{SetPool: &fleet.SetPool{Name: fmt.Sprint("p", c), Budget: &budget}}},
+				})
+				if err != nil || f.Refusal != "" {
+					t.Errorf("change %d-%d: fate %+v, error %v", c, n, f, err)
+				}
+				if c == 0 {
+					// A lost answer ends it; the next call begins anew.
+					_, _ = l.Compact(t.Context())
+				}
+			}
+		}()
+	}
+	for range clients {
+		l := <-ended
+		if _, err := l.Follow(t.Context(), time.Now()); err != nil {
+			t.Error(err)
+		}
+	}
+	fresh := &changelog.Log{Store: s.client("fresh")}
+	if err := fresh.Load(t.Context()); err != nil || fresh.Version() != clients*changes || len(fresh.State().Fates) != clients*changes {
+		t.Errorf("a client that starts has version %d and %d fates, error %v", fresh.Version(), len(fresh.State().Fates), err)
+	}
+	if e, _ := s.store.List("azurepoint/log/"); len(e) >= clients*changes {
+		t.Errorf("%d records are left, none was removed", len(e))
+	}
+}
