--- a/measure/internal/rollout/measure.go
+++ b/measure/internal/rollout/measure.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"github.com/azurepoint/azurepoint/coordination/fleet"
 	"github.com/azurepoint/azurepoint/measure/internal/report"
 	"github.com/azurepoint/azurepoint/measure/internal/site"
 )
@@ -33,20 +34,32 @@
 	return figures
 }
 
-func measure(s site.Site, policyName, suffix string, f faults, seeds []int64) []report.Figure {
+// measure returns the figures of one policy; the times are those of the waves
+// that ended, and halted is the part that the planner halted instead.
+func measure(s site.Site, policyName, suffix string, f faults, seeds []int64) (figures []report.Figure) {
 	var ratios, times, overspent []float64
+	halted := 0
 	for _, seed := range seeds {
 		w := newWorld(s, seed, f)
 		took := run(w, policies()[policyName])
+		overspent = append(overspent, float64(w.overspent))
+		if w.state.Waves[wave].State != fleet.WaveEnded {
+			halted++
+			continue
+		}
 		times = append(times, took.Seconds())
 		ratios = append(ratios, took.Seconds()/w.bound().Seconds())
-		overspent = append(overspent, float64(w.overspent))
 	}
-	return []report.Figure{
-		report.NewFigure(s.Name, policyName, "rollOutRatio"+suffix, "ratio", ratios),
-		report.NewFigure(s.Name, policyName, "rollOutTime"+suffix, "s", times),
+	part := 100 * float64(halted) / float64(len(seeds))
+	figures = append(figures,
 		report.NewFigure(s.Name, policyName, "budgetOverspent"+suffix, "instances", overspent),
+		report.NewFigure(s.Name, policyName, "halted"+suffix, "percent", []float64{part}))
+	if len(times) > 0 {
+		figures = append(figures,
+			report.NewFigure(s.Name, policyName, "rollOutRatio"+suffix, "ratio", ratios),
+			report.NewFigure(s.Name, policyName, "rollOutTime"+suffix, "s", times))
 	}
+	return figures
 }
 
 // measureBadWave counts the instances that a wave breaks before it halts; the
