Queue requests while the member's part of its cap is not known

Ruled out: the queue's length, which was 0 or 1. Change: such a request waits as long as its urgency and deadline allow; a member whose cap is zero is refused at once.

--- a/azurepointd/internal/dispatch/grant.go
+++ b/azurepointd/internal/dispatch/grant.go
@@ -76,6 +76,9 @@
 	if !found {
 		return &peerrpc.GrantReply{Reason: fmt.Sprintf("unknownPool: %q is not in version %d", r.GetPool(), d.version)}, nil
 	}
+	if m, known := d.Fleet.State().Members[r.GetMember()]; known && m.Cap == 0 {
+		return &peerrpc.GrantReply{Reason: fmt.Sprintf("capIsZero: member %q may use no slots", m.Name)}, nil
+	}
 	if p.handedOver {
 		d.takeOver(p, now)
 	}
--- a/coordination/share/admit.go
+++ b/coordination/share/admit.go
@@ -55,6 +55,11 @@
 	refusal.Reason = WaitTooLong
 	refusal.Estimate = q.Estimate(refusal.Request, now)
 	refusal.Allowed = q.allowed(refusal.Request, now)
+	if refusal.Estimate == never {
+		// The member's part of its cap is not known yet, or all of it is lent or
+		// in use elsewhere; the request waits at most as long as is allowed.
+		return refusal, refusal.Allowed <= 0
+	}
 	return refusal, refusal.Estimate > refusal.Allowed
 }
 
@@ -173,7 +178,7 @@
 		e := valueOf(c.queue.Back())
 		wait := waitFor(c.work, rate)
 		left := e.latest.Sub(now)
-		if wait <= time.Duration(float64(left)*recheckSlack) || q.pick(e.Request) != nil {
+		if wait == never || wait <= time.Duration(float64(left)*recheckSlack) || q.pick(e.Request) != nil {
 			return refused
 		}
 		refused = append(refused, q.refuse(Refusal{
--- /dev/null
+++ b/measure/internal/cli/cli.go
@@ -0,0 +1,88 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/azurepoint/azurepoint/measure/internal/flood"
+	"github.com/azurepoint/azurepoint/measure/internal/report"
+)
+
+// measurements are what measure runs, in this order. Each one takes the seeds
+// and returns its figures.
+var measurements = []func(seeds []int64) []report.Figure{
+	flood.Measure,
+}
+
+// flags are the command line of measure.
+type flags struct {
+	Seeds int    `arg:"--seeds" default:"5" help:"number of seeds, from 1 up"`
+	Out   string `arg:"--out" help:"file that the figures are written to as well"`
+}
+
+// Description is the first line of the help text.
+func (flags) Description() string {
+	return "measure runs the policies under virtual time and prints one figure a line"
+}
+
+// Main runs the measurements and returns the exit status.
+func Main(args []string, out, problems io.Writer) (status int) {
+	err := run(args, out)
+	switch {
+	case err == nil:
+		return 0
+	case errors.Is(err, arg.ErrHelp):
+		return 0
+	default:
+		_, _ = fmt.Fprintln(problems, err)
+		return 1
+	}
+}
+
+func run(args []string, out io.Writer) (err error) {
+	defer func() {
+		if err != nil && !errors.Is(err, arg.ErrHelp) {
+			err = fmt.Errorf("measure: %w", err)
+		}
+	}()
+	var f flags
+	parser, err := arg.NewParser(arg.Config{Program: "measure", Out: out}, &f)
+	if err != nil {
+		return err
+	}
+	if err = parser.Parse(args); err != nil {
+		if errors.Is(err, arg.ErrHelp) {
+			parser.WriteHelp(out)
+		}
+		return err
+	}
+	if f.Seeds < 1 {
+		return fmt.Errorf("--seeds %d is less than 1", f.Seeds)
+	}
+	if f.Out == "" {
+		return measure(f.Seeds, out)
+	}
+	file, err := os.Create(f.Out)
+	if err != nil {
+		return err
+	}
+	return errors.Join(measure(f.Seeds, io.MultiWriter(out, file)), file.Close())
+}
+
+// measure prints the figures of each measurement once it has ended.
+func measure(seeds int, out io.Writer) (err error) {
+	list := make([]int64, seeds)
+	for i := range list {
+		list[i] = int64(i + 1)
+	}
+	for _, m := range measurements {
+		if err = report.Write(out, m(list)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/measure/internal/cli/doc.go
@@ -0,0 +1,2 @@
+// Package cli reads the flags of measure and runs the measurements.
+package cli
--- /dev/null
+++ b/measure/main.go
@@ -0,0 +1,13 @@
+// Measure runs the policies with small fakes under virtual time and prints
+// their figures.
+package main
+
+import (
+	"os"
+
+	"github.com/azurepoint/azurepoint/measure/internal/cli"
+)
+
+func main() {
+	os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
