--- a/azurepointd/internal/upkeep/entries.go
+++ b/azurepointd/internal/upkeep/entries.go
@@ -150,5 +150,5 @@
 			last = g.AliveUntil
 		}
 	}
-	return true
+	return !now.Before(last.Add(u.settings.LongestGrant + u.settings.ClockError))
 }
--- a/azurepointd/internal/upkeep/entry_test.go
+++ b/azurepointd/internal/upkeep/entry_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/azurepoint/azurepoint/api/endpointapi"
 	"github.com/azurepoint/azurepoint/coordination/fleet"
+	"github.com/azurepoint/azurepoint/coordination/maintenance"
 	"github.com/azurepoint/azurepoint/coordination/membership"
 )
 
@@ -19,11 +20,13 @@
 
 	lock   sync.Mutex
 	self   membership.Entry
+	upkeep *Upkeep
 	stop   func() // ends the present incarnation
 	end    <-chan error
 	frozen bool
 	cutOff bool
-	lag    time.Duration
+	killed bool
+	lags   bool // by ten seconds more
 	// viewAt is the time whose view of the log and of the entries this entry
 	// has: it stands still while the entry is frozen, and a second longer, and
 	// while it is cut off.
@@ -63,17 +66,21 @@
 	defer e.lock.Unlock()
 	e.self.Incarnation++
 	e.stop, e.grants, e.held = stop, make(map[int]fakeGrant), make(map[string]int)
-	u := &Upkeep{Peers: e, Fleet: e, Grants: e, Endpoints: e, Settings: e.settings}
+	e.upkeep = &Upkeep{Peers: e, Fleet: e, Grants: e, Endpoints: e, Settings: e.settings}
 	if !e.silentReports {
-		u.Reports = e
+		e.upkeep.Reports = e
+	}
+	if e.shortPool != "" {
+		e.upkeep.Loads = e
 	}
 	go e.beat(ctx)
 	go e.dispatch(ctx)
-	e.end = u.Run(ctx)
+	e.end = e.upkeep.Run(ctx)
 }
 
 // restart kills the entry; a new incarnation starts later.
 func (e *fakeEntry) restart(ctx context.Context, later time.Duration) {
+	e.suffer(later, &e.killed)
 	e.lock.Lock()
 	stop, end := e.stop, e.end
 	e.self.Incarnation++ // calls of the killed one have no effect
@@ -97,7 +104,8 @@
 	return *flag
 }
 
-// wellDuring tells whether the entry had no fault in an interval.
+// wellDuring tells whether the entry had no fault in an interval, nor ten
+// seconds before it.
 func (e *fakeEntry) wellDuring(from, to time.Time) bool {
 	for _, i := range e.ill {
 		if i.from.Before(to) && i.to.After(from) {
@@ -107,28 +115,22 @@
 	return true
 }
 
-// suffer notes a fault and the time until the entry's view is good again.
-func (e *fakeEntry) suffer(lasts time.Duration) {
-	e.lock.Lock()
-	defer e.lock.Unlock()
-	e.ill = append(e.ill, interval{time.Now(), time.Now().Add(lasts + 2*DefaultSettings.Settle)})
-}
-
-// set begins or ends a fault of the entry.
-func (e *fakeEntry) set(flag *bool, on bool) {
-	e.lock.Lock()
-	defer e.lock.Unlock()
-	e.viewAt = e.view()
-	*flag = on
-	if !on {
-		e.wellAt = time.Now()
+// suffer has a fault for a time.
+func (e *fakeEntry) suffer(lasts time.Duration, flag *bool) {
+	set := func(on bool) {
+		e.lock.Lock()
+		defer e.lock.Unlock()
+		e.viewAt = e.view()
+		*flag = on
+		if !on {
+			e.wellAt = time.Now()
+		}
 	}
-}
-
-func (e *fakeEntry) setLag(lag time.Duration) {
 	e.lock.Lock()
-	defer e.lock.Unlock()
-	e.lag = lag
+	e.ill = append(e.ill, interval{time.Now(), time.Now().Add(lasts + 2*DefaultSettings.Settle)})
+	e.lock.Unlock()
+	set(true)
+	time.AfterFunc(lasts, func() { set(false) })
 }
 
 // well tells whether the entry had no fault for some time.
@@ -156,7 +158,11 @@
 	e.gate()
 	e.lock.Lock()
 	defer e.lock.Unlock()
-	if at := e.view().Add(-e.lag - 200*time.Millisecond); at.After(e.logAt) {
+	at := e.view().Add(-200 * time.Millisecond)
+	if e.lags {
+		at = at.Add(-10 * time.Second)
+	}
+	if at.After(e.logAt) {
 		e.logAt = at
 	}
 	return e.log.at(e.logAt)
@@ -173,7 +179,25 @@
 	if ctx.Err() != nil || e.is(&e.cutOff) {
 		return fleet.Fate{}, errNoAnswer
 	}
-	return e.log.propose(ctx, c)
+	late := time.Duration(0)
+	if e.faulty() && e.dice.chance(8) {
+		late = e.dice.between(time.Second, 20*time.Second)
+		e.mayFreeze(2)
+	}
+	return e.log.propose(ctx, c, late)
+}
+
+// faulty tells whether faults still are to happen.
+func (e *fakeEntry) faulty() bool {
+	return !e.quietRun && time.Now().Before(e.faultsEnd)
+}
+
+// mayFreeze freezes the entry in the middle of what it does.
+func (e *fakeEntry) mayFreeze(oneIn time.Duration) {
+	if e.faulty() && e.dice.chance(oneIn) {
+		lasts := e.dice.between(time.Second, 15*time.Second)
+		e.suffer(lasts, &e.frozen)
+	}
 }
 
 func (e *fakeEntry) Leaving(string) bool { return false }
@@ -221,7 +245,7 @@
 		if e.liesOfVersion {
 			m.Version = e.log.head().Version
 		}
-		alive := o == e || m.Alive(time.Now()) && !(cutOff || o.is(&o.cutOff))
+		alive := o == e || m.Alive(time.Now()) && !cutOff && !o.is(&o.cutOff)
 		if m.DataCentre == dataCentre && alive {
 			visit(m, h)
 		}
@@ -263,6 +287,14 @@
 	return n
 }
 
+// Load is the load of a pool that asks for much more than it has, or nothing.
+func (e *fakeEntry) Load(pool string) (l maintenance.PoolLoad, known bool) {
+	if pool == e.shortPool {
+		return maintenance.PoolLoad{Queued: 100}, true
+	}
+	return maintenance.PoolLoad{FreeSlots: 1000}, true
+}
+
 func (e *fakeEntry) OldestGrantEnds(string) time.Time { return time.Time{} }
 
 // dispatch gives grants in the pools that the entry believes to own, unless its
@@ -291,7 +323,7 @@
 	if len(free) == 0 {
 		return
 	}
-	g := fakeGrant{instance: free[e.dice.between(0, time.Duration(len(free)))], runs: e.dice.between(100*time.Millisecond, 3*time.Second)}
+	g := fakeGrant{instance: free[e.dice.between(0, time.Duration(len(free)))], runs: e.dice.between(100*time.Millisecond, 8*time.Second)}
 	g.until = time.Now().Add(g.runs + 10*time.Second)
 	e.lock.Lock()
 	e.grants[id] = g
@@ -323,7 +355,7 @@
 	now := e.State().Instances[g.instance.Name] // waits while this entry is frozen
 	moved := now.Phase != fleet.Serving || now.Pool != g.instance.Pool
 	inTime := time.Now().Before(g.until.Add(-250 * time.Millisecond))
-	if inTime && !moved && e.Self().Incarnation == incarnation {
+	if inTime && (!moved || e.uncheckedHomes) && e.Self().Incarnation == incarnation {
 		e.run(e, g)
 	}
 }
--- a/azurepointd/internal/upkeep/failure.go
+++ b/azurepointd/internal/upkeep/failure.go
@@ -17,7 +17,9 @@
 // When most of the endpoints that this entry asks are silent at once, it may
 // be the one that is cut off. It then marks instances only until the budget of
 // their pool is spent: that stops maintenance, which is what a real failure
-// calls for, and leaves the pool its other instances in case they are well.
+// calls for, and leaves the pool its other instances in case they are well. It
+// marks one of a pool for each version, because the owners in other data centres
+// may do the same.
 func (u *Upkeep) mark(ctx context.Context, now time.Time) {
 	u.judgeSelf(now)
 	left := u.budgets()
@@ -33,13 +35,15 @@
 }
 
 func (u *Upkeep) markFailed(ctx context.Context, s *sight, left map[string]int) {
-	if !maintenance.Unavailable(s.instance) {
-		if u.cutOff && left[s.instance.Pool] <= 0 {
+	p := u.now("markFailed", s)
+	if u.cutOff && !maintenance.Unavailable(s.instance) {
+		if left[s.instance.Pool] <= 0 {
 			return
 		}
-		left[s.instance.Pool]--
+		left[s.instance.Pool] = 0
+		p = u.mine("markFailed/" + s.instance.Pool)
 	}
-	u.propose(ctx, u.now("markFailed", s), event.InstanceFailed, log.Fields{"instance": s.instance.Name, "problem": s.problem},
+	u.propose(ctx, p, event.InstanceFailed, log.Fields{"instance": s.instance.Name, "problem": s.problem},
 		fleet.Command{MarkFailed: &fleet.MarkFailed{Instance: s.instance.Name}})
 }
 
--- a/azurepointd/internal/upkeep/log_test.go
+++ b/azurepointd/internal/upkeep/log_test.go
@@ -1,13 +1,10 @@
 package upkeep
 
 import (
-	"encoding/json"
-	"fmt"
-	"os"
-
 	"context"
 	"errors"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +26,8 @@
 	down, slow, lossy bool
 	// unchecked applies grants beyond the budget, as a negative control.
 	unchecked bool
+	// refuses is a log that refuses every change.
+	refuses bool
 }
 
 func (l *fakeLog) head() (s *fleet.State) {
@@ -50,11 +49,11 @@
 }
 
 // propose writes at the index after the proposer's version, and at later ones
-// until its context ends.
-func (l *fakeLog) propose(ctx context.Context, c fleet.Change) (f fleet.Fate, err error) {
+// until its context ends; a write may be late.
+func (l *fakeLog) propose(ctx context.Context, c fleet.Change, late time.Duration) (f fleet.Fate, err error) {
 	for {
 		index := l.head().Version + 1
-		delay := 5 * time.Millisecond
+		delay := 5*time.Millisecond + late
 		if l.is(&l.slow) {
 			delay = l.dice.between(0, 12*time.Second)
 		}
@@ -105,22 +104,22 @@
 	next.Version = index
 	next.Pools, next.Waves, next.Instances = maps.Clone(s.Pools), maps.Clone(s.Waves), maps.Clone(s.Instances)
 	f = fleet.Fate{ID: c.ID, Index: index}
-	if os.Getenv("DEBUGSEED") != "" {
-		fmt.Println("   LOG", index, c.Author, time.Now().Format("04:05.000"), cmdString(c))
-	}
 	for _, command := range c.Commands {
 		if f.Refusal = l.apply(&next, command); f.Refusal != "" {
 			next.Pools, next.Waves, next.Instances = s.Pools, s.Waves, s.Instances
 			break
 		}
 	}
-	next.Fates = append(s.Fates[:len(s.Fates):len(s.Fates)], f)
+	next.Fates = append(slices.Clone(s.Fates), f)
 	l.states = append(l.states, &next)
 	l.times = append(l.times, time.Now())
 	return f, true
 }
 
 func (l *fakeLog) apply(s *fleet.State, c fleet.Command) (refusal string) {
+	if l.refuses {
+		return "refused"
+	}
 	put := func(name string, from fleet.Phase, f func(i *fleet.Instance)) string {
 		i := s.Instances[name]
 		if from != "" && i.Phase != from {
@@ -181,5 +180,3 @@
 	}
 	return n
 }
-
-func cmdString(c fleet.Change) string { b, _ := json.Marshal(c.Commands); return string(b) }
--- a/azurepointd/internal/upkeep/propose.go
+++ b/azurepointd/internal/upkeep/propose.go
@@ -26,6 +26,10 @@
 	lastBackoff  = 16 * time.Second
 )
 
+// lastRefusalBackoff bounds the time between proposals that are refused again
+// and again; their cause is seldom gone within seconds.
+const lastRefusalBackoff = time.Minute
+
 // holdsKept is for how long the last fate of a proposal is remembered; it only
 // has to be longer than the log is likely to lag.
 const holdsKept = time.Hour
@@ -50,7 +54,11 @@
 	// refused is the version of the last refusal; it makes a new change of what
 	// would otherwise have the fate of the first.
 	refused int64
-	usedAt  time.Time
+	// refusals counts the refusals in a row, and again is when the next
+	// proposal may be made.
+	refusals int
+	again    time.Time
+	usedAt   time.Time
 }
 
 // proposal names what is proposed.
@@ -102,7 +110,8 @@
 		q.holds[p.key] = h
 	}
 	h.usedAt = now
-	if h.waiting || h.version >= u.state.Version || now.Before(q.downUntil) || !u.current() {
+	held := h.waiting || h.version >= u.state.Version || now.Before(h.again)
+	if held || now.Before(q.downUntil) || !u.current() {
 		return false
 	}
 	if q.running >= maxProposals || !q.limit.AllowN(now, 1) {
@@ -144,15 +153,26 @@
 	}
 	q.backoff = 0
 	if f.fate.Refusal != "" {
-		h.version, h.refused = f.fate.Index, f.fate.Index
+		h.refuse(f.fate.Index, time.Now())
 		refusals().Inc(1)
 		event.ProposalRefused.Log(with(f.fields, "refusal", f.fate.Refusal))
 		return
 	}
-	h.version = f.fate.Index - 1
+	h.version, h.refusals = f.fate.Index-1, 0
 	f.done.Log(f.fields)
 }
 
+// refuse holds a proposal back until a later version, and for longer with each
+// refusal in a row: the records of refusals are versions too, so that several
+// proposals that can never succeed would follow each other without end.
+func (h *hold) refuse(index int64, now time.Time) {
+	h.version, h.refused = index, index
+	if h.refusals > 0 {
+		h.again = now.Add(min(lastRefusalBackoff, firstBackoff<<min(h.refusals, 8)))
+	}
+	h.refusals++
+}
+
 func with(fields log.Fields, name, value string) log.Fields {
 	fields = maps.Clone(fields)
 	fields[name] = value
--- a/azurepointd/internal/upkeep/world_test.go
+++ b/azurepointd/internal/upkeep/world_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand"
 	"slices"
+	"strings"
 	"sync"
 	"testing/synctest"
 	"time"
@@ -30,10 +31,17 @@
 	// then compare the phase with their own version before they send a task.
 	silentReports bool
 
-	uncheckedLog  bool // the log does not check budgets
-	laxEndpoint   bool // endpoints reboot in any state
+	// shortPool is a pool that lacks slots all the time; pool b is the spare.
+	shortPool string
+
+	uncheckedLog bool // the log does not check budgets
+	laxEndpoint  bool // endpoints reboot in any state
+	// openEndpoint takes tasks while it drains.
+	openEndpoint  bool
 	blind         bool // running tasks and grants are not seen
 	liesOfVersion bool // every entry claims the newest version
+	// uncheckedHomes send tasks whatever their version says of the instance.
+	uncheckedHomes bool
 }
 
 // world is a small fleet under faults; its history is checked afterwards.
@@ -46,6 +54,8 @@
 	entries   []*fakeEntry
 	history   []record
 	tasks     int
+	faultsEnd time.Time
+	dump      string
 }
 
 // record is something that happened at an endpoint.
@@ -94,6 +104,9 @@
 // runs again, however late that is.
 func (w *world) call(ctx context.Context, e *fakeEntry, address, what string) (s *endpointapi.Status, err error) {
 	incarnation := e.Self().Incarnation
+	if what != "status" {
+		e.mayFreeze(6)
+	}
 	e.gate()
 	time.Sleep(5 * time.Millisecond)
 	killed := e.Self().Incarnation != incarnation
@@ -144,14 +157,16 @@
 	w.mu.Unlock()
 	if broken && !never {
 		time.Sleep(p.dice.between(2*time.Second, 6*time.Second))
-		w.setBroken(p, true)
+		w.setBroken(true, p)
 	}
 }
 
-func (w *world) setBroken(p *fakeEndpoint, broken bool) {
+func (w *world) setBroken(broken bool, endpoints ...*fakeEndpoint) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	p.broken = broken
+	for _, p := range endpoints {
+		p.broken = broken
+	}
 }
 
 // run runs a task on an endpoint, as a home does under a grant.
@@ -162,7 +177,8 @@
 	if p.state == endpointapi.EndpointStateRebooting && !p.broken && well {
 		w.note("cut", p.name, g.instance.Pool, 0)
 	}
-	if p.broken || p.state != endpointapi.EndpointStateServing {
+	drains := p.state == endpointapi.EndpointStateDraining
+	if p.broken || p.state != endpointapi.EndpointStateServing && !(drains && w.openEndpoint) {
 		w.mu.Unlock()
 		return
 	}
@@ -185,7 +201,7 @@
 	w.log.unchecked, w.log.dice = o.uncheckedLog, w.dice(1)
 	s := &fleet.State{
 		Version:   1,
-		Pools:     map[string]fleet.Pool{"a": {Name: "a", Budget: 2}, "b": {Name: "b", Budget: 3}},
+		Pools:     map[string]fleet.Pool{"a": {Name: "a", Budget: 2}, "b": {Name: "b", Budget: 3, Spare: true}},
 		Instances: map[string]fleet.Instance{},
 		Waves:     map[string]fleet.Wave{"w": {Name: "w", Pools: []string{"a", "b"}, State: fleet.WaveRunning}},
 	}
@@ -209,15 +225,19 @@
 // end after two thirds of the time.
 func (w *world) play(length time.Duration) {
 	ctx, cancel := context.WithCancel(context.Background())
+	w.faultsEnd = time.Now().Add(length * 2 / 3)
 	for _, e := range w.entries {
 		e.start(ctx)
 	}
 	var others sync.WaitGroup
 	if !w.quietRun {
-		others.Go(func() { w.faults(ctx, length*2/3) })
-		others.Go(func() { w.operate(length * 2 / 3) })
+		others.Go(func() { w.faults(ctx) })
+		others.Go(func() { w.operate() })
+	}
+	for end := time.Now().Add(length); time.Now().Before(end); {
+		time.Sleep(10 * time.Second)
+		w.watch()
 	}
-	time.Sleep(length)
 	others.Wait()
 	cancel()
 	for _, e := range w.entries {
@@ -227,35 +247,42 @@
 	synctest.Wait()
 }
 
+// watch dumps the state of every entry while it runs, and keeps the longest.
+func (w *world) watch() {
+	for _, e := range w.entries {
+		e.lock.Lock()
+		u := e.upkeep
+		e.lock.Unlock()
+		if e.is(&e.frozen) {
+			continue
+		}
+		var b strings.Builder
+		if u.Dump(&b); b.Len() > len(w.dump) {
+			w.dump = b.String()
+		}
+	}
+}
+
 // faults breaks entries and the log, one after the other and overlapping.
-func (w *world) faults(ctx context.Context, length time.Duration) {
+func (w *world) faults(ctx context.Context) {
 	d := w.dice(2)
-	until := time.Now().Add(length)
-	for time.Now().Before(until) {
+	for time.Now().Before(w.faultsEnd) {
 		time.Sleep(d.between(time.Second, 12*time.Second) / w.haste())
 		e := w.entries[d.between(0, time.Duration(len(w.entries)))]
 		lasts := d.between(time.Second, 15*time.Second)
-		kind := d.between(0, 7)
-		if kind < 3 || kind == 6 {
-			e.suffer(lasts)
-		}
-		w.mu.Lock()
-		w.note("fault", fmt.Sprint(int(kind), " ", e.self.Name, " ", lasts), "", 0)
-		w.mu.Unlock()
-		switch kind {
+		switch d.between(0, 7) {
 		case 0:
-			w.during(lasts, func(on bool) { e.set(&e.frozen, on) })
+			e.suffer(lasts, &e.frozen)
 		case 1:
-			w.during(lasts, func(on bool) { e.set(&e.cutOff, on) })
+			e.suffer(lasts, &e.cutOff)
 		case 2:
-			e.setLag(min(lasts, 10*time.Second))
-			time.AfterFunc(lasts, func() { e.setLag(0) })
+			e.suffer(lasts, &e.lags)
 		case 3:
-			w.during(lasts, func(on bool) { w.log.set(&w.log.down, on) })
+			w.log.suffer(lasts, &w.log.down)
 		case 4:
-			w.during(lasts, func(on bool) { w.log.set(&w.log.slow, on) })
+			w.log.suffer(lasts, &w.log.slow)
 		case 5:
-			w.during(lasts, func(on bool) { w.log.set(&w.log.lossy, on) })
+			w.log.suffer(lasts, &w.log.lossy)
 		case 6:
 			e.restart(ctx, lasts)
 		}
@@ -269,22 +296,21 @@
 	return 1
 }
 
-func (w *world) during(lasts time.Duration, set func(on bool)) {
+// suffer has a fault for a time.
+func (l *fakeLog) suffer(lasts time.Duration, flag *bool) {
+	set := func(on bool) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		*flag = on
+	}
 	set(true)
 	time.AfterFunc(lasts, func() { set(false) })
 }
 
-func (l *fakeLog) set(flag *bool, on bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	*flag = on
-}
-
 // operate changes budgets, pauses and resumes the wave and moves instances.
-func (w *world) operate(length time.Duration) {
+func (w *world) operate() {
 	d := w.dice(3)
-	until := time.Now().Add(length)
-	for k := 0; time.Now().Before(until); k++ {
+	for k := 0; time.Now().Before(w.faultsEnd); k++ {
 		time.Sleep(d.between(2*time.Second, 10*time.Second) / w.haste())
 		s := w.log.head()
 		var c fleet.Command
@@ -305,9 +331,9 @@
 		}
 		w.log.write(s.Version+1, fleet.Change{ID: fmt.Sprint("operator", k), Commands: []fleet.Command{c}})
 	}
-	budget := 2
-	for k := 0; w.log.head().Pools["a"].Budget != budget || w.log.head().Pools["b"].Budget != budget; k++ {
-		w.log.write(w.log.head().Version+1, fleet.Change{ID: fmt.Sprint("last budget", k), Commands: []fleet.Command{
+	for budget := 2; w.log.head().Pools["a"].Budget+w.log.head().Pools["b"].Budget != 2*budget; {
+		s := w.log.head()
+		w.log.write(s.Version+1, fleet.Change{ID: fmt.Sprint("budgets", s.Version), Commands: []fleet.Command{
 			{SetPool: &fleet.SetPool{Name: "a", Budget: &budget}}, {SetPool: &fleet.SetPool{Name: "b", Budget: &budget}},
 		}})
 		time.Sleep(time.Second)
--- a/coordination/maintenance/grant.go
+++ b/coordination/maintenance/grant.go
@@ -14,6 +14,11 @@
 // limit. Slower growth costs a whole reboot time for each further step.
 const StepGrowth = 4
 
+// FirstSoak is for how long the instances of the first steps have to serve well
+// before more are drained. A failure is noticed after 15 s of silence, and an
+// instance that breaks soon after its return would otherwise count as well.
+const FirstSoak = 30 * time.Second
+
 // FirstStepStagger is how long a pool that is not the first choice for a
 // wave's first step waits for the owner of each better one.
 const FirstStepStagger = 5 * time.Second
@@ -45,6 +50,10 @@
 		p.firstStep(w, tallies)
 		return
 	}
+	if soaked := p.seen.Waves[w.Name].StepSince.Add(FirstSoak); good < provenReturns && p.now.Before(soaked) {
+		p.notef(w.Name, "", "step: waits until %s whether the first instances stay well", soaked.UTC().Format(time.RFC3339))
+		return
+	}
 	room := 1 + StepGrowth*max(0, good) - running
 	if room <= 0 {
 		p.notef(w.Name, "", "step: %d drains run, %d came back well", running, v.good)
--- a/coordination/maintenance/maintenance_test.go
+++ b/coordination/maintenance/maintenance_test.go
@@ -146,7 +146,7 @@
 	if step := 1 + StepGrowth*returned; granted > 0 && running > step {
 		t.Fatalf("seed %d: %d drains run in a step of %d", seed, running, step)
 	}
-	room := 1+StepGrowth*returned > running && (returned > 0 || running == 0)
+	room := 1+StepGrowth*returned > running && returned >= provenReturns
 	for name, pool := range after.Pools {
 		in := func(i fleet.Instance) bool { return i.Pool == name }
 		waits := func(i fleet.Instance) bool { return in(i) && !Unavailable(i) && i.Maintained != "w" }
@@ -285,6 +285,20 @@
 	}
 }
 
+// TestSoak guards against a second step before the first instance has served
+// for long enough to show that it is well.
+func TestSoak(t *testing.T) {
+	s := fixture(1, 10, 3)
+	change(s, "a00", finish)
+	o := Observation{Waves: map[string]Progress{"w": {State: fleet.WaveRunning, Returned: 1, StepSince: start}}}
+	if d := Plan(s, o, start.Add(FirstSoak-time.Second)); len(d.Grants) != 0 {
+		t.Errorf("grants %v too early", d.Grants)
+	}
+	if d := Plan(s, o, start.Add(FirstSoak)); len(d.Grants) != 1+StepGrowth {
+		t.Errorf("grants %v, want %d", d.Grants, 1+StepGrowth)
+	}
+}
+
 // TestUntil guards against a wave that goes on after its last moment, and
 // against several entries that all propose its end.
 func TestUntil(t *testing.T) {
