--- a/azurepointd/internal/cli/cli.go
+++ b/azurepointd/internal/cli/cli.go
@@ -77,11 +77,7 @@
 	dumps := make(chan os.Signal, 1)
 	signal.Notify(dumps, syscall.SIGUSR1)
 	defer signal.Stop(dumps)
-	d, err := newDaemon(s)
-	if err != nil {
-		return err
-	}
-	return d.run(ctx, dumps, stdout, stderr)
+	return newDaemon(s).run(ctx, dumps, stdout, stderr)
 }
 
 func setLog(l settings.Log, stderr io.Writer) {
--- a/azurepointd/internal/cli/daemon.go
+++ b/azurepointd/internal/cli/daemon.go
@@ -69,7 +69,7 @@
 	*platform.Follower
 }
 
-func newDaemon(s settings.Settings) (d *daemon, err error) {
+func newDaemon(s settings.Settings) (d *daemon) {
 	client := &store.Client{
 		Address:     s.Platform.Address.String(),
 		Name:        s.Entry.Name,
@@ -125,7 +125,7 @@
 		},
 	}
 	d.directory.Local = local{d.directory, d.home, d.dispatcher, d.follower}
-	return d, nil
+	return d
 }
 
 // run starts all parts, serves until the context ends, and stops them so that no
--- a/azurepointd/internal/upkeep/world_test.go
+++ b/azurepointd/internal/upkeep/world_test.go
@@ -177,8 +177,9 @@
 	if p.state == endpointapi.EndpointStateRebooting && !p.broken && well {
 		w.note("cut", p.name, g.instance.Pool, 0)
 	}
-	drains := p.state == endpointapi.EndpointStateDraining
-	if p.broken || p.state != endpointapi.EndpointStateServing && !(drains && w.openEndpoint) {
+	takes := p.state == endpointapi.EndpointStateServing ||
+		p.state == endpointapi.EndpointStateDraining && w.openEndpoint
+	if p.broken || !takes {
 		w.mu.Unlock()
 		return
 	}
--- a/measure/internal/cli/cli.go
+++ b/measure/internal/cli/cli.go
@@ -10,12 +10,14 @@
 
 	"github.com/azurepoint/azurepoint/measure/internal/flood"
 	"github.com/azurepoint/azurepoint/measure/internal/report"
+	"github.com/azurepoint/azurepoint/measure/internal/rollout"
 )
 
 // measurements are what measure runs, in this order. Each one takes the seeds
 // and returns its figures.
 var measurements = []func(seeds []int64) []report.Figure{
 	flood.Measure,
+	rollout.Measure,
 }
 
 // flags are the command line of measure.
