--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 TWIRP_VERSION := v8.1.3+incompatible
 PROGRAMS := azurepointd azurepoint platformd endpointd demo measure
 SEEDS ?= 1
+MEASURE_SEEDS ?= 3
 
 .PHONY: all build test race vet lint format generate demo prove measure capacity fuzz clean
 
@@ -73,3 +74,7 @@
 # Measures what entries spend on control at several sizes of the real daemons.
 capacity: build
 	bin/demo --bin bin --capacity
+
+# Prints the measures of the policies, and keeps them with the documentation.
+measure: build
+	bin/measure --seeds $(MEASURE_SEEDS) --out docs/measurements.txt
