--- a/azurepointd/internal/endpoint/host.go
+++ b/azurepointd/internal/endpoint/host.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"strings"
@@ -8,6 +9,7 @@
 	"time"
 
 	"github.com/azurepoint/azurepoint/api/endpointapi"
+	"github.com/azurepoint/azurepoint/azurepointd/internal/traffic"
 )
 
 const (
@@ -31,13 +33,20 @@
 
 func newTransport(connections int) *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         dial,
 		MaxConnsPerHost:     connections,
 		MaxIdleConnsPerHost: connections,
 		IdleConnTimeout:     time.Minute,
 	}
 }
 
+// dial connects to an endpoint and counts the bytes.
+func dial(ctx context.Context, network, address string) (c net.Conn, err error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return traffic.NewMeter("endpoint").DialContext(ctx, network, address)
+}
+
 // host is what the client keeps of one endpoint.
 type host struct {
 	// tasks is for calls that wait for a task's end, control for all others.
--- a/azurepointd/internal/upkeep/entry_test.go
+++ b/azurepointd/internal/upkeep/entry_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -323,6 +325,7 @@
 	if len(free) == 0 {
 		return
 	}
+	slices.SortFunc(free, func(a, b fleet.Instance) int { return strings.Compare(a.Name, b.Name) })
 	g := fakeGrant{instance: free[e.dice.between(0, time.Duration(len(free)))], runs: e.dice.between(100*time.Millisecond, 8*time.Second)}
 	g.until = time.Now().Add(g.runs + 10*time.Second)
 	e.lock.Lock()
--- a/azurepointd/internal/upkeep/failure.go
+++ b/azurepointd/internal/upkeep/failure.go
@@ -23,7 +23,7 @@
 func (u *Upkeep) mark(ctx context.Context, now time.Time) {
 	u.judgeSelf(now)
 	left := u.budgets()
-	for _, s := range u.sights {
+	for _, s := range u.order {
 		switch {
 		case !s.owned:
 		case s.instance.Failed:
--- a/azurepointd/internal/upkeep/sight.go
+++ b/azurepointd/internal/upkeep/sight.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -69,6 +72,7 @@
 // track brings the sights in line with the configuration.
 func (u *Upkeep) track(now time.Time) {
 	self := u.Peers.Self().DataCentre
+	added := false
 	for name, i := range u.state.Instances {
 		if i.DataCentre != self {
 			continue
@@ -77,6 +81,7 @@
 		if s == nil {
 			s = &sight{instance: i, seenAt: now}
 			u.sights[name] = s
+			added = true
 		}
 		u.update(s, i, now)
 	}
@@ -85,6 +90,11 @@
 			delete(u.sights, name)
 		}
 	}
+	if len(u.order) != len(u.sights) || added {
+		u.order = slices.SortedFunc(maps.Values(u.sights), func(a, b *sight) int {
+			return strings.Compare(a.instance.Name, b.instance.Name)
+		})
+	}
 }
 
 func (u *Upkeep) update(s *sight, i fleet.Instance, now time.Time) {
@@ -124,7 +134,7 @@
 // poll asks the instances for their status that are due.
 func (u *Upkeep) poll(ctx context.Context, now time.Time) {
 	u.choose(now)
-	for _, s := range u.sights {
+	for _, s := range u.order {
 		if s.busy || now.Before(s.pollAt) || u.calls >= u.settings.Calls || !u.watches(s, now) {
 			continue
 		}
@@ -153,13 +163,13 @@
 // silent.
 func (u *Upkeep) choose(now time.Time) {
 	silent, left := false, witnesses
-	for _, s := range u.sights {
+	for _, s := range u.order {
 		silent = silent || s.owned && now.After(s.failAt.Add(-u.settings.FailAfter/2))
 		if s.witness {
 			left--
 		}
 	}
-	for _, s := range u.sights {
+	for _, s := range u.order {
 		if !silent || s.owned {
 			s.witness = false
 			continue
--- a/azurepointd/internal/upkeep/upkeep.go
+++ b/azurepointd/internal/upkeep/upkeep.go
@@ -32,6 +32,7 @@
 	settings Settings
 	state    *fleet.State
 	sights   map[string]*sight
+	order    []*sight // the sights by name
 	entries  entries
 	pools    map[string]time.Time // when this entry came to own each pool
 	behind   map[string]*lag
@@ -142,7 +143,7 @@
 		u.follow(now)
 		return
 	}
-	for _, s := range u.sights {
+	for _, s := range u.order {
 		u.step(ctx, s, now)
 	}
 	u.mark(ctx, now)
--- a/azurepointd/internal/upkeep/upkeep_test.go
+++ b/azurepointd/internal/upkeep/upkeep_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"os"
+	"runtime"
 	"slices"
 	"strconv"
 	"strings"
@@ -20,6 +21,8 @@
 
 func TestMain(m *testing.M) {
 	log.SetHandler(discard.Default)
+	// With one processor the runs of a seed differ less.
+	runtime.GOMAXPROCS(1)
 	os.Exit(m.Run())
 }
 
