--- a/azurepointd/internal/upkeep/drain.go
+++ b/azurepointd/internal/upkeep/drain.go
@@ -37,6 +37,10 @@
 	if !u.fresh(s, now) {
 		return
 	}
+	if s.instance.Rebooting {
+		// The log refuses to give the drain back, so the only way is forward.
+		s.handBack, s.givenBack = "", false
+	}
 	state := s.status.State
 	draining := state == endpointapi.EndpointStateDraining
 	serving := state == endpointapi.EndpointStateServing
@@ -45,7 +49,7 @@
 		u.fence(ctx, s, now)
 	case serving && s.rebooted():
 		u.finish(ctx, s)
-	case draining && (s.rebooted() || s.handBack != "" && !s.instance.Rebooting):
+	case draining && (s.rebooted() || s.handBack != ""):
 		u.serve(ctx, s, now)
 	case serving && s.handBack != "":
 		u.giveBack(ctx, s)
--- a/coordination/maintenance/plan.go
+++ b/coordination/maintenance/plan.go
@@ -127,7 +127,7 @@
 			over[i.Pool]++
 		}
 		step := p.seen.Instances[i.Name].Step
-		if i.Phase == fleet.Draining && !i.Failed && p.owns(i) && (step == StepWaiting || step == StepDrained) {
+		if i.Phase == fleet.Draining && !i.Rebooting && !i.Failed && p.owns(i) && (step == StepWaiting || step == StepDrained) {
 			drains = append(drains, i)
 		}
 	}
