--- a/azurepointd/internal/caller/check.go
+++ b/azurepointd/internal/caller/check.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		return register.Key{}, refusef(http.StatusBadRequest, "key", "key: %s", strings.TrimPrefix(err.Error(), "register: "))
 	}
-	if k.ExpiresAt.After(now.Add(KeyLifetime + h.clockError())) {
+	if k.ExpiresAt.After(now.Add(max(KeyLifetime, h.keyLifetime()) + h.clockError())) {
 		return register.Key{}, refusef(http.StatusBadRequest, "key", "key: expires later than any key that was issued")
 	}
 	if now.After(k.ExpiresAt.Add(register.Margin)) {
--- a/azurepointd/internal/caller/handler.go
+++ b/azurepointd/internal/caller/handler.go
@@ -22,6 +22,8 @@
 	Fleet Fleet
 	// ClockError is a setting; zero means DefaultClockError.
 	ClockError time.Duration
+	// Lifetime is how long an issued key may be used; zero means KeyLifetime.
+	Lifetime time.Duration
 
 	mutex    sync.Mutex
 	sequence int64
@@ -36,7 +38,7 @@
 		return nil, err
 	}
 	// The API gives times in whole seconds.
-	expiresAt := time.Now().Add(KeyLifetime).Truncate(time.Second)
+	expiresAt := time.Now().Add(h.keyLifetime()).Truncate(time.Second)
 	list = &callerapi.KeyList{Keys: []string{}, ExpiresAt: expiresAt}
 	for range order.Count.Or(1) {
 		text := h.issue(s, expiresAt).String()
@@ -141,6 +143,13 @@
 	return a
 }
 
+func (h *Handler) keyLifetime() time.Duration {
+	if h.Lifetime > 0 {
+		return h.Lifetime
+	}
+	return KeyLifetime
+}
+
 func (h *Handler) clockError() time.Duration {
 	if h.ClockError > 0 {
 		return h.ClockError
--- /dev/null
+++ b/azurepointd/internal/caller/rate_test.go
@@ -0,0 +1,28 @@
+package caller
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+)
+
+// Guards against one caller's address that takes all of an entry, and against a
+// limit that one address shares with another.
+func TestLimitRate(t *testing.T) {
+	h := LimitRate(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), 2)
+	status := func(remote string) int {
+		r := httptest.NewRequest(http.MethodPost, "/v1/requests", nil)
+		r.RemoteAddr = remote
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, r)
+		return w.Code
+	}
+	for n, want := range []int{200, 200, 429} {
+		if got := status("10.0.0.1:1000"); got != want {
+			t.Errorf("call %d: status %d, want %d", n, got, want)
+		}
+	}
+	if got := status("10.0.0.2:1000"); got != 200 {
+		t.Errorf("other address: status %d", got)
+	}
+}
--- a/azurepointd/internal/cli/daemon.go
+++ b/azurepointd/internal/cli/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/azurepoint/azurepoint/azurepointd/internal/upkeep"
 	"github.com/azurepoint/azurepoint/coordination/changelog"
 	store "github.com/azurepoint/azurepoint/coordination/platform"
+	"github.com/azurepoint/azurepoint/coordination/retry"
 )
 
 const (
@@ -94,14 +95,19 @@
 	endpoints := &endpoint.Client{}
 	d.dispatcher = &dispatch.Dispatcher{
 		Peers: d.directory, Fleet: d.follower, Endpoints: endpoints, ClockError: s.Limits.ClockError,
+		LongestGrant: s.Dispatch.LongestGrant, QueueLength: s.Dispatch.QueueLength,
 	}
 	d.home = &home.Home{
 		Peers: d.directory, Endpoints: endpoints,
 		ClockError: s.Limits.ClockError, SingleCopy: s.Requests.Copies == 1,
+		MaxOpen: s.Requests.MaxOpen, Budget: budget(s.Requests.RetryFraction),
 	}
 	h := &holdings{dataCentre: s.Entry.DataCentre, follower: d.follower, dispatcher: d.dispatcher, home: d.home}
 	d.directory.Held = h.held
-	d.caller = &caller.Handler{Peers: d.directory, Fleet: d.follower, ClockError: s.Limits.ClockError}
+	d.caller = &caller.Handler{
+		Peers: d.directory, Fleet: d.follower,
+		ClockError: s.Limits.ClockError, Lifetime: s.Requests.KeyLifetime,
+	}
 	d.upkeep = &upkeep.Upkeep{
 		Peers: d.directory, Fleet: d.follower, Grants: d.dispatcher, Endpoints: endpoints, Reports: d.directory,
 		Settings: upkeep.Settings{
@@ -167,6 +173,7 @@
 		return err
 	}
 	callers = http.MaxBytesHandler(callers, d.settings.Limits.MaxBodyBytes)
+	callers = caller.LimitRate(callers, d.settings.Limits.CallerRate)
 	peers := peer.Handler(d.directory.Local, string(d.settings.Peers.Secret))
 	for _, l := range []struct {
 		name      string
@@ -255,6 +262,15 @@
 	}}
 }
 
+// budget returns the retry budget of a fraction; zero allows no retries.
+func budget(fraction float64) retry.Budget {
+	if fraction > 0 {
+		return retry.Budget{Ratio: fraction}
+	}
+	const none = 1e-6
+	return retry.Budget{Ratio: none, Burst: none}
+}
+
 func texts(addresses []netip.AddrPort) (all []string) {
 	for _, a := range addresses {
 		all = append(all, a.String())
--- a/azurepointd/internal/dispatch/dispatcher.go
+++ b/azurepointd/internal/dispatch/dispatcher.go
@@ -41,6 +41,11 @@
 	Endpoints Endpoints
 	// ClockError is the largest difference between two clocks.
 	ClockError time.Duration
+	// LongestGrant is the longest time that one grant may last; zero means an hour.
+	LongestGrant time.Duration
+	// QueueLength is how many requests may wait for one pool; zero means the
+	// default of package share.
+	QueueLength int
 
 	mu      sync.Mutex
 	pools   map[string]*pool
--- a/azurepointd/internal/dispatch/grant.go
+++ b/azurepointd/internal/dispatch/grant.go
@@ -79,6 +79,9 @@
 	if m, known := d.Fleet.State().Members[r.GetMember()]; known && m.Cap == 0 {
 		return &peerrpc.GrantReply{Reason: fmt.Sprintf("capIsZero: member %q may use no slots", m.Name)}, nil
 	}
+	if run := time.Duration(r.GetRunMillis()) * time.Millisecond; run > p.longest {
+		return &peerrpc.GrantReply{Reason: fmt.Sprintf("runTooLong: %s declared, grants end after %s", run, p.longest)}, nil
+	}
 	if p.handedOver {
 		d.takeOver(p, now)
 	}
--- a/azurepointd/internal/dispatch/learn.go
+++ b/azurepointd/internal/dispatch/learn.go
@@ -23,9 +23,25 @@
 	resultUnknown = "unknown"
 )
 
-// longestLease is used where no setting bounds a grant; it leaves room for the grace of the lease and the clock error below
-// the hour that a use of a cap may last (quota.Ledger.Hold).
-const longestLease = time.Hour - 20*time.Second
+const (
+	// longestLease bounds run times where no setting does; it leaves room for the
+	// grace of the lease and the clock error below the hour that a use of a cap
+	// may last (quota.Ledger.Hold).
+	longestLease = time.Hour - leaseMargin
+	// leaseMargin covers the grace of a lease (10 s) and the clock error.
+	leaseMargin = 20 * time.Second
+	// shortestLongest keeps grants possible where the setting leaves no run time.
+	shortestLongest = time.Second
+)
+
+// longestRun returns the longest run time whose grant meets the setting. Upkeep
+// counts on it when it waits for the grants of entries that are gone.
+func (d *Dispatcher) longestRun() time.Duration {
+	if d.LongestGrant <= 0 {
+		return longestLease
+	}
+	return min(longestLease, max(shortestLongest, d.LongestGrant-leaseMargin/2-d.ClockError))
+}
 
 // estimate replaces what a request declares by what is known of its kind.
 func (p *pool) estimate(r share.Request, now time.Time) share.Request {
@@ -36,7 +52,7 @@
 	if r.Run <= 0 {
 		r.Longest = r.Deadline.Sub(now)
 	}
-	r.Longest = min(r.Longest, longestLease)
+	r.Longest = min(r.Longest, p.longest)
 	if largest := p.largest(); e.Slots > r.Slots && r.Slots <= largest {
 		r.Slots = min(e.Slots, largest)
 	}
--- a/azurepointd/internal/dispatch/pool.go
+++ b/azurepointd/internal/dispatch/pool.go
@@ -27,6 +27,8 @@
 	queue     share.Queue
 	waiters   map[string]chan *peerrpc.GrantReply
 	endpoints map[string]*endpoint
+	// longest is the longest run time for which a grant is given.
+	longest time.Duration
 	// readsStatus tells whether the status of endpoints can be read.
 	readsStatus bool
 	// handedOver is set while another entry owns the pool.
@@ -47,10 +49,13 @@
 		fleet:       d.Fleet,
 		estimator:   &d.estimator,
 		readsStatus: d.Endpoints != nil,
-		queue:       share.Queue{ClockError: d.ClockError, Quota: members{d: d, pool: name}},
-		declared:    make(map[string]limit.Declared),
-		waiters:     make(map[string]chan *peerrpc.GrantReply),
-		endpoints:   make(map[string]*endpoint),
+		queue: share.Queue{
+			ClockError: d.ClockError, Quota: members{d: d, pool: name}, Room: share.Room{Requests: d.QueueLength},
+		},
+		longest:   d.longestRun(),
+		declared:  make(map[string]limit.Declared),
+		waiters:   make(map[string]chan *peerrpc.GrantReply),
+		endpoints: make(map[string]*endpoint),
 	}
 }
 
--- a/azurepointd/internal/event/daemon.go
+++ b/azurepointd/internal/event/daemon.go
@@ -6,7 +6,6 @@
 var (
 	Starting        = Event{1001, log.InfoLevel, "starting"}
 	Listening       = Event{1002, log.InfoLevel, "listening"}
-	Ready           = Event{1003, log.InfoLevel, "configuration loaded, serving callers"}
 	SettingsRefused = Event{1004, log.ErrorLevel, "settings refused"}
 	ListenFailed    = Event{1005, log.ErrorLevel, "address cannot be listened on"}
 	Stopping        = Event{1006, log.InfoLevel, "stopping, no new requests are taken"}
--- a/azurepointd/internal/home/home.go
+++ b/azurepointd/internal/home/home.go
@@ -40,6 +40,8 @@
 	// entries of a data centre, because a backup that expects claims takes a
 	// missing one as proof that the request did not run.
 	SingleCopy bool
+	// MaxOpen is the most open requests; zero means no limit but the memory's.
+	MaxOpen int
 	// Register holds the records; its limits may be set before use.
 	Register register.Register
 	// MaxPayloadBytes is the most bytes of payloads of open requests; zero means
@@ -208,6 +210,8 @@
 	switch {
 	case h.stopping:
 		return ReasonStopping
+	case h.MaxOpen > 0 && len(h.runs) >= h.MaxOpen:
+		return register.ReasonFull
 	case h.payloadBytes+len(q.GetPayload()) > limit:
 		return register.ReasonFull
 	}
