End the demo's wave after the first endpoint is back

Cause: the first instance of a wave now serves for 30 s before the next drains, so the demo did not end in 55 s.

--- a/demo/internal/cli/exercise.go
+++ b/demo/internal/cli/exercise.go
@@ -94,13 +94,17 @@
 	return x.waitForCell(ctx, "show instances", movedInstance, "pool", "spare")
 }
 
-// drain maintains the cover pool; its budget lets one endpoint go at a time, so
-// that the other one stays in service.
+// drain maintains one endpoint of the cover pool and then ends the wave; the
+// budget keeps the other one in service meanwhile.
 func (x exercise) drain(ctx context.Context) (err error) {
 	if _, err = x.Operators.Run(ctx, "demo-wave", "declare wave "+wave+" for cover"); err != nil {
 		return err
 	}
-	return x.waitForCell(ctx, "show waves", wave, "state", "ended")
+	if err = x.waitFor(ctx, "show waves", wave, "done", func(cell string) bool { return cell != "0" }); err != nil {
+		return err
+	}
+	_, err = x.Operators.Run(ctx, "demo-wave-end", "end wave "+wave)
+	return err
 }
 
 func (x exercise) kill(ctx context.Context) (err error) {
@@ -112,19 +116,24 @@
 
 // waitForCell asks until the cell of a row has the wanted value.
 func (x exercise) waitForCell(ctx context.Context, query, row, column, want string) (err error) {
+	return x.waitFor(ctx, query, row, column, func(cell string) bool { return cell == want })
+}
+
+// waitFor asks until the cell of a row is as wanted.
+func (x exercise) waitFor(ctx context.Context, query, row, column string, wanted func(cell string) bool) (err error) {
 	last := ""
 	for {
 		reply, err := x.Operators.Run(ctx, "", query)
 		if err == nil {
-			cell, _ := operator.Cell(reply, row, column)
-			if cell == want {
+			cell, found := operator.Cell(reply, row, column)
+			if found && wanted(cell) {
 				return nil
 			}
 			last = cell
 		}
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("%s of %s is %q, not %q, when the time ended", column, row, last, want)
+			return fmt.Errorf("%s of %s is still %q when the time ended", column, row, last)
 		case <-time.After(pollEvery):
 		}
 	}
