--- a/azurepointd/internal/cli/daemon.go
+++ b/azurepointd/internal/cli/daemon.go
@@ -98,7 +98,7 @@
 		LongestGrant: s.Dispatch.LongestGrant, QueueLength: s.Dispatch.QueueLength,
 	}
 	d.home = &home.Home{
-		Peers: d.directory, Endpoints: endpoints,
+		Peers: d.directory, Endpoints: endpoints, Fleet: d.follower,
 		ClockError: s.Limits.ClockError, SingleCopy: s.Requests.Copies == 1,
 		MaxOpen: s.Requests.MaxOpen, Budget: budget(s.Requests.RetryFraction),
 	}
--- a/azurepointd/internal/event/catalogue_test.go
+++ b/azurepointd/internal/event/catalogue_test.go
@@ -87,12 +87,20 @@
 	return rows
 }
 
-// eventOf reads the number, level and text of an Event literal without keys.
+// eventOf reads the number, level and text of an Event literal with keys in this
+// order.
 func eventOf(t *testing.T, name string, values []ast.Expr) (r row) {
 	t.Helper()
 	if len(values) != 3 {
 		t.Fatalf("%s has %d values", name, len(values))
 	}
+	for i, key := range []string{"Number", "Level", "Text"} {
+		pair, isPair := values[i].(*ast.KeyValueExpr)
+		if !isPair || fmt.Sprint(pair.Key) != key {
+			t.Fatalf("%s: value %d has not the key %s", name, i, key)
+		}
+		values[i] = pair.Value
+	}
 	number, isNumber := values[0].(*ast.BasicLit)
 	level, isLevel := values[1].(*ast.SelectorExpr)
 	text, isText := values[2].(*ast.BasicLit)
--- a/azurepointd/internal/event/daemon.go
+++ b/azurepointd/internal/event/daemon.go
@@ -4,13 +4,13 @@
 
 // Events of the daemon itself, 1000 to 1999.
 var (
-	Starting        = Event{1001, log.InfoLevel, "starting"}
-	Listening       = Event{1002, log.InfoLevel, "listening"}
-	SettingsRefused = Event{1004, log.ErrorLevel, "settings refused"}
-	ListenFailed    = Event{1005, log.ErrorLevel, "address cannot be listened on"}
-	Stopping        = Event{1006, log.InfoLevel, "stopping, no new requests are taken"}
-	Stopped         = Event{1007, log.InfoLevel, "stopped"}
-	StopCutShort    = Event{1008, log.WarnLevel, "stopped with requests still open"}
-	PartFailed      = Event{1009, log.ErrorLevel, "part of the daemon ended with an error"}
-	StateDumped     = Event{1010, log.InfoLevel, "state dump written"}
+	Starting        = Event{Number: 1001, Level: log.InfoLevel, Text: "starting"}
+	Listening       = Event{Number: 1002, Level: log.InfoLevel, Text: "listening"}
+	SettingsRefused = Event{Number: 1004, Level: log.ErrorLevel, Text: "settings refused"}
+	ListenFailed    = Event{Number: 1005, Level: log.ErrorLevel, Text: "address cannot be listened on"}
+	Stopping        = Event{Number: 1006, Level: log.InfoLevel, Text: "stopping, no new requests are taken"}
+	Stopped         = Event{Number: 1007, Level: log.InfoLevel, Text: "stopped"}
+	StopCutShort    = Event{Number: 1008, Level: log.WarnLevel, Text: "stopped with requests still open"}
+	PartFailed      = Event{Number: 1009, Level: log.ErrorLevel, Text: "part of the daemon ended with an error"}
+	StateDumped     = Event{Number: 1010, Level: log.InfoLevel, Text: "state dump written"}
 )
--- a/azurepointd/internal/event/operator.go
+++ b/azurepointd/internal/event/operator.go
@@ -4,10 +4,10 @@
 
 // Events of the operators' API, 7000 to 7999.
 var (
-	ChangeApplied   = Event{7001, log.InfoLevel, "change of an operator applied"}
-	ChangeRefused   = Event{7002, log.InfoLevel, "change of an operator refused"}
-	ChangeUnknown   = Event{7003, log.WarnLevel, "outcome of an operator's change unknown"}
-	OperatorRefused = Event{7004, log.WarnLevel, "operator call without the configured secret refused"}
-	OperatorLimited = Event{7005, log.WarnLevel, "operator call above the rate refused"}
-	OperatorFailed  = Event{7006, log.ErrorLevel, "operator call failed"}
+	ChangeApplied   = Event{Number: 7001, Level: log.InfoLevel, Text: "change of an operator applied"}
+	ChangeRefused   = Event{Number: 7002, Level: log.InfoLevel, Text: "change of an operator refused"}
+	ChangeUnknown   = Event{Number: 7003, Level: log.WarnLevel, Text: "outcome of an operator's change unknown"}
+	OperatorRefused = Event{Number: 7004, Level: log.WarnLevel, Text: "operator call without the configured secret refused"}
+	OperatorLimited = Event{Number: 7005, Level: log.WarnLevel, Text: "operator call above the rate refused"}
+	OperatorFailed  = Event{Number: 7006, Level: log.ErrorLevel, Text: "operator call failed"}
 )
--- a/azurepointd/internal/event/peer.go
+++ b/azurepointd/internal/event/peer.go
@@ -4,7 +4,7 @@
 
 // Events of the exchange between entries, 2000 to 2999.
 var (
-	EntryJoined = Event{2001, log.InfoLevel, "entry seen for the first time"}
-	EntryLost   = Event{2002, log.WarnLevel, "entry not heard from before its deadline"}
-	PeerRefused = Event{2003, log.WarnLevel, "peer call without the configured secret refused"}
+	EntryJoined = Event{Number: 2001, Level: log.InfoLevel, Text: "entry seen for the first time"}
+	EntryLost   = Event{Number: 2002, Level: log.WarnLevel, Text: "entry not heard from before its deadline"}
+	PeerRefused = Event{Number: 2003, Level: log.WarnLevel, Text: "peer call without the configured secret refused"}
 )
--- a/azurepointd/internal/event/requests.go
+++ b/azurepointd/internal/event/requests.go
@@ -4,18 +4,18 @@
 
 // Events of the path of requests, home and caller, 3000 to 3999.
 var (
-	RequestConcluded = Event{3001, log.DebugLevel, "request concluded"}
-	OutcomeConflict  = Event{3002, log.ErrorLevel, "two final outcomes for one key"}
-	KeySettled       = Event{3003, log.DebugLevel, "key decided at the backup because its home is unreachable"}
-	ClaimRefused     = Event{3004, log.DebugLevel, "claim refused by the backup"}
-	ClaimUnanswered  = Event{3005, log.WarnLevel, "claim not answered by the backup"}
-	ReleaseLost      = Event{3006, log.DebugLevel, "grant not returned; it ends at its deadline"}
-	ConcludeLost     = Event{3007, log.DebugLevel, "outcome not told to the backup"}
-	RegisterFull     = Event{3008, log.WarnLevel, "request refused because the register is full"}
-	StopBegun        = Event{3009, log.InfoLevel, "planned stop begun; new requests are refused"}
-	QueueLeft        = Event{3010, log.InfoLevel, "planned stop: waiting requests are answered notRun"}
-	StopEnded        = Event{3011, log.InfoLevel, "planned stop: no request is left"}
-	SingleCopyKeys   = Event{3012, log.WarnLevel, "keys issued without a backup, because no other entry is live"}
-	KeysWithoutPlace = Event{3013, log.WarnLevel, "no keys issued, because no data centre serves the pool"}
-	HomeUnreachable  = Event{3015, log.DebugLevel, "home not reached; its backup is asked"}
+	RequestConcluded = Event{Number: 3001, Level: log.DebugLevel, Text: "request concluded"}
+	OutcomeConflict  = Event{Number: 3002, Level: log.ErrorLevel, Text: "two final outcomes for one key"}
+	KeySettled       = Event{Number: 3003, Level: log.DebugLevel, Text: "key decided at the backup because its home is unreachable"}
+	ClaimRefused     = Event{Number: 3004, Level: log.DebugLevel, Text: "claim refused by the backup"}
+	ClaimUnanswered  = Event{Number: 3005, Level: log.WarnLevel, Text: "claim not answered by the backup"}
+	ReleaseLost      = Event{Number: 3006, Level: log.DebugLevel, Text: "grant not returned; it ends at its deadline"}
+	ConcludeLost     = Event{Number: 3007, Level: log.DebugLevel, Text: "outcome not told to the backup"}
+	RegisterFull     = Event{Number: 3008, Level: log.WarnLevel, Text: "request refused because the register is full"}
+	StopBegun        = Event{Number: 3009, Level: log.InfoLevel, Text: "planned stop begun; new requests are refused"}
+	QueueLeft        = Event{Number: 3010, Level: log.InfoLevel, Text: "planned stop: waiting requests are answered notRun"}
+	StopEnded        = Event{Number: 3011, Level: log.InfoLevel, Text: "planned stop: no request is left"}
+	SingleCopyKeys   = Event{Number: 3012, Level: log.WarnLevel, Text: "keys issued without a backup, because no other entry is live"}
+	KeysWithoutPlace = Event{Number: 3013, Level: log.WarnLevel, Text: "no keys issued, because no data centre serves the pool"}
+	HomeUnreachable  = Event{Number: 3015, Level: log.DebugLevel, Text: "home not reached; its backup is asked"}
 )
--- a/azurepointd/internal/home/home.go
+++ b/azurepointd/internal/home/home.go
@@ -33,6 +33,8 @@
 type Home struct {
 	Peers     Peers
 	Endpoints Endpoints
+	// Fleet may be nil; then a grant is used whatever became of its instance.
+	Fleet Fleet
 	// ClockError is a setting; zero means DefaultClockError.
 	ClockError time.Duration
 	// SingleCopy keeps claims at the home alone: no backup is asked, and every
--- a/azurepointd/internal/home/needs.go
+++ b/azurepointd/internal/home/needs.go
@@ -6,6 +6,7 @@
 
 	"github.com/azurepoint/azurepoint/api/peerrpc"
 	"github.com/azurepoint/azurepoint/azurepointd/internal/endpoint"
+	"github.com/azurepoint/azurepoint/coordination/fleet"
 	"github.com/azurepoint/azurepoint/coordination/membership"
 )
 
@@ -18,6 +19,12 @@
 	Dial(name string, incarnation int64) (peer peerrpc.Peer, err error)
 }
 
+// Fleet is the configuration in force at this entry.
+type Fleet interface {
+	// State returns a state that is never modified.
+	State() *fleet.State
+}
+
 // Endpoints runs and settles tasks; *endpoint.Client implements it.
 type Endpoints interface {
 	TaskID(ctx context.Context, address, base string) (id string, err error)
--- a/azurepointd/internal/home/run.go
+++ b/azurepointd/internal/home/run.go
@@ -130,6 +130,9 @@
 	if !r.send(a) {
 		return endpoint.Result{Kind: endpoint.NotStarted, Reason: "not sent"}, false
 	}
+	if reason := h.whyNotSend(g); reason != "" {
+		return endpoint.Result{Kind: endpoint.NotStarted, Reason: reason}, true
+	}
 	begun := time.Now()
 	if !begun.Add(h.clockError()).Before(g.until) {
 		return endpoint.Result{Kind: endpoint.NotStarted, Reason: "the grant ended before the task was sent"}, true
@@ -148,6 +151,26 @@
 	return result, true
 }
 
+// whyNotSend returns why the instance of a grant may get no task of the pool by
+// the version in force here. The dispatcher may have given the grant at an earlier
+// version, before the instance began to drain or to move.
+func (h *Home) whyNotSend(g *grant) (reason string) {
+	if h.Fleet == nil {
+		return ""
+	}
+	s := h.Fleet.State()
+	i, known := s.Instances[g.endpoint]
+	switch {
+	case !known:
+		return fmt.Sprintf("instance %q is not in version %d", g.endpoint, s.Version)
+	case !i.Available():
+		return fmt.Sprintf("instance %q is no longer serving at version %d", g.endpoint, s.Version)
+	case i.Pool != g.pool && !s.Pools[i.Pool].Spare:
+		return fmt.Sprintf("instance %q is in pool %q at version %d", g.endpoint, i.Pool, s.Version)
+	}
+	return ""
+}
+
 // taskID names the fence that the dispatcher saw. The fence of a later status
 // could be that of another pool, to which the instance has moved since.
 func (h *Home) taskID(ctx context.Context, g *grant) (id string, err error) {
--- /dev/null
+++ b/coordination/event/doc.go
@@ -0,0 +1,2 @@
+// Package event writes numbered log events.
+package event
--- /dev/null
+++ b/coordination/schedule/endpoint.go
@@ -0,0 +1,115 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+)
+
+// Capacity is the room of an endpoint, or the room that a task takes.
+type Capacity struct {
+	// CPU is in thousandths of a core.
+	CPU      int
+	MemoryMB int
+	GPU      int
+}
+
+func (c Capacity) plus(o Capacity) Capacity {
+	return Capacity{c.CPU + o.CPU, c.MemoryMB + o.MemoryMB, c.GPU + o.GPU}
+}
+
+func (c Capacity) minus(o Capacity) Capacity {
+	return Capacity{c.CPU - o.CPU, c.MemoryMB - o.MemoryMB, c.GPU - o.GPU}
+}
+
+// holds tells whether o fits into c.
+func (c Capacity) holds(o Capacity) bool {
+	return o.CPU <= c.CPU && o.MemoryMB <= c.MemoryMB && o.GPU <= c.GPU
+}
+
+// Endpoint is what the list of endpoints says of one lifetime of an endpoint.
+type Endpoint struct {
+	ID         string
+	Pool       string
+	Address    string
+	DataCentre string
+	Rack       string
+	Labels     []string
+	Capacity   Capacity
+	Draining   bool
+	// Instance is the instance of which the endpoint is one lifetime.
+	Instance string
+}
+
+// endpoint is an endpoint with what the scheduler knows of it.
+type endpoint struct {
+	Endpoint
+
+	listed bool
+	// seen is set once the endpoint has answered this owner.
+	seen bool
+	// silentSince is the time of the first unanswered call since the last answer.
+	silentSince time.Time
+	// leaseUntil is when every lease that may have been granted has lapsed.
+	leaseUntil time.Time
+	// born identifies the lifetime of the endpoint's process.
+	born int64
+	// applied is the highest number of an end that was applied.
+	applied int64
+	// acknowledged is the highest number whose effect is stored.
+	acknowledged int64
+	// unstored are the applied ends whose effect is not known to be stored.
+	unstored []appliedEnd
+
+	runs map[string]*run
+	used Capacity
+
+	// failures counts failed runs since the last success.
+	failures int
+	// avoidUntil keeps new work away after failures.
+	avoidUntil time.Time
+	// reserved keeps new work away before planned upkeep or a move.
+	reserved bool
+	// seenRunning is the number of tasks in the last report.
+	seenRunning int
+	// unknownRuns are listed runs of unknown size, with their numbers; they are
+	// stopped, and the endpoint gets no work until they are gone.
+	unknownRuns map[string]int
+}
+
+// appliedEnd is an end that waits until its job's record is stored.
+type appliedEnd struct {
+	number  int64
+	job     *jobState
+	version int
+}
+
+// silent tells whether the endpoint has left calls unanswered.
+func (e *endpoint) silent() bool {
+	return !e.silentSince.IsZero()
+}
+
+// usable tells whether new tasks may be started.
+func (e *endpoint) usable() bool {
+	return e.listed && e.seen && !e.Draining && !e.reserved && !e.silent() && len(e.unknownRuns) == 0
+}
+
+func (e *endpoint) free() Capacity {
+	return e.Capacity.minus(e.used)
+}
+
+func (e *endpoint) hasLabel(label string) bool {
+	return label == "" || slices.Contains(e.Labels, label)
+}
+
+// advanceAcknowledged moves the acknowledged number over all ends whose effect is
+// stored, in order.
+func (e *endpoint) advanceAcknowledged() {
+	for len(e.unstored) > 0 {
+		first := e.unstored[0]
+		if first.job != nil && first.job.stored < first.version {
+			return
+		}
+		e.acknowledged = first.number
+		e.unstored = e.unstored[1:]
+	}
+}
--- /dev/null
+++ b/coordination/schedule/plan.go
@@ -0,0 +1,313 @@
+package schedule
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/azurepoint/azurepoint/coordination/job"
+)
+
+// fullPace is the pace of a run that nothing slows down, in percent.
+const fullPace = 100
+
+// Classes of a job by its objective.
+const (
+	onTime = iota
+	late
+	hopeless
+)
+
+// lateFactor times the objective is when a job is too late to matter.
+const lateFactor = 3
+
+// queueDepth bounds the jobs of a pool that one plan looks at, so that a long
+// backlog does not make each plan slow.
+const queueDepth = 400
+
+// Plan returns the orders to send now. Wall is the platform's time of day, by
+// which timed jobs are due.
+func (s *Scheduler) Plan(now, wall time.Time) (orders []Order) {
+	s.init()
+	orders = s.stops(now)
+	for _, pool := range slices.Sorted(maps.Keys(s.active)) {
+		orders = append(orders, s.planPool(pool, now, wall)...)
+	}
+	return orders
+}
+
+// planPool starts tasks of a pool's jobs, the most valuable jobs first.
+func (s *Scheduler) planPool(pool string, now, wall time.Time) (orders []Order) {
+	jobs := s.active[pool]
+	if len(jobs) == 0 {
+		return nil
+	}
+	candidates, settled := s.candidates(pool, now)
+	if len(candidates) == 0 {
+		return nil
+	}
+	for _, j := range s.sortJobs(jobs, now) {
+		if j.inherited && !settled {
+			continue
+		}
+		orders = append(orders, s.planJob(j, candidates, now, wall)...)
+	}
+	return orders
+}
+
+// candidates returns the endpoints that take new work, and whether no other
+// endpoint of the pool can still run tasks of an earlier owner.
+func (s *Scheduler) candidates(pool string, now time.Time) (usable []*endpoint, settled bool) {
+	settled = true
+	for _, id := range slices.Sorted(maps.Keys(s.endpoints)) {
+		e := s.endpoints[id]
+		if e.Pool != pool {
+			continue
+		}
+		if !e.seen && now.Before(e.leaseUntil) {
+			settled = false
+		}
+		if e.usable() && !now.Before(e.avoidUntil) {
+			usable = append(usable, e)
+		}
+	}
+	return usable, settled
+}
+
+// sortJobs orders jobs by priority, then those that can meet their objective by
+// the work that is left, so that the most jobs meet it; late ones follow.
+func (s *Scheduler) sortJobs(jobs map[string]*jobState, now time.Time) (sorted []*jobState) {
+	for _, j := range jobs {
+		s.rank(j, now)
+		sorted = append(sorted, j)
+	}
+	slices.SortFunc(sorted, func(a, b *jobState) int {
+		return cmp.Or(
+			cmp.Compare(a.late, b.late),
+			cmp.Compare(a.Priority, b.Priority),
+			cmp.Compare(a.order, b.order),
+			a.acceptedAt.Compare(b.acceptedAt),
+			cmp.Compare(a.ID, b.ID),
+		)
+	})
+	if len(sorted) > queueDepth {
+		sorted = sorted[:queueDepth]
+	}
+	return sorted
+}
+
+// rank computes a job's place in its queue.
+func (s *Scheduler) rank(j *jobState, now time.Time) {
+	if j.lasting() {
+		j.late, j.order = onTime, -1
+		return
+	}
+	var work, chain, whole float64
+	for _, o := range j.occurrences {
+		for _, st := range o.steps {
+			took := s.expected(j, st.step)
+			whole += took
+			if !st.complete() {
+				chain += took
+				work += took * float64(max(st.step.CPU, 1)) * float64(len(st.tasks)-st.done)
+			}
+		}
+	}
+	objective := j.Stretch*whole + float64(j.TargetMillis)
+	age := float64(now.Sub(j.acceptedAt).Milliseconds())
+	switch {
+	case age+chain <= objective:
+		j.late = onTime
+	case age+chain <= lateFactor*objective:
+		j.late = late
+	default:
+		j.late = hopeless
+	}
+	j.order = work
+}
+
+// expected returns how long a task of the step is expected to take, in
+// milliseconds: what was learned of its queue, else what was declared.
+func (s *Scheduler) expected(j *jobState, st *job.Step) float64 {
+	if d := s.learned[j.Queue]; d != nil {
+		return d.mean
+	}
+	return float64(max(st.EstimateMillis, 1))
+}
+
+// lasting tells whether the job runs until it is cancelled.
+func (j *jobState) lasting() bool {
+	return len(j.Steps) > 0 && j.Steps[0].LongRunning
+}
+
+// planJob starts the job's tasks whose turn has come.
+func (s *Scheduler) planJob(j *jobState, candidates []*endpoint, now, wall time.Time) (orders []Order) {
+	for _, o := range j.occurrences {
+		if o.due > 0 && wall.UnixMilli() < o.due {
+			break
+		}
+		for _, st := range o.steps {
+			if st.complete() || !o.ready(st) {
+				continue
+			}
+			if st.step.Gang {
+				orders = append(orders, s.planGang(st, candidates, now)...)
+				continue
+			}
+			orders = append(orders, s.planStep(st, candidates, now)...)
+		}
+	}
+	return orders
+}
+
+func (s *Scheduler) planStep(st *stepState, candidates []*endpoint, now time.Time) (orders []Order) {
+	for _, t := range st.tasks {
+		if t.done || now.Before(t.notBefore) || !t.wantsRun() {
+			continue
+		}
+		e := s.choose(st, t, candidates, nil)
+		if e == nil {
+			// The other tasks of the step are of the same size.
+			break
+		}
+		orders = append(orders, s.start(t, e, s.nextRun(t), now))
+	}
+	return orders
+}
+
+// wantsRun tells whether a new run of the task may start. A step that allows
+// duplicates gets a copy when its runs are on endpoints that do not answer.
+func (t *task) wantsRun() bool {
+	if len(t.runs) == 0 {
+		return true
+	}
+	if !t.step.AllowDuplicates || len(t.runs) >= maxCopies {
+		return false
+	}
+	for _, r := range t.runs {
+		if !r.endpoint.silent() && !r.stopWanted && r.state != uncertain {
+			return false
+		}
+	}
+	return true
+}
+
+// maxCopies bounds the runs of a task at the same time.
+const maxCopies = 2
+
+// planGang starts all tasks of a gang, or none.
+func (s *Scheduler) planGang(st *stepState, candidates []*endpoint, now time.Time) (orders []Order) {
+	number := max(st.gangRun, s.Settings.FirstRun)
+	for _, t := range st.tasks {
+		if len(t.runs) > 0 || now.Before(t.notBefore) {
+			return nil
+		}
+		number = max(number, t.lastRun)
+	}
+	taken := make(map[*endpoint]gangShare)
+	chosen := make([]*endpoint, len(st.tasks))
+	for i, t := range st.tasks {
+		e := s.choose(st, t, candidates, taken)
+		if e == nil {
+			return nil
+		}
+		chosen[i] = e
+		share := taken[e]
+		share.tasks++
+		share.room = share.room.plus(size(st.step))
+		taken[e] = share
+	}
+	st.gangRun = number + 1
+	checkpoint := ""
+	for _, t := range st.tasks {
+		if t.checkpoint != "" {
+			checkpoint = t.checkpoint
+		}
+	}
+	for i, t := range st.tasks {
+		t.checkpoint = checkpoint
+		orders = append(orders, s.start(t, chosen[i], st.gangRun, now))
+	}
+	return orders
+}
+
+// gangShare is what a gang that is being placed takes of an endpoint.
+type gangShare struct {
+	tasks int
+	room  Capacity
+}
+
+// choose returns the endpoint on which a task should run, or nil.
+func (s *Scheduler) choose(st *stepState, t *task, candidates []*endpoint, taken map[*endpoint]gangShare) (best *endpoint) {
+	need := size(st.step)
+	bestScore := 0.0
+	rack := st.rack()
+	for _, e := range candidates {
+		if !e.hasLabel(st.step.Requires) || !e.free().minus(taken[e].room).holds(need) || e.runs[t.name] != nil {
+			continue
+		}
+		if a := st.step.AntiAffinity; a > 0 && e.count(st, t)+taken[e].tasks >= a {
+			continue
+		}
+		score := s.score(st, t, e, rack)
+		if best == nil || score > bestScore {
+			best, bestScore = e, score
+		}
+	}
+	return best
+}
+
+// Weights of an endpoint's score; the room that is left counts at most 1.
+const (
+	// dataWeight outweighs room, as a task away from its data takes half as long
+	// again or more.
+	dataWeight = 4
+	// avoidWeight outweighs all, as a second failure on a bad endpoint can fail the
+	// job.
+	avoidWeight = 16
+	// suspectWeight prefers endpoints whose last run did not fail.
+	suspectWeight = 2
+)
+
+// score rates an endpoint for a task.
+func (s *Scheduler) score(st *stepState, t *task, e *endpoint, rack string) (score float64) {
+	free := e.free()
+	score = float64(free.CPU) / float64(max(e.Capacity.CPU, 1))
+	if st.step.DataRack != "" && e.Rack == st.step.DataRack {
+		score += dataWeight
+	}
+	if st.step.SameRack && rack != "" && e.Rack == rack {
+		score += dataWeight
+	}
+	if slices.Contains(t.avoid, e.ID) {
+		score -= avoidWeight
+	}
+	if e.failures > 0 {
+		score -= suspectWeight
+	}
+	return score
+}
+
+// rack returns the rack of the step's first run, or an empty name.
+func (s *stepState) rack() string {
+	if !s.step.SameRack {
+		return ""
+	}
+	for _, t := range s.tasks {
+		for _, r := range t.runs {
+			return r.endpoint.Rack
+		}
+	}
+	return ""
+}
+
+// count returns how many tasks of the step, other than t, run on the endpoint.
+func (e *endpoint) count(st *stepState, t *task) (tasks int) {
+	for _, o := range st.tasks {
+		if o != t && e.runs[o.name] != nil {
+			tasks++
+		}
+	}
+	return tasks
+}
--- /dev/null
+++ b/entry/event/writer.go
@@ -0,0 +1,83 @@
+package event
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	jsonhandler "github.com/apex/log/handlers/json"
+)
+
+// Bounds of the log.
+const (
+	// bufferedLines is how many lines wait for a slow reader of the output.
+	bufferedLines = 1024
+	// droppedReport is how often the number of dropped lines is told.
+	droppedReport = 10 * time.Second
+)
+
+// Writer passes log lines to an output without ever blocking; lines that find the
+// buffer full are counted and dropped.
+type Writer struct {
+	output  io.Writer
+	lines   chan []byte
+	dropped atomic.Int64
+}
+
+// NewWriter returns a writer to an output and makes it the log's handler.
+func NewWriter(output io.Writer) (w *Writer) {
+	w = &Writer{output: output, lines: make(chan []byte, bufferedLines)}
+	log.SetHandler(jsonhandler.New(w))
+	return w
+}
+
+// Write queues a line.
+func (w *Writer) Write(line []byte) (n int, err error) {
+	select {
+	case w.lines <- append([]byte(nil), line...):
+	default:
+		w.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Run writes lines until the context ends, then those that wait.
+func (w *Writer) Run(ctx context.Context) <-chan error {
+	ended := make(chan error, 1)
+	go func() { ended <- w.run(ctx) }()
+	return ended
+}
+
+func (w *Writer) run(ctx context.Context) (err error) {
+	report := time.NewTicker(droppedReport)
+	defer report.Stop()
+	for {
+		select {
+		case line := <-w.lines:
+			if _, err = w.output.Write(line); err != nil {
+				return err
+			}
+		case <-report.C:
+			if n := w.dropped.Swap(0); n > 0 {
+				LogDropped.Log(log.Fields{"lines": n})
+			}
+		case <-ctx.Done():
+			return w.drain()
+		}
+	}
+}
+
+func (w *Writer) drain() (err error) {
+	for {
+		select {
+		case line := <-w.lines:
+			if _, err = w.output.Write(line); err != nil {
+				return err
+			}
+		default:
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/entry/manager/list.go
@@ -0,0 +1,161 @@
+package manager
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/go-faster/errors"
+
+	"github.com/azurepoint/azurepoint/coordination/schedule"
+	"github.com/azurepoint/azurepoint/entry/event"
+	"github.com/azurepoint/azurepoint/entry/store"
+)
+
+// list takes a new list of endpoints over. Known endpoints change at once; new
+// ones get work after their names are stored, so that a later owner knows where
+// tasks may run.
+func (m *Manager) list(listed []schedule.Endpoint) {
+	m.mu.Lock()
+	m.newest = listed
+	m.applyList(listed)
+	m.mu.Unlock()
+	select {
+	case m.listed <- struct{}{}:
+	default:
+	}
+	m.kick()
+}
+
+// applyList passes the recorded endpoints of a list to the scheduler.
+func (m *Manager) applyList(listed []schedule.Endpoint) {
+	now := time.Now()
+	recorded := make([]schedule.Endpoint, 0, len(listed))
+	present := make(map[string]bool, len(listed))
+	for _, l := range listed {
+		present[l.ID] = true
+		delete(m.unlisted, l.ID)
+		if _, known := m.recorded[l.ID]; known {
+			recorded = append(recorded, l)
+		}
+	}
+	for _, s := range m.scheduler.Endpoints() {
+		if _, known := m.unlisted[s.ID]; !known && !present[s.ID] {
+			m.unlisted[s.ID] = now
+			event.EndpointGone.Log(log.Fields{"endpoint": s.ID, "pool": s.Pool, "runs": s.Runs})
+		}
+	}
+	m.scheduler.List(recorded, now)
+	m.holdersDue = true
+}
+
+// pruneUnlisted forgets when endpoints left the list once they are unknown.
+func (m *Manager) pruneUnlisted(time.Time) {
+	for id := range m.unlisted {
+		if _, known := m.scheduler.Endpoint(id); !known {
+			delete(m.unlisted, id)
+		}
+	}
+}
+
+// runList stores the names of new endpoints.
+func (m *Manager) runList(ctx context.Context) <-chan error {
+	ended := make(chan error, 1)
+	go func() {
+		for ctx.Err() == nil {
+			select {
+			case <-ctx.Done():
+			case <-m.listed:
+				m.recordList(ctx)
+			}
+		}
+		ended <- nil
+	}()
+	return ended
+}
+
+// recordList stores the newest list if it has endpoints that are not stored, and
+// tries again until it is stored.
+func (m *Manager) recordList(ctx context.Context) {
+	for failures := 0; ctx.Err() == nil; failures++ {
+		known, changed := m.knownEndpoints()
+		if !changed {
+			return
+		}
+		err := m.storeEndpoints(ctx, known)
+		if err == nil {
+			return
+		}
+		event.RecordFailed.Log(log.Fields{"key": endpointsKey, "error": err.Error()})
+		pause(ctx, min(firstCommitRetry<<min(failures, 6), longestCommitRetry))
+	}
+}
+
+// knownEndpoints returns the endpoints on which tasks may run from now on, and
+// whether one of them is not stored.
+func (m *Manager) knownEndpoints() (known []schedule.Endpoint, changed bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	present := make(map[string]bool)
+	for _, l := range m.newest {
+		present[l.ID] = true
+		known = append(known, l)
+		if _, recorded := m.recorded[l.ID]; !recorded {
+			changed = true
+			event.EndpointListed.Log(log.Fields{"endpoint": l.ID, "pool": l.Pool, "dataCentre": l.DataCentre, "rack": l.Rack, "address": l.Address})
+		}
+	}
+	for _, s := range m.scheduler.Endpoints() {
+		if !present[s.ID] {
+			known = append(known, s.Endpoint)
+		}
+	}
+	return known, changed
+}
+
+// errEndpointsNotStored means that the record has to be written again.
+var errEndpointsNotStored = errors.New("manager: endpoints are not stored")
+
+func (m *Manager) storeEndpoints(ctx context.Context, known []schedule.Endpoint) (err error) {
+	value, err := json.Marshal(known)
+	if err != nil {
+		return errors.Wrap(err, "encode endpoints")
+	}
+	m.mu.Lock()
+	revision := m.endpointsRevision
+	m.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	committed, err := m.Store.Commit(ctx, store.Transaction{
+		Conditions: []store.Condition{m.Term.Owner, {Key: endpointsKey, Revision: revision}},
+		Puts:       []store.Put{{Key: endpointsKey, Value: value}},
+	})
+	stored, found := store.Item{}, false
+	var conflict *store.ConflictError
+	switch {
+	case errors.As(err, &conflict) && conflict.Current[m.Term.Owner.Key].Revision != m.Term.Owner.Revision:
+		m.lose()
+		return err
+	case errors.As(err, &conflict):
+		stored = conflict.Current[endpointsKey]
+		found = string(stored.Value) == string(value)
+	case err == nil:
+		stored, found = store.Item{Revision: committed}, true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if stored.Revision > 0 {
+		m.endpointsRevision = stored.Revision
+	}
+	if !found {
+		return errEndpointsNotStored
+	}
+	clear(m.recorded)
+	for _, e := range known {
+		m.recorded[e.ID] = e
+	}
+	m.applyList(m.newest)
+	m.kick()
+	return nil
+}
--- /dev/null
+++ b/entry/manager/register.go
@@ -0,0 +1,306 @@
+package manager
+
+import (
+	"bytes"
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/go-faster/errors"
+
+	"github.com/azurepoint/azurepoint/coordination/job"
+	"github.com/azurepoint/azurepoint/entry/event"
+	"github.com/azurepoint/azurepoint/entry/store"
+)
+
+// Bounds of writing records.
+const (
+	// commitTimeout bounds one transaction; a slow store answers within 300 ms.
+	commitTimeout = time.Second
+	// gatherWrites lets records that change close together share a transaction.
+	gatherWrites = 4 * time.Millisecond
+	// writesPerCommit fills a transaction: a condition and a put each, and the
+	// condition on the owner.
+	writesPerCommit = (store.MaxEntries - 1) / 2
+	// firstCommitRetry and longestCommitRetry bound the delay after a failure.
+	firstCommitRetry   = 30 * time.Millisecond
+	longestCommitRetry = 300 * time.Millisecond
+)
+
+// Outcome is what became of a submitted job.
+type Outcome int
+
+// Outcomes of a submission.
+const (
+	// NotOwner means that this entry has done nothing.
+	NotOwner Outcome = iota
+	// Accepted means that the job is stored.
+	Accepted
+	// Refused means that the job is not stored and never runs.
+	Refused
+	// Unsettled means that the job may be stored.
+	Unsettled
+)
+
+// write is one record on its way to the store. Its value stays the same until it
+// is known whether it was stored.
+type write struct {
+	id      string
+	value   []byte
+	state   job.State
+	version int
+	// creation is set for a new job.
+	creation *creation
+	// uncertain is set once a transaction with the write got no answer.
+	uncertain bool
+}
+
+// creation is a new job whose submitters wait for its outcome.
+type creation struct {
+	record  job.Record
+	until   time.Time
+	outcome Outcome
+	done    chan struct{}
+}
+
+// register writes the records of an owner, one transaction at a time, under the
+// condition that the owner's key has not changed.
+type register struct {
+	store store.Store
+	owner store.Condition
+	// due returns the records of known jobs that have to be written.
+	due func(limit int) []*write
+	// stored and failed tell what became of them.
+	stored func(w *write)
+	failed func(w *write)
+	// created and existing tell of jobs that are now in the store.
+	created  func(r job.Record)
+	existing func(item store.Item)
+	lost     func()
+
+	mu        sync.Mutex
+	creations map[string]*creation
+	queue     []*write
+	// adopted are records whose revisions are to be taken over by write.
+	adopted []store.Item
+
+	revisions map[string]int64
+	wake      chan struct{}
+}
+
+func (g *register) kick() {
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
+}
+
+// create queues a new job, or joins the one of the same identifier.
+func (g *register) create(r job.Record, until time.Time) (c *creation, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c, waiting := g.creations[r.ID]; waiting {
+		return c, nil
+	}
+	value, err := r.Encode()
+	if err != nil {
+		return nil, err
+	}
+	c = &creation{record: r, until: until, done: make(chan struct{})}
+	g.creations[r.ID] = c
+	g.queue = append(g.queue, &write{id: r.ID, value: value, state: r.State, creation: c})
+	g.kick()
+	return c, nil
+}
+
+func (g *register) run(ctx context.Context) <-chan error {
+	ended := make(chan error, 1)
+	go func() {
+		g.write(ctx)
+		g.abandon()
+		ended <- nil
+	}()
+	return ended
+}
+
+// write commits what is due until the context ends.
+func (g *register) write(ctx context.Context) {
+	var batch []*write
+	failures := 0
+	tick := time.NewTicker(recordDelay / 4)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		if len(batch) == 0 {
+			select {
+			case <-ctx.Done():
+			case <-tick.C:
+			case <-g.wake:
+				pause(ctx, gatherWrites)
+			}
+		}
+		batch = g.fill(batch)
+		if len(batch) == 0 {
+			continue
+		}
+		before := len(batch)
+		batch = g.commit(ctx, batch)
+		if len(batch) < before {
+			failures = 0
+			continue
+		}
+		failures++
+		pause(ctx, min(firstCommitRetry<<min(failures-1, 6), longestCommitRetry))
+	}
+}
+
+// fill adds waiting writes to a batch; new jobs and final states come first.
+func (g *register) fill(batch []*write) []*write {
+	g.mu.Lock()
+	n := min(writesPerCommit-len(batch), len(g.queue))
+	batch = append(batch, g.queue[:n]...)
+	g.queue = g.queue[n:]
+	for _, i := range g.adopted {
+		g.revisions[i.Key] = max(g.revisions[i.Key], i.Revision)
+	}
+	g.adopted = nil
+	g.mu.Unlock()
+	if room := writesPerCommit - len(batch); room > 0 {
+		batch = append(batch, g.due(room)...)
+	}
+	return g.expire(batch)
+}
+
+// expire gives up on new jobs whose submitters wait no longer.
+func (g *register) expire(batch []*write) (kept []*write) {
+	now := time.Now()
+	for _, w := range batch {
+		if w.creation == nil || now.Before(w.creation.until) {
+			kept = append(kept, w)
+			continue
+		}
+		outcome := Refused
+		if w.uncertain {
+			outcome = Unsettled
+		}
+		g.settle(w, outcome)
+	}
+	return kept
+}
+
+// commit sends the batch as one transaction and returns the writes that are left.
+func (g *register) commit(ctx context.Context, batch []*write) (left []*write) {
+	t := store.Transaction{Conditions: []store.Condition{g.owner}}
+	for _, w := range batch {
+		key := JobKey(w.id)
+		t.Conditions = append(t.Conditions, store.Condition{Key: key, Revision: g.revisions[key]})
+		t.Puts = append(t.Puts, store.Put{Key: key, Value: w.value})
+	}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	revision, err := g.store.Commit(ctx, t)
+	var conflict *store.ConflictError
+	switch {
+	case err == nil:
+		for _, w := range batch {
+			g.succeed(w, revision)
+		}
+		return nil
+	case errors.As(err, &conflict):
+		return g.resolve(batch, conflict.Current)
+	case !errors.Is(err, store.ErrNotDone):
+		for _, w := range batch {
+			w.uncertain = true
+		}
+	}
+	event.RecordFailed.Log(log.Fields{"records": len(batch), "error": err.Error()})
+	return batch
+}
+
+// resolve settles a batch by what the store has, after a condition did not hold.
+func (g *register) resolve(batch []*write, current map[string]store.Item) (left []*write) {
+	if current[g.owner.Key].Revision != g.owner.Revision {
+		for _, w := range batch {
+			g.giveUp(w)
+		}
+		g.lost()
+		return nil
+	}
+	for _, w := range batch {
+		key := JobKey(w.id)
+		item := current[key]
+		switch {
+		case item.Revision == g.revisions[key]:
+			left = append(left, w)
+		case bytes.Equal(item.Value, w.value):
+			g.succeed(w, item.Revision)
+		case w.creation != nil:
+			g.revisions[key] = item.Revision
+			g.existing(item)
+			g.settle(w, Accepted)
+		default:
+			// An answer to an earlier version of this record was lost.
+			g.revisions[key] = item.Revision
+			left = append(left, w)
+		}
+	}
+	return left
+}
+
+func (g *register) succeed(w *write, revision int64) {
+	g.revisions[JobKey(w.id)] = revision
+	if w.creation == nil {
+		g.stored(w)
+		return
+	}
+	g.created(w.creation.record)
+	g.settle(w, Accepted)
+}
+
+// giveUp ends a write of an owner that is superseded.
+func (g *register) giveUp(w *write) {
+	switch {
+	case w.creation == nil:
+		g.failed(w)
+	case w.uncertain:
+		g.settle(w, Unsettled)
+	default:
+		g.settle(w, NotOwner)
+	}
+}
+
+func (g *register) settle(w *write, outcome Outcome) {
+	g.mu.Lock()
+	delete(g.creations, w.id)
+	g.mu.Unlock()
+	w.creation.outcome = outcome
+	close(w.creation.done)
+}
+
+// abandon tells all submitters that wait that the outcome is open.
+func (g *register) abandon() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for id, c := range g.creations {
+		delete(g.creations, id)
+		c.outcome = Unsettled
+		close(c.done)
+	}
+	g.queue = nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// adopt makes the revision of a record known that another entry has written.
+func (g *register) adopt(item store.Item) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.adopted = append(g.adopted, item)
+}
--- /dev/null
+++ b/entry/manager/settings.go
@@ -0,0 +1,78 @@
+package manager
+
+import (
+	"time"
+
+	"github.com/azurepoint/azurepoint/coordination/schedule"
+)
+
+// Settings of a manager that depend on the platform.
+type Settings struct {
+	// LongestLease is the longest lease that endpoints grant.
+	LongestLease time.Duration
+	// RemoteFactor is how much longer a task takes away from its data.
+	RemoteFactor float64
+	// NoticePeriod is how long a task must be back before another of its step may
+	// be taken away.
+	NoticePeriod time.Duration
+	// PaceDelay is how long an endpoint takes to apply a pace.
+	PaceDelay time.Duration
+	// StateKept is how long a final state can be asked for.
+	StateKept time.Duration
+	// OrderLease is how long the platform needs to see one holder of a duty before
+	// another takes its turn.
+	OrderLease time.Duration
+	// MoveTime and UpkeepTime are how long an instance is away.
+	MoveTime, UpkeepTime time.Duration
+}
+
+// Times of leases and calls.
+const (
+	// lease is how long an endpoint goes on without a renewal: the time to notice a
+	// lost owner (2 s) and to take over, with a second to spare, and short enough
+	// that the tasks of a lost endpoint restart within their late objective.
+	lease = 4 * time.Second
+	// holdWait is how long one look waits for an end, a quarter of the lease.
+	holdWait = time.Second
+	// holdTimeout is added to the wait before a look counts as unanswered.
+	holdTimeout = 700 * time.Millisecond
+	// lookTimeout bounds a look at an endpoint that did not answer the last one.
+	lookTimeout = 600 * time.Millisecond
+	// gatherEnds lets ends that come close together share a look.
+	gatherEnds = 15 * time.Millisecond
+	// orderTimeout bounds an order.
+	orderTimeout = 700 * time.Millisecond
+	// startWithin is how late an endpoint may carry out a start.
+	startWithin = 2 * time.Second
+	// slowClock is the ratio of a duration here to one on an endpoint's clock, which
+	// may be 2% slow, and a little more for rounding.
+	slowClock = 1.025
+	// unlistedGrace is how long an endpoint that answers is kept after its entry is
+	// gone; entries that lapsed with the store are back within 2 s.
+	unlistedGrace = 3 * time.Second
+	// recordDelay is how long the record of a job that goes on may wait to be
+	// stored, well below the 4 s in which ends have to be acknowledged.
+	recordDelay = time.Second
+	// planInterval is the longest time between two plans.
+	planInterval = 100 * time.Millisecond
+	// planSpacing is the shortest time between two plans.
+	planSpacing = 4 * time.Millisecond
+	// runsPerTerm separates the run numbers of successive owners; it is above the
+	// runs that an owner can start of a task without storing an end of it.
+	runsPerTerm = 64
+)
+
+// schedulerSettings returns the settings of the scheduler of an owner's term.
+func (s Settings) scheduler(number int, authority time.Duration) schedule.Settings {
+	held := min(lease, s.LongestLease)
+	return schedule.Settings{
+		Lease:          held,
+		InheritedLease: authority + time.Duration(float64(held)*slowClock) + time.Second/2,
+		StartWithin:    startWithin,
+		SlowClock:      slowClock,
+		FirstRun:       (number - 1) * runsPerTerm,
+		RemoteFactor:   s.RemoteFactor,
+		NoticePeriod:   s.NoticePeriod,
+		PaceDelay:      s.PaceDelay,
+	}
+}
--- /dev/null
+++ b/entry/node/front.go
@@ -0,0 +1,284 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/go-faster/errors"
+
+	"github.com/azurepoint/azurepoint/coordination/job"
+	"github.com/azurepoint/azurepoint/entry/event"
+	"github.com/azurepoint/azurepoint/entry/manager"
+	"github.com/azurepoint/azurepoint/entry/queue"
+	"github.com/azurepoint/azurepoint/entry/store"
+)
+
+// Times of a caller's request.
+const (
+	// peerTimeout bounds a question to the owner; a slow store answers within
+	// 300 ms.
+	peerTimeout = time.Second
+	// stateTimeout bounds a question about a state, which the owner answers from
+	// memory.
+	stateTimeout = 400 * time.Millisecond
+	// ownerWait is how long a new owner is awaited before a job is stored without
+	// one.
+	ownerWait = 400 * time.Millisecond
+	// ownerPoll separates looks at who the owner is.
+	ownerPoll = 30 * time.Millisecond
+	// answerMargin is left of the caller's deadline for the way back.
+	answerMargin = 150 * time.Millisecond
+	// storeTimeout bounds a direct call to the store.
+	storeTimeout = 600 * time.Millisecond
+	// comeBack is when a caller may ask again after a job was not stored.
+	comeBack = time.Second
+)
+
+// Find returns the queue of a request; configured is false while no configuration
+// is known.
+func (n *Node) Find(host, path string) (q queue.Queue, found, configured bool) {
+	c := n.configuration.Load()
+	if c == nil {
+		return queue.Queue{}, false, false
+	}
+	q, found = c.Find(host, path)
+	return q, found, true
+}
+
+// Submit stores a job, through the owner or, if none answers, without it.
+func (n *Node) Submit(ctx context.Context, j job.Job, until time.Time) (r manager.Reply) {
+	until = until.Add(-answerMargin)
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	giveUp := time.Now().Add(ownerWait)
+	uncertain := false
+	for ctx.Err() == nil && time.Now().Before(giveUp) {
+		r, err := n.submitToOwner(ctx, j, until)
+		if err == nil && r.Outcome != manager.NotOwner {
+			if r.Outcome == manager.Refused && uncertain {
+				r.Outcome = manager.Unsettled
+			}
+			return n.logged(j, r, "owner")
+		}
+		if err != nil && !errors.Is(err, errNoOwner) {
+			// The call may have reached the owner.
+			uncertain = true
+		}
+		if r.Outcome == manager.Unsettled {
+			uncertain = true
+		}
+		pause(ctx, ownerPoll)
+	}
+	return n.logged(j, n.storeDirectly(ctx, j, uncertain), "store")
+}
+
+// logged writes the line of a submission that did not reach the store.
+func (n *Node) logged(j job.Job, r manager.Reply, by string) manager.Reply {
+	owner, _ := n.ownership.current()
+	fields := log.Fields{"job": j.ID, "queue": j.Queue, "by": by, "term": owner.Term, "reason": r.Reason}
+	switch r.Outcome {
+	case manager.Refused, manager.NotOwner:
+		event.JobRefused.Log(fields)
+	case manager.Unsettled:
+		event.JobUnsettled.Log(fields)
+	case manager.Accepted:
+		if by == "store" {
+			event.JobAccepted.Log(fields)
+		}
+	}
+	return r
+}
+
+func (n *Node) submitToOwner(ctx context.Context, j job.Job, until time.Time) (r manager.Reply, err error) {
+	if m := n.manager(); m != nil {
+		return m.Submit(ctx, j, until), nil
+	}
+	owner, found := n.ownership.current()
+	if !found || n.ownership.isSelf(owner) {
+		return manager.Reply{}, errNoOwner
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	r, err = n.Peers.Submit(ctx, owner.Address, j, until)
+	n.ownerLost.Store(err != nil)
+	return r, err
+}
+
+// storeDirectly stores a job for the next owner to find.
+func (n *Node) storeDirectly(ctx context.Context, j job.Job, uncertain bool) (r manager.Reply) {
+	record := job.Record{Job: j, State: job.Queued}
+	value, err := record.Encode()
+	if err != nil {
+		return manager.Reply{Outcome: manager.Refused, Reason: err.Error()}
+	}
+	t := store.Transaction{
+		Conditions: []store.Condition{{Key: manager.JobKey(j.ID)}},
+		Puts:       []store.Put{{Key: manager.JobKey(j.ID), Value: value}, {Key: manager.InboxPrefix + j.ID, Value: []byte(j.Pool)}},
+	}
+	for ctx.Err() == nil {
+		err = n.commit(ctx, t)
+		var conflict *store.ConflictError
+		switch {
+		case err == nil || errors.As(err, &conflict):
+			// A record that is there already is of the same job.
+			return manager.Reply{Outcome: manager.Accepted}
+		case !errors.Is(err, store.ErrNotDone):
+			uncertain = true
+		}
+		if n.storeLost.Load() && !uncertain {
+			break
+		}
+		pause(ctx, ownerPoll*2)
+	}
+	if uncertain {
+		return manager.Reply{Outcome: manager.Unsettled, Reason: "the store does not answer"}
+	}
+	return manager.Reply{Outcome: manager.Refused, RetryAfter: comeBack, Reason: "neither owner nor store can be reached"}
+}
+
+func (n *Node) commit(ctx context.Context, t store.Transaction) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	_, err = n.Store.Commit(ctx, t)
+	return err
+}
+
+// State returns the state of a job; known is false only if the owner or the store
+// says that there is no such job.
+func (n *Node) State(ctx context.Context, id string) (state job.State, known bool, err error) {
+	if state, known, err = n.askState(ctx, id); err == nil && known {
+		return state, true, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	item, found, err := n.Store.Get(ctx, manager.JobKey(id))
+	if err != nil {
+		event.StateUnknown.Log(log.Fields{"job": id, "error": err.Error()})
+		return "", false, err
+	}
+	if !found {
+		return "", false, nil
+	}
+	r, err := job.Decode(item.Value)
+	return r.State, err == nil, err
+}
+
+func (n *Node) askState(ctx context.Context, id string) (state job.State, known bool, err error) {
+	if m := n.manager(); m != nil {
+		state, known, owner := m.State(id)
+		if !owner {
+			return "", false, errNoOwner
+		}
+		return state, known, nil
+	}
+	owner, found := n.ownership.current()
+	if !found || n.ownership.isSelf(owner) {
+		return "", false, errNoOwner
+	}
+	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	state, known, isOwner, err := n.Peers.State(ctx, owner.Address, id)
+	n.ownerLost.Store(err != nil)
+	if err == nil && !isOwner {
+		err = errNoOwner
+	}
+	return state, known, err
+}
+
+// Cancel cancels a job, through the owner or, if none answers, by a mark for the
+// next one.
+func (n *Node) Cancel(ctx context.Context, id string) (known bool, err error) {
+	for range 2 {
+		known, err = n.askCancel(ctx, id)
+		if err == nil && known {
+			return true, nil
+		}
+		if err == nil {
+			break
+		}
+		pause(ctx, ownerPoll)
+	}
+	asked, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	_, found, err := n.Store.Get(asked, manager.JobKey(id))
+	if err != nil || !found {
+		return false, err
+	}
+	err = n.commit(ctx, store.Transaction{Puts: []store.Put{{Key: manager.CancelPrefix + id, Value: []byte(n.Name)}}})
+	if err == nil {
+		event.JobCancelled.Log(log.Fields{"job": id, "by": "store"})
+	}
+	return err == nil, err
+}
+
+func (n *Node) askCancel(ctx context.Context, id string) (known bool, err error) {
+	state, known, owner := job.State(""), false, false
+	if m := n.manager(); m != nil {
+		state, known, owner = m.Cancel(ctx, id)
+	} else {
+		record, found := n.ownership.current()
+		if !found || n.ownership.isSelf(record) {
+			return false, errNoOwner
+		}
+		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+		defer cancel()
+		state, known, owner, err = n.Peers.Cancel(ctx, record.Address, id)
+		n.ownerLost.Store(err != nil)
+	}
+	switch {
+	case err != nil:
+		return false, err
+	case !owner, known && !state.Terminal():
+		return false, errNoOwner
+	}
+	return known, nil
+}
+
+// Pending counts the jobs of a queue that have not begun; without an owner it is
+// the last known number.
+func (n *Node) Pending(ctx context.Context, queue string) (count int64, err error) {
+	count, err = n.askPending(ctx, queue)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if err == nil {
+		n.counts[queue] = count
+		return count, nil
+	}
+	last, known := n.counts[queue]
+	if known {
+		return last, nil
+	}
+	return 0, err
+}
+
+func (n *Node) askPending(ctx context.Context, queue string) (count int64, err error) {
+	if m := n.manager(); m != nil {
+		if pending, owner := m.Pending(queue); owner {
+			return int64(pending), nil
+		}
+		return 0, errNoOwner
+	}
+	owner, found := n.ownership.current()
+	if !found || n.ownership.isSelf(owner) {
+		return 0, errNoOwner
+	}
+	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	count, isOwner, err := n.Peers.Pending(ctx, owner.Address, queue)
+	n.ownerLost.Store(err != nil)
+	if err == nil && !isOwner {
+		err = errNoOwner
+	}
+	return count, err
+}
+
+// KnownPool tells whether the pool is configured.
+func (n *Node) KnownPool(name string) bool {
+	c := n.configuration.Load()
+	if c == nil {
+		return false
+	}
+	_, found := c.Pool(name)
+	return found
+}
--- /dev/null
+++ b/entry/node/owner.go
@@ -0,0 +1,46 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/azurepoint/azurepoint/coordination/job"
+	"github.com/azurepoint/azurepoint/entry/manager"
+)
+
+// AsOwner answers other entries while this entry owns the pools.
+type AsOwner struct {
+	Node *Node
+}
+
+// Submit stores a job.
+func (a AsOwner) Submit(ctx context.Context, j job.Job, until time.Time) (r manager.Reply) {
+	if m := a.Node.manager(); m != nil {
+		return m.Submit(ctx, j, until)
+	}
+	return manager.Reply{Outcome: manager.NotOwner}
+}
+
+// State returns the state of a job.
+func (a AsOwner) State(id string) (state job.State, known, owner bool) {
+	if m := a.Node.manager(); m != nil {
+		return m.State(id)
+	}
+	return "", false, false
+}
+
+// Cancel cancels a job.
+func (a AsOwner) Cancel(ctx context.Context, id string) (state job.State, known, owner bool) {
+	if m := a.Node.manager(); m != nil {
+		return m.Cancel(ctx, id)
+	}
+	return "", false, false
+}
+
+// Pending counts the jobs of a queue that have not begun.
+func (a AsOwner) Pending(queue string) (count int, owner bool) {
+	if m := a.Node.manager(); m != nil {
+		return m.Pending(queue)
+	}
+	return 0, false
+}
--- /dev/null
+++ b/entry/node/ownership.go
@@ -0,0 +1,282 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/go-faster/errors"
+
+	"github.com/azurepoint/azurepoint/coordination/fault"
+	"github.com/azurepoint/azurepoint/entry/event"
+	"github.com/azurepoint/azurepoint/entry/manager"
+	"github.com/azurepoint/azurepoint/entry/store"
+)
+
+// Times of ownership.
+const (
+	// ownerLease is how long an owner is believed without a renewal: two renewals
+	// may be lost.
+	ownerLease = 2 * time.Second
+	// renewInterval is how often the lease is renewed.
+	renewInterval = 600 * time.Millisecond
+	// renewTimeout bounds a renewal; the next one starts after it.
+	renewTimeout = 500 * time.Millisecond
+	// authorityMargin ends the owner's belief before the store's lease.
+	authorityMargin = 100 * time.Millisecond
+	// claimSpread is the longest random delay before a claim, so that few entries
+	// claim at the same time.
+	claimSpread = 150 * time.Millisecond
+	// claimRetry separates claims that failed.
+	claimRetry = 250 * time.Millisecond
+	// claimTimeout bounds a claim.
+	claimTimeout = time.Second
+)
+
+// ownerRecord is the value of the owner's key.
+type ownerRecord struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	// Process tells a restarted process from its predecessor.
+	Process int64 `json:"process"`
+	Term    int64 `json:"term"`
+}
+
+// ownership is an entry's view of who owns the pools.
+type ownership struct {
+	store store.Store
+	self  ownerRecord
+
+	mu sync.Mutex
+	// owner is the stored owner and revision the revision of its key, 0 if there is
+	// none.
+	owner    ownerRecord
+	revision int64
+	// viewed is set once the key was read.
+	viewed bool
+	// held is the term of this process, or nil.
+	held *heldTerm
+
+	changed chan struct{}
+}
+
+// heldTerm is a term of this process.
+type heldTerm struct {
+	number   int64
+	revision int64
+	lease    int64
+	// confirmedUntil is the boot time until which the lease lasts for certain.
+	confirmedUntil time.Duration
+	confirmed      bool
+	lost           chan struct{}
+	lostOnce       sync.Once
+}
+
+func (t *heldTerm) lose() {
+	t.lostOnce.Do(func() { close(t.lost) })
+}
+
+// view records the stored owner as it was at a revision of the store.
+func (o *ownership) view(item store.Item, found bool, asOf int64) {
+	var r ownerRecord
+	if found {
+		if err := json.Unmarshal(item.Value, &r); err != nil {
+			event.RecordInvalid.Log(log.Fields{"key": item.Key, "error": err.Error()})
+		}
+	}
+	revision := int64(0)
+	if found {
+		revision = item.Revision
+	}
+	o.mu.Lock()
+	if o.held != nil && asOf < o.held.revision {
+		// The view is older than this process's own claim.
+		o.mu.Unlock()
+		return
+	}
+	changed := !o.viewed || o.revision != revision
+	o.viewed = true
+	o.owner, o.revision = r, revision
+	if o.held != nil && revision != o.held.revision {
+		o.held.lose()
+	}
+	o.mu.Unlock()
+	if changed {
+		event.OwnerChanged.Log(log.Fields{"owner": r.Name, "term": r.Term, "revision": item.Revision})
+		select {
+		case o.changed <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// current returns the stored owner, if there is one.
+func (o *ownership) current() (r ownerRecord, found bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.owner, o.revision > 0
+}
+
+// isSelf tells whether the record is of this process.
+func (o *ownership) isSelf(r ownerRecord) bool {
+	return r.Name == o.self.Name && r.Process == o.self.Process
+}
+
+// claimable tells whether this entry may claim the pools: there is no owner, or
+// the owner is an earlier process of this entry.
+func (o *ownership) claimable() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.viewed || o.held != nil {
+		return false
+	}
+	return o.revision == 0 || (o.owner.Name == o.self.Name && o.owner.Process != o.self.Process)
+}
+
+// awaitClaim returns once the pools may be claimed.
+func (o *ownership) awaitClaim(ctx context.Context) {
+	for ctx.Err() == nil && !o.claimable() {
+		select {
+		case <-ctx.Done():
+		case <-o.changed:
+		}
+	}
+}
+
+// claim tries to become the owner.
+func (o *ownership) claim(ctx context.Context) (t *heldTerm, err error) {
+	defer fault.Annotate(&err, "node: claim the pools")
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	term, found, err := o.store.Get(ctx, manager.TermKey)
+	if err != nil {
+		return nil, err
+	}
+	number := int64(0)
+	if found {
+		if number, err = strconv.ParseInt(string(term.Value), 10, 64); err != nil {
+			return nil, err
+		}
+	}
+	number++
+	granted := bootTime()
+	lease, err := o.store.Grant(ctx, ownerLease)
+	if err != nil {
+		return nil, err
+	}
+	record := o.self
+	record.Term = number
+	value, err := json.Marshal(record)
+	if err != nil {
+		return nil, err
+	}
+	o.mu.Lock()
+	revision := o.revision
+	o.mu.Unlock()
+	written, err := o.store.Commit(ctx, store.Transaction{
+		Conditions: []store.Condition{{Key: manager.OwnerKey, Revision: revision}, {Key: manager.TermKey, Revision: term.Revision}},
+		Puts: []store.Put{
+			{Key: manager.OwnerKey, Value: value, Lease: lease},
+			{Key: manager.TermKey, Value: []byte(strconv.FormatInt(number, 10))},
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	t = &heldTerm{
+		number: number, revision: written, lease: lease, confirmed: true,
+		confirmedUntil: granted + ownerLease - authorityMargin, lost: make(chan struct{}),
+	}
+	o.mu.Lock()
+	o.held = t
+	o.owner, o.revision = record, max(o.revision, written)
+	o.mu.Unlock()
+	return t, nil
+}
+
+// confirmed tells whether the term is certain to last now.
+func (o *ownership) confirmed(t *heldTerm) bool {
+	now := bootTime()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	select {
+	case <-t.lost:
+		return false
+	default:
+	}
+	certain := now < t.confirmedUntil
+	if certain != t.confirmed {
+		t.confirmed = certain
+		e := event.AuthorityLost
+		if certain {
+			e = event.AuthorityBack
+		}
+		e.Log(log.Fields{"term": t.number, "leaseLeftMillis": (t.confirmedUntil - now).Milliseconds()})
+	}
+	return certain
+}
+
+// keep renews the term's lease until the term or the context ends.
+func (o *ownership) keep(ctx context.Context, t *heldTerm) {
+	tick := time.NewTicker(renewInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.lost:
+			return
+		case <-tick.C:
+			o.renew(ctx, t)
+		}
+	}
+}
+
+func (o *ownership) renew(ctx context.Context, t *heldTerm) {
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	sent := bootTime()
+	err := o.store.Renew(ctx, t.lease)
+	switch {
+	case err == nil:
+		o.mu.Lock()
+		t.confirmedUntil = sent + ownerLease - authorityMargin
+		o.mu.Unlock()
+	case errors.Is(err, store.ErrNoLease):
+		event.OwnershipLost.Log(log.Fields{"term": t.number, "reason": "the lease has ended"})
+		t.lose()
+	}
+}
+
+// release gives the term up, so that another entry takes over at once.
+func (o *ownership) release(ctx context.Context, t *heldTerm) (err error) {
+	defer fault.Annotate(&err, "node: give up the pools")
+	o.mu.Lock()
+	o.held = nil
+	o.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	_, err = o.store.Commit(ctx, store.Transaction{
+		Conditions: []store.Condition{{Key: manager.OwnerKey, Revision: t.revision}},
+		Removes:    []string{manager.OwnerKey},
+	})
+	return err
+}
+
+// forget ends a term that was lost.
+func (o *ownership) forget(t *heldTerm) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.held == t {
+		o.held = nil
+	}
+}
+
+// spread returns a random delay before a claim.
+func spread() time.Duration {
+	return time.Duration(rand.Int64N(int64(claimSpread)))
+}
--- /dev/null
+++ b/entry/peer/peer.go
@@ -0,0 +1,140 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/azurepoint/azurepoint/api/jobsrpc"
+	"github.com/azurepoint/azurepoint/coordination/job"
+	"github.com/azurepoint/azurepoint/entry/manager"
+)
+
+// maxMessageBytes bounds a message; a job's description has at most 4,000 bytes
+// and each of its steps a few hundred.
+const maxMessageBytes = 1 << 20
+
+// Connections to the owner.
+const (
+	// dialTimeout bounds a new connection; entries are a few milliseconds apart.
+	dialTimeout = 500 * time.Millisecond
+	// maxIdle keeps connections for a burst of callers.
+	maxIdle = 32
+	// idleTimeout closes connections to earlier owners.
+	idleTimeout = 30 * time.Second
+)
+
+// Owner answers as the owner of the pools, or that it is not the owner.
+type Owner interface {
+	Submit(ctx context.Context, j job.Job, until time.Time) (r manager.Reply)
+	State(id string) (state job.State, known, owner bool)
+	Cancel(ctx context.Context, id string) (state job.State, known, owner bool)
+	Pending(queue string) (count int, owner bool)
+}
+
+// Handler serves other entries.
+func Handler(o Owner) http.Handler {
+	server := jobsrpc.NewOwnerServer(handler{o})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, maxMessageBytes)
+		server.ServeHTTP(w, r)
+	})
+}
+
+// handler translates the messages for an Owner.
+type handler struct {
+	owner Owner
+}
+
+// Submit stores a job.
+func (h handler) Submit(ctx context.Context, r *jobsrpc.SubmitRequest) (*jobsrpc.SubmitReply, error) {
+	var j job.Job
+	if err := json.Unmarshal(r.Job, &j); err != nil {
+		return nil, errors.Wrap(err, "peer: decode job")
+	}
+	reply := h.owner.Submit(ctx, j, time.UnixMilli(r.UntilUnixMillis))
+	return &jobsrpc.SubmitReply{
+		Outcome: jobsrpc.Outcome(reply.Outcome), RetryAfterMillis: reply.RetryAfter.Milliseconds(), Reason: reply.Reason,
+	}, nil
+}
+
+// State returns the state of a job.
+func (h handler) State(_ context.Context, r *jobsrpc.JobRequest) (*jobsrpc.StateReply, error) {
+	state, known, owner := h.owner.State(r.Id)
+	return &jobsrpc.StateReply{Owner: owner, Known: known, State: string(state)}, nil
+}
+
+// Cancel cancels a job.
+func (h handler) Cancel(ctx context.Context, r *jobsrpc.JobRequest) (*jobsrpc.StateReply, error) {
+	state, known, owner := h.owner.Cancel(ctx, r.Id)
+	return &jobsrpc.StateReply{Owner: owner, Known: known, State: string(state)}, nil
+}
+
+// Pending counts the jobs of a queue that have not begun.
+func (h handler) Pending(_ context.Context, r *jobsrpc.QueueRequest) (*jobsrpc.PendingReply, error) {
+	count, owner := h.owner.Pending(r.Queue)
+	return &jobsrpc.PendingReply{Owner: owner, Pending: int64(count)}, nil
+}
+
+// Client calls other entries; its zero value is not usable, see NewClient.
+type Client struct {
+	http *http.Client
+}
+
+// NewClient returns a client that keeps connections open.
+func NewClient() *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Client{http: &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: idleTimeout,
+	}}}
+}
+
+func (c *Client) owner(address string) jobsrpc.Owner {
+	return jobsrpc.NewOwnerProtobufClient("http://"+address, c.http)
+}
+
+// Submit passes a job to the owner.
+func (c *Client) Submit(ctx context.Context, address string, j job.Job, until time.Time) (r manager.Reply, err error) {
+	value, err := json.Marshal(&j)
+	if err != nil {
+		return manager.Reply{}, errors.Wrap(err, "peer: encode job")
+	}
+	reply, err := c.owner(address).Submit(ctx, &jobsrpc.SubmitRequest{Job: value, UntilUnixMillis: until.UnixMilli()})
+	if err != nil {
+		return manager.Reply{}, errors.Wrap(err, "peer: submit")
+	}
+	return manager.Reply{
+		Outcome: manager.Outcome(reply.Outcome), RetryAfter: time.Duration(reply.RetryAfterMillis) * time.Millisecond, Reason: reply.Reason,
+	}, nil
+}
+
+// State asks the owner for the state of a job.
+func (c *Client) State(ctx context.Context, address, id string) (state job.State, known, owner bool, err error) {
+	reply, err := c.owner(address).State(ctx, &jobsrpc.JobRequest{Id: id})
+	if err != nil {
+		return "", false, false, errors.Wrap(err, "peer: state")
+	}
+	return job.State(reply.State), reply.Known, reply.Owner, nil
+}
+
+// Cancel asks the owner to cancel a job.
+func (c *Client) Cancel(ctx context.Context, address, id string) (state job.State, known, owner bool, err error) {
+	reply, err := c.owner(address).Cancel(ctx, &jobsrpc.JobRequest{Id: id})
+	if err != nil {
+		return "", false, false, errors.Wrap(err, "peer: cancel")
+	}
+	return job.State(reply.State), reply.Known, reply.Owner, nil
+}
+
+// Pending asks the owner how many jobs of a queue have not begun.
+func (c *Client) Pending(ctx context.Context, address, queue string) (count int64, owner bool, err error) {
+	reply, err := c.owner(address).Pending(ctx, &jobsrpc.QueueRequest{Queue: queue})
+	if err != nil {
+		return 0, false, errors.Wrap(err, "peer: pending")
+	}
+	return reply.Pending, reply.Owner, nil
+}
