Carry out maintenance waves and let pools follow their demand

Waves reserve instances of idle pools first, wait until they run nothing, move lasting tasks one at a time and record each order before it is given. Pools get instances from the spare pool and from pools with a surplus when arriving and waiting work is above their room, and give them back after 2.5 s.

Next: pools stay larger than they need to be.

--- a/coordination/schedule/endpoint.go
+++ b/coordination/schedule/endpoint.go
@@ -45,6 +45,8 @@
 	Endpoint
 
 	listed bool
+	// joinedAt is when the endpoint became known.
+	joinedAt time.Time
 	// seen is set once the endpoint has answered this owner.
 	seen bool
 	// silentSince is the time of the first unanswered call since the last answer.
--- /dev/null
+++ b/coordination/schedule/evacuate.go
@@ -0,0 +1,51 @@
+package schedule
+
+import "time"
+
+// atWork is what endpoints report as the progress of a lasting task that serves.
+const atWork = 100
+
+// evacuate stops lasting tasks on endpoints that leave or have their upkeep, once
+// there is room for them elsewhere. Of one step, no more tasks are away at once
+// than its job allows.
+func (s *Scheduler) evacuate(now time.Time) {
+	for _, id := range sortedKeys(s.endpoints) {
+		e := s.endpoints[id]
+		if !e.seen || e.silent() || (!e.reserved && !e.Draining) {
+			continue
+		}
+		for _, r := range sortedRuns(e) {
+			if r.stopWanted || !r.task.step.LongRunning || r.state != confirmed {
+				continue
+			}
+			st := r.task.job.occurrences[r.task.ref.Occurrence].steps[r.task.ref.Step]
+			candidates, _ := s.candidates(e.Pool, now)
+			if s.choose(st, r.task, candidates, nil) == nil {
+				continue
+			}
+			if e.Draining || st.away(r.task) < max(st.step.MayMiss, 1) {
+				r.stopWanted = true
+			}
+		}
+	}
+}
+
+// away counts the other tasks of a step that are not at work for certain.
+func (s *stepState) away(except *task) (count int) {
+	for _, t := range s.tasks {
+		if t != except && !t.atWork() {
+			count++
+		}
+	}
+	return count
+}
+
+// atWork tells whether a lasting task serves and is not about to be stopped.
+func (t *task) atWork() bool {
+	for _, r := range t.runs {
+		if r.state == confirmed && !r.stopWanted && r.percent >= atWork && !r.endpoint.silent() {
+			return true
+		}
+	}
+	return false
+}
--- a/coordination/schedule/plan.go
+++ b/coordination/schedule/plan.go
@@ -30,13 +30,18 @@
 // which timed jobs are due.
 func (s *Scheduler) Plan(now, wall time.Time) (orders []Order) {
 	s.init()
+	s.evacuate(now)
 	orders = s.stops(now)
-	for _, pool := range slices.Sorted(maps.Keys(s.active)) {
+	for _, pool := range sortedKeys(s.active) {
 		orders = append(orders, s.planPool(pool, now, wall)...)
 	}
 	return orders
 }
 
+func sortedKeys[V any](m map[string]V) []string {
+	return slices.Sorted(maps.Keys(m))
+}
+
 // planPool starts tasks of a pool's jobs, the most valuable jobs first.
 func (s *Scheduler) planPool(pool string, now, wall time.Time) (orders []Order) {
 	jobs := s.active[pool]
@@ -60,7 +65,7 @@
 // endpoint of the pool can still run tasks of an earlier owner.
 func (s *Scheduler) candidates(pool string, now time.Time) (usable []*endpoint, settled bool) {
 	settled = true
-	for _, id := range slices.Sorted(maps.Keys(s.endpoints)) {
+	for _, id := range sortedKeys(s.endpoints) {
 		e := s.endpoints[id]
 		if e.Pool != pool {
 			continue
@@ -258,7 +263,7 @@
 	return best
 }
 
-// Weights of an endpoint's score; the room that is left counts at most 1.
+// Weights of an endpoint's score; the room that is taken counts at most 1.
 const (
 	// dataWeight outweighs room, as a task away from its data takes half as long
 	// again or more.
@@ -270,10 +275,14 @@
 	suspectWeight = 2
 )
 
-// score rates an endpoint for a task.
+// score rates an endpoint for a task. Fuller endpoints come first, so that the
+// others become idle and can move to a pool that needs them; lasting tasks share
+// endpoints, as these stay.
 func (s *Scheduler) score(st *stepState, t *task, e *endpoint, rack string) (score float64) {
-	free := e.free()
-	score = float64(free.CPU) / float64(max(e.Capacity.CPU, 1))
+	score = float64(e.used.CPU) / float64(max(e.Capacity.CPU, 1))
+	if st.step.LongRunning && e.lastingCPU() > 0 {
+		score++
+	}
 	if st.step.DataRack != "" && e.Rack == st.step.DataRack {
 		score += dataWeight
 	}
--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -44,7 +43,11 @@
 	// dirty holds jobs whose record differs from the store's.
 	dirty map[string]*jobState
 	// active holds the jobs of each pool that are not final.
-	active map[string]map[string]*jobState
+	active  map[string]map[string]*jobState
+	demands map[string]*demand
+	// heldBack are instances of the spare pool that have their upkeep.
+	heldBack  map[string]bool
+	startedAt time.Time
 	// Counts are the figures of the scheduler's decisions.
 	Counts Counts
 	// Ended is called for each run that ends, for logs and metrics.
@@ -78,6 +81,8 @@
 	s.learned = make(map[string]*duration)
 	s.dirty = make(map[string]*jobState)
 	s.active = make(map[string]map[string]*jobState)
+	s.demands = make(map[string]*demand)
+	s.heldBack = make(map[string]bool)
 }
 
 // Load takes over a stored job of an earlier owner; Add takes a new one.
@@ -105,6 +110,9 @@
 		s.active[j.Pool] = make(map[string]*jobState)
 	}
 	s.active[j.Pool][j.ID] = j
+	if !inherited {
+		s.arrive(j, now)
+	}
 	s.settle(j, now)
 }
 
@@ -297,7 +305,7 @@
 	if s.endpoints[l.ID] == nil {
 		s.endpoints[l.ID] = &endpoint{
 			Endpoint: l, runs: make(map[string]*run), unknownRuns: make(map[string]int),
-			leaseUntil: now.Add(s.Settings.InheritedLease),
+			leaseUntil: now.Add(s.Settings.InheritedLease), joinedAt: now,
 		}
 	}
 }
@@ -322,7 +330,7 @@
 
 // Endpoints returns the known endpoints by identifier.
 func (s *Scheduler) Endpoints() (all []Sight) {
-	for _, id := range slices.Sorted(maps.Keys(s.endpoints)) {
+	for _, id := range sortedKeys(s.endpoints) {
 		all = append(all, s.endpoints[id].sight())
 	}
 	return all
@@ -403,7 +411,7 @@
 
 func sortedRuns(e *endpoint) []*run {
 	runs := make([]*run, 0, len(e.runs))
-	for _, n := range slices.Sorted(maps.Keys(e.runs)) {
+	for _, n := range sortedKeys(e.runs) {
 		runs = append(runs, e.runs[n])
 	}
 	return runs
--- a/entry/manager/machines.go
+++ b/entry/manager/machines.go
@@ -47,6 +47,11 @@
 	MachineBusy
 	// MachineRefused means that the order is not possible.
 	MachineRefused
-	// MachineLimited means that too many orders were given.
+	// MachineLimited means that the platform takes no orders now.
 	MachineLimited
 )
+
+// String returns the answer as it is shown in logs.
+func (a MachineAnswer) String() string {
+	return [...]string{"unknown", "done", "fenced", "busy", "refused", "limited"}[a]
+}
--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -37,6 +37,9 @@
 	Endpoints Endpoints
 	Directory Directory
 	Machines  Machines
+	Reports   WaveReports
+	// Pools returns the operators' pools.
+	Pools func() Pools
 	// Holder names this entry in orders to the platform.
 	Holder string
 
@@ -53,7 +56,10 @@
 	// unlisted holds since when known endpoints are not listed.
 	unlisted map[string]time.Time
 	waiters  map[string][]chan struct{}
-	waves    waves
+	// declared are the operators' waves; waves is used by one goroutine.
+	declared     []Wave
+	wavesChanged chan struct{}
+	waves        map[int64]*waveProgress
 
 	lostOnce sync.Once
 	wake     chan struct{}
@@ -63,6 +69,12 @@
 	sending int
 }
 
+// Init prepares the manager; it must be called before every other method.
+func (m *Manager) Init() {
+	m.wavesChanged = make(chan struct{}, 1)
+	m.waves = make(map[int64]*waveProgress)
+}
+
 // Run manages the pools until the context ends or the term is lost.
 func (m *Manager) Run(ctx context.Context) <-chan error {
 	m.wake = make(chan struct{}, 1)
@@ -91,7 +103,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	parts := []<-chan error{m.register.run(ctx), m.Directory.Follow(ctx, m.list), m.runWaves(ctx), m.runList(ctx)}
+	parts := []<-chan error{m.register.run(ctx), m.Directory.Follow(ctx, m.list), m.runWaves(ctx), m.runMoves(ctx), m.runList(ctx)}
 	m.plan(ctx)
 	cancel()
 	for ; m.sending > 0; m.sending-- {
@@ -253,7 +265,7 @@
 	m.mu.Lock()
 	m.scheduler.Add(r, time.Now())
 	m.mu.Unlock()
-	event.JobAccepted.Log(log.Fields{"job": r.ID, "queue": r.Queue, "pool": r.Pool, "term": m.Term.Number})
+	event.JobAccepted.Log(log.Fields{"debug": r.Steps, "job": r.ID, "queue": r.Queue, "pool": r.Pool, "term": m.Term.Number})
 	m.kick()
 }
 
--- a/entry/node/front.go
+++ b/entry/node/front.go
@@ -31,6 +31,9 @@
 	answerMargin = 150 * time.Millisecond
 	// storeTimeout bounds a direct call to the store.
 	storeTimeout = 600 * time.Millisecond
+	// countKept is how long a count of pending jobs may be told again; it may be 2 s
+	// old, of which the way takes a part.
+	countKept = 1500 * time.Millisecond
 	// comeBack is when a caller may ask again after a job was not stored.
 	comeBack = time.Second
 )
@@ -235,19 +238,24 @@
 	return known, nil
 }
 
+// countAt is a count that may be told until a time.
+type countAt struct {
+	count int64
+	until time.Time
+}
+
 // Pending counts the jobs of a queue that have not begun; without an owner it is
-// the last known number.
+// the last known number, unless that is too old.
 func (n *Node) Pending(ctx context.Context, queue string) (count int64, err error) {
 	count, err = n.askPending(ctx, queue)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if err == nil {
-		n.counts[queue] = count
+		n.counts[queue] = countAt{count: count, until: time.Now().Add(countKept)}
 		return count, nil
 	}
-	last, known := n.counts[queue]
-	if known {
-		return last, nil
+	if last, known := n.counts[queue]; known && time.Now().Before(last.until) {
+		return last.count, nil
 	}
 	return 0, err
 }
@@ -282,3 +290,19 @@
 	_, found := c.Pool(name)
 	return found
 }
+
+// pools returns the configured pools.
+func (n *Node) pools() (p manager.Pools) {
+	c := n.configuration.Load()
+	if c == nil {
+		return manager.Pools{}
+	}
+	for _, pool := range c.Pools {
+		if pool.Spare {
+			p.Spare = pool.Name
+		} else {
+			p.Serving = append(p.Serving, pool.Name)
+		}
+	}
+	return p
+}
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -31,6 +33,7 @@
 	Endpoints manager.Endpoints
 	Directory manager.Directory
 	Machines  manager.Machines
+	Reports   manager.WaveReports
 	Manager   manager.Settings
 
 	ownership     *ownership
@@ -44,8 +47,9 @@
 	// inbox and cancels are jobs that entries changed without the owner.
 	inbox   map[string]bool
 	cancels map[string]bool
+	waves   map[int64]manager.Wave
 	// counts are the last answers to Pending by queue.
-	counts map[string]int64
+	counts map[string]countAt
 
 	work chan struct{}
 }
@@ -57,7 +61,8 @@
 	}
 	n.inbox = make(map[string]bool)
 	n.cancels = make(map[string]bool)
-	n.counts = make(map[string]int64)
+	n.waves = make(map[int64]manager.Wave)
+	n.counts = make(map[string]countAt)
 	n.work = make(chan struct{}, 1)
 }
 
@@ -102,7 +107,8 @@
 	working, cancel := context.WithCancel(ctx)
 	defer cancel()
 	m := &manager.Manager{
-		Settings: n.managerSettings(), Store: n.Store, Endpoints: n.Endpoints, Directory: n.Directory, Machines: n.Machines, Holder: n.Name,
+		Settings: n.managerSettings(), Store: n.Store, Endpoints: n.Endpoints, Directory: n.Directory, Machines: n.Machines, Reports: n.Reports, Holder: n.Name,
+		Pools: n.pools,
 		Term: manager.Term{
 			Owner:     store.Condition{Key: manager.OwnerKey, Revision: t.revision},
 			Number:    t.number,
@@ -111,6 +117,7 @@
 			Lost:      t.lose,
 		},
 	}
+	m.Init()
 	ended := m.Run(working)
 	n.setActive(m)
 	kept := make(chan error, 1)
@@ -218,6 +225,27 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.active = m
+	if m != nil {
+		m.SetWaves(slices.Collect(maps.Values(n.waves)))
+	}
+}
+
+// SetWave declares a maintenance wave, or ends its declaration.
+func (n *Node) SetWave(w manager.Wave, declared bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if _, known := n.waves[w.Number]; known && declared {
+		// The time within which it has to be over counts from the first sight.
+		return
+	}
+	if declared {
+		n.waves[w.Number] = w
+	} else {
+		delete(n.waves, w.Number)
+	}
+	if n.active != nil {
+		n.active.SetWaves(slices.Collect(maps.Values(n.waves)))
+	}
 }
 
 // manager returns the running manager if this entry owns the pools.
