--- a/coordination/schedule/balance.go
+++ b/coordination/schedule/balance.go
@@ -11,21 +11,21 @@
 const (
 	// demandWindow is the time over which arriving work is averaged: long enough to
 	// smooth single jobs, short against the 8 s that a flood lasts.
-	demandWindow = 1500 * time.Millisecond
-	// drainTarget is the time in which waiting work should be done; a job's slack is
-	// about a second.
-	drainTarget = time.Second
+	demandWindow = 1200 * time.Millisecond
+	// drainShare is the share of a job's slack in which its waiting work should be
+	// done.
+	drainShare = 0.7
 	// headroom times the arriving work is the room that it needs, as tasks do not
 	// fill endpoints exactly.
-	headroom = 1.25
+	headroom = 1.15
 	// spareEndpoints stay in a pool beside what it needs, for the first second of a
 	// flood.
 	spareEndpoints = 1
 	// shrinkAfter is how long a pool must have had too many endpoints before one
 	// leaves. Two moves cost as much as an endpoint in 2.6 s.
-	shrinkAfter = 2500 * time.Millisecond
+	shrinkAfter = 1200 * time.Millisecond
 	// learnTime is how long the demand is watched before a pool shrinks.
-	learnTime = 10 * time.Second
+	learnTime = 8 * time.Second
 	// settleTime keeps an endpoint in the pool that it joined.
 	settleTime = 3 * time.Second
 )
@@ -192,7 +192,7 @@
 			l = &load{}
 		}
 		b.waiting = l.waiting
-		short, lasting, size, withLasting := 0, 0, 0, 0
+		lasting, size, withLasting := 0, 0, 0
 		for _, id := range sortedKeys(s.endpoints) {
 			e := s.endpoints[id]
 			if e.Pool != pool || !e.listed || e.Draining || e.reserved {
@@ -208,14 +208,13 @@
 				withLasting++
 			}
 			lasting += held
-			short += e.used.CPU - held
 			if e.seen && len(e.runs) == 0 && len(e.unknownRuns) == 0 && now.Sub(e.joinedAt) > settleTime {
 				b.idle = append(b.idle, e)
 			}
 		}
 		d := s.demandOf(pool)
 		d.decay(now)
-		b.need = needed(max(d.rate*headroom, float64(short)+b.waiting/float64(drainTarget.Milliseconds())), lasting, size)
+		b.need = needed(d.rate*headroom+l.urgent, lasting, size)
 		b.need = max(b.need, withLasting+spareEndpoints)
 		all = append(all, b)
 	}
--- a/coordination/schedule/wave.go
+++ b/coordination/schedule/wave.go
@@ -213,6 +213,9 @@
 	// waiting is the work of tasks that could run, in core-milliseconds, and
 	// capacity the pool's processors.
 	waiting, capacity float64
+	// urgent are the processors that the waiting work takes to be done within its
+	// jobs' slack.
+	urgent float64
 }
 
 // pressure is how long the pool needs for the tasks that wait.
@@ -248,13 +251,28 @@
 		}
 		for _, j := range jobs {
 			if !j.lasting() {
-				loads[pool].waiting += s.waitingWork(j)
+				work := s.waitingWork(j)
+				loads[pool].waiting += work
+				loads[pool].urgent += work / (drainShare * s.slack(j))
 			}
 		}
 	}
 	return loads
 }
 
+// slack returns how long a job may wait in all and still meet its objective, in
+// milliseconds.
+func (s *Scheduler) slack(j *jobState) (millis float64) {
+	chain := 0.0
+	for i := range j.Steps {
+		chain += s.expected(j, &j.Steps[i])
+	}
+	return max((j.Stretch-1)*chain+float64(j.TargetMillis), leastSlack)
+}
+
+// leastSlack bounds a job's slack from below, in milliseconds.
+const leastSlack = 200
+
 // waitingWork returns the work of a job's tasks that could run now.
 func (s *Scheduler) waitingWork(j *jobState) (work float64) {
 	for _, o := range j.occurrences {
--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -265,7 +265,7 @@
 	m.mu.Lock()
 	m.scheduler.Add(r, time.Now())
 	m.mu.Unlock()
-	event.JobAccepted.Log(log.Fields{"debug": r.Steps, "job": r.ID, "queue": r.Queue, "pool": r.Pool, "term": m.Term.Number})
+	event.JobAccepted.Log(log.Fields{"job": r.ID, "queue": r.Queue, "pool": r.Pool, "term": m.Term.Number})
 	m.kick()
 }
 
