--- a/coordination/schedule/balance.go
+++ b/coordination/schedule/balance.go
@@ -152,7 +152,7 @@
 		if !known {
 			continue
 		}
-		e.reserved = true
+		e.moving = true
 		b.have--
 		return Move{Instance: name, Endpoint: e.ID, From: b.pool, To: to}, true
 	}
@@ -195,7 +195,7 @@
 		lasting, size, withLasting := 0, 0, 0
 		for _, id := range sortedKeys(s.endpoints) {
 			e := s.endpoints[id]
-			if e.Pool != pool || !e.listed || e.Draining || e.reserved {
+			if e.Pool != pool || !e.listed || e.Draining || e.reserved() {
 				continue
 			}
 			size = max(size, e.Capacity.CPU)
--- a/coordination/schedule/endpoint.go
+++ b/coordination/schedule/endpoint.go
@@ -69,8 +69,8 @@
 	failures int
 	// avoidUntil keeps new work away after failures.
 	avoidUntil time.Time
-	// reserved keeps new work away before planned upkeep or a move.
-	reserved bool
+	// upkeep and moving keep new work away before planned upkeep and before a move.
+	upkeep, moving bool
 	// seenRunning is the number of tasks in the last report.
 	seenRunning int
 	// unknownRuns are listed runs of unknown size, with their numbers; they are
@@ -92,7 +92,12 @@
 
 // usable tells whether new tasks may be started.
 func (e *endpoint) usable() bool {
-	return e.listed && e.seen && !e.Draining && !e.reserved && !e.silent() && len(e.unknownRuns) == 0
+	return e.listed && e.seen && !e.Draining && !e.reserved() && !e.silent() && len(e.unknownRuns) == 0
+}
+
+// reserved tells whether the endpoint is about to be taken away.
+func (e *endpoint) reserved() bool {
+	return e.upkeep || e.moving
 }
 
 func (e *endpoint) free() Capacity {
--- a/coordination/schedule/evacuate.go
+++ b/coordination/schedule/evacuate.go
@@ -11,7 +11,7 @@
 func (s *Scheduler) evacuate(now time.Time) {
 	for _, id := range sortedKeys(s.endpoints) {
 		e := s.endpoints[id]
-		if !e.seen || e.silent() || (!e.reserved && !e.Draining) {
+		if !e.seen || e.silent() || (!e.reserved() && !e.Draining) {
 			continue
 		}
 		for _, r := range sortedRuns(e) {
--- a/coordination/schedule/wave.go
+++ b/coordination/schedule/wave.go
@@ -17,7 +17,7 @@
 	Reserved
 	// Ordered instances may be away.
 	Ordered
-	// Done instances are back, or gone for good.
+	// Done instances have had their upkeep, or are gone for good.
 	Done
 )
 
@@ -25,14 +25,18 @@
 type WaveInstance struct {
 	Name  string
 	Phase Phase
-	// Endpoint is the endpoint that the order is for; a later one on the instance
-	// shows that the upkeep is over.
+	// Endpoint is the endpoint that the order takes away.
 	Endpoint  string
 	OrderedAt time.Time
-	// Confirmed is set once the platform has taken the order.
+	// Confirmed is set once the platform has taken the order. Nothing else shows
+	// that the upkeep has begun: an endpoint also changes by a move or a crash.
 	Confirmed bool
+	// Away tells that the platform does not list the instance as up.
+	Away bool
 	// MissingSince is set while the platform does not list the instance.
 	MissingSince time.Time
+	// Gone is set once the instance counts as taken away.
+	Gone bool
 }
 
 // Wave is a planned maintenance of instances.
@@ -84,15 +88,17 @@
 			}
 			if asked.Sub(i.MissingSince) > goneAfter {
 				i.Phase = Done
+				i.Gone = true
 			}
 			continue
-		case i.Phase == Ordered && l.Up && l.Endpoint != i.Endpoint:
+		case i.Phase == Ordered && i.Confirmed && l.Up && asked.Sub(i.OrderedAt) > w.Away:
 			i.Phase = Done
-		case i.Phase == Ordered && l.Up && i.Endpoint == "" && i.Confirmed && asked.Sub(i.OrderedAt) > w.Away:
-			// An instance of a spare pool is back without an endpoint.
-			i.Phase = Done
-		case i.Phase == Ordered && l.Up && asked.Sub(i.OrderedAt) > reorderAfter:
-			i.Phase = Waiting
+		case i.Phase == Ordered && !i.Confirmed && l.Up && asked.Sub(i.OrderedAt) > reorderAfter:
+			i.Phase = Reserved
+		}
+		i.Away = !l.Up
+		if i.Gone {
+			i.Gone, i.Phase = false, Waiting
 		}
 		i.MissingSince = time.Time{}
 	}
@@ -110,6 +116,9 @@
 		switch i.Phase {
 		case Waiting:
 			waiting++
+			if i.Away {
+				taken++
+			}
 		case Reserved, Ordered:
 			taken++
 		case Done:
@@ -134,9 +143,7 @@
 		sights[l.Name] = l
 	}
 	for _, i := range w.Instances {
-		if i.Phase == Waiting || i.Phase == Done {
-			delete(s.heldBack, i.Name)
-		}
+		s.hold(i, s.endpoints[sights[i.Name].Endpoint])
 	}
 	s.reserve(w, sights, now)
 	for _, i := range w.Instances {
@@ -153,6 +160,19 @@
 	return idle
 }
 
+// hold keeps new work from an instance while its upkeep is about to begin.
+func (s *Scheduler) hold(i *WaveInstance, e *endpoint) {
+	held := i.Phase == Reserved
+	if held {
+		s.heldBack[i.Name] = true
+	} else {
+		delete(s.heldBack, i.Name)
+	}
+	if e != nil {
+		e.upkeep = held
+	}
+}
+
 // reserve takes waiting instances out of service, up to the wave's bound and a
 // share of each pool.
 func (s *Scheduler) reserve(w *Wave, sights map[string]InstanceSight, now time.Time) {
@@ -192,7 +212,7 @@
 		case float64(load.reserved+1) > max(1, poolShare*float64(load.endpoints)):
 			continue
 		default:
-			e.reserved = true
+			e.upkeep = true
 		}
 		load.reserved++
 		i.Phase = Reserved
@@ -200,10 +220,10 @@
 	}
 }
 
-// Release returns an instance's endpoint to service.
+// Release returns an endpoint to service whose move or upkeep is not carried out.
 func (s *Scheduler) Release(endpoint string) {
 	if e := s.endpoints[endpoint]; e != nil {
-		e.reserved = false
+		e.upkeep, e.moving = false, false
 	}
 }
 
@@ -239,7 +259,7 @@
 			continue
 		}
 		l.endpoints++
-		if e.reserved {
+		if e.reserved() {
 			l.reserved++
 			continue
 		}
--- a/entry/manager/waves.go
+++ b/entry/manager/waves.go
@@ -51,11 +51,13 @@
 // knows which instances have had their upkeep.
 const wavePrefix = "azurepoint/waves/"
 
-// waveRecord is the stored progress of a wave: the endpoint that an instance had
-// when its upkeep was ordered.
+// waveRecord is the stored progress of a wave.
 type waveRecord struct {
-	Ordered   map[string]string `json:"ordered"`
-	Completed bool              `json:"completed,omitempty"`
+	// Ordered are the instances whose upkeep may have been ordered, Done those for
+	// which the platform has taken the order.
+	Ordered   map[string]bool `json:"ordered"`
+	Done      map[string]bool `json:"done"`
+	Completed bool            `json:"completed,omitempty"`
 }
 
 // waveProgress is a wave with what is stored of it.
@@ -170,22 +172,23 @@
 		return
 	}
 	for _, i := range idle {
-		p.record.Ordered[i.Name] = i.Endpoint
+		p.record.Ordered[i.Name] = true
 	}
 	if err := m.storeWave(ctx, p); err != nil {
 		event.RecordFailed.Log(log.Fields{"wave": p.wave.Number, "error": err.Error()})
 		return
 	}
 	for _, i := range idle {
-		m.orderUpkeep(ctx, p.wave.Number, i)
+		m.orderUpkeep(ctx, p, i)
 	}
 }
 
 // orderUpkeep takes an idle instance away.
-func (m *Manager) orderUpkeep(ctx context.Context, wave int64, i *schedule.WaveInstance) {
+func (m *Manager) orderUpkeep(ctx context.Context, p *waveProgress, i *schedule.WaveInstance) {
 	if !m.Term.Confirmed() {
 		return
 	}
+	wave := p.wave.Number
 	i.Phase, i.OrderedAt = schedule.Ordered, time.Now()
 	answer, err := m.Machines.Upkeep(ctx, MachineCall{Instance: i.Name, Holder: m.Holder, Fence: m.Term.Number, Wave: wave})
 	fields := log.Fields{"wave": wave, "instance": i.Name, "endpoint": i.Endpoint, "term": m.Term.Number, "answer": answer.String()}
@@ -195,6 +198,7 @@
 	switch answer {
 	case MachineDone:
 		i.Confirmed = true
+		p.record.Done[i.Name] = true
 		event.UpkeepOrdered.Log(fields)
 		m.gone(i.Endpoint)
 		return
@@ -225,11 +229,19 @@
 		p.revision = item.Revision
 	}
 	if p.record.Ordered == nil {
-		p.record.Ordered = make(map[string]string)
+		p.record.Ordered = make(map[string]bool)
+	}
+	if p.record.Done == nil {
+		p.record.Done = make(map[string]bool)
 	}
 	for _, i := range p.wave.Instances {
-		if endpoint, ordered := p.record.Ordered[i.Name]; ordered {
-			i.Phase, i.Endpoint, i.OrderedAt = schedule.Ordered, endpoint, time.Now()
+		switch {
+		case p.record.Done[i.Name]:
+			i.Phase, i.Confirmed, i.OrderedAt = schedule.Ordered, true, time.Now()
+		case p.record.Ordered[i.Name]:
+			// The order may still be carried out. A new one, which is answered as done if
+			// it was, settles that.
+			i.Phase = schedule.Reserved
 		}
 	}
 	p.loaded = true
--- a/entry/node/front.go
+++ b/entry/node/front.go
@@ -123,9 +123,14 @@
 		err = n.commit(ctx, t)
 		var conflict *store.ConflictError
 		switch {
-		case err == nil || errors.As(err, &conflict):
-			// A record that is there already is of the same job.
+		case err == nil:
 			return manager.Reply{Outcome: manager.Accepted}
+		case errors.As(err, &conflict):
+			// The record that is there is of the same job. Its writer may have given it
+			// up when no answer came, so it is marked for the owner all the same.
+			t.Conditions, t.Puts = nil, t.Puts[1:]
+			uncertain = true
+			continue
 		case !errors.Is(err, store.ErrNotDone):
 			uncertain = true
 		}
