--- a/coordination/job/record.go
+++ b/coordination/job/record.go
@@ -39,8 +39,10 @@
 	Occurrence int   `json:"occurrence,omitempty"`
 	Step       int   `json:"step,omitempty"`
 	Done       []int `json:"done,omitempty"`
-	// Failures counts the failed runs of a task by its index.
-	Failures map[int]int `json:"failures,omitempty"`
+	// Failures holds the numbers of the failed runs of a task by its index. An end
+	// that is stored but not acknowledged is listed to the next owner again, and
+	// must not count twice.
+	Failures map[int][]int `json:"failures,omitempty"`
 }
 
 // Encode returns the record as it is stored. A final record keeps no steps
--- a/coordination/schedule/endpoint.go
+++ b/coordination/schedule/endpoint.go
@@ -75,7 +75,13 @@
 	seenRunning int
 	// unknownRuns are listed runs of unknown size, with their numbers; they are
 	// stopped, and the endpoint gets no work until they are gone.
-	unknownRuns map[string]int
+	unknownRuns map[string]unknownRun
+}
+
+// unknownRun is a listed run of which only the number is known.
+type unknownRun struct {
+	number   int
+	stopSent bool
 }
 
 // appliedEnd is an end that waits until its job's record is stored.
--- a/coordination/schedule/order.go
+++ b/coordination/schedule/order.go
@@ -67,6 +67,9 @@
 	if e == nil {
 		return
 	}
+	if u, unknown := e.unknownRuns[o.Task]; unknown && u.number == o.Run && o.Action == Stop && a != Accepted {
+		e.unknownRuns[o.Task] = unknownRun{number: u.number}
+	}
 	r := e.runs[o.Task]
 	if r == nil || r.number != o.Run {
 		return
@@ -125,10 +128,13 @@
 		if !e.seen || e.silent() {
 			continue
 		}
-		for name, number := range e.unknownRuns {
-			orders = append(orders, Order{Action: Stop, Endpoint: e.ID, Task: name, Run: number})
+		for _, name := range sortedKeys(e.unknownRuns) {
+			u := e.unknownRuns[name]
+			if !u.stopSent {
+				e.unknownRuns[name] = unknownRun{number: u.number, stopSent: true}
+				orders = append(orders, Order{Action: Stop, Endpoint: e.ID, Task: name, Run: u.number})
+			}
 		}
-		clear(e.unknownRuns)
 		for _, r := range e.runs {
 			if r.state == uncertain && now.After(r.startUntil) && !r.stopWanted {
 				// A report sent from now on shows whether the order was carried out.
--- a/coordination/schedule/report.go
+++ b/coordination/schedule/report.go
@@ -87,10 +87,14 @@
 		}
 	}
 	listed := make(map[string]int, len(r.Running))
-	clear(e.unknownRuns)
+	earlier := e.unknownRuns
+	e.unknownRuns = make(map[string]unknownRun)
 	for _, l := range r.Running {
 		listed[l.Task] = l.Run
 		s.applyListing(e, l, r)
+		if u, unknown := e.unknownRuns[l.Task]; unknown && earlier[l.Task].number == u.number {
+			e.unknownRuns[l.Task] = earlier[l.Task]
+		}
 	}
 	for _, run := range sortedRuns(e) {
 		if number, present := listed[run.task.name]; present && number == run.number {
@@ -139,7 +143,6 @@
 		s.markDone(j, t, now)
 	case EndFailed:
 		s.Counts.Failed++
-		t.failures++
 		if !slices.Contains(t.avoid, e.ID) {
 			t.avoid = append(t.avoid, e.ID)
 		}
@@ -147,8 +150,12 @@
 		if t.step.LongRunning {
 			return
 		}
+		if slices.Contains(t.failures, n.Run) {
+			return
+		}
+		t.failures = append(t.failures, n.Run)
 		s.touch(j, now, false)
-		if j.MaxAttempts > 0 && t.failures >= j.MaxAttempts {
+		if j.MaxAttempts > 0 && len(t.failures) >= j.MaxAttempts {
 			s.finish(j, job.Failed, now)
 		}
 	case EndStopped, EndLapsed, EndBroken, EndAlone:
@@ -235,7 +242,7 @@
 	}
 	t := s.taskNamed(l.Task)
 	if t == nil || known != nil {
-		e.unknownRuns[l.Task] = l.Run
+		e.unknownRuns[l.Task] = unknownRun{number: l.Run}
 		return
 	}
 	t.lastRun = max(t.lastRun, l.Run)
--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -304,7 +304,7 @@
 	s.init()
 	if s.endpoints[l.ID] == nil {
 		s.endpoints[l.ID] = &endpoint{
-			Endpoint: l, runs: make(map[string]*run), unknownRuns: make(map[string]int),
+			Endpoint: l, runs: make(map[string]*run), unknownRuns: make(map[string]unknownRun),
 			leaseUntil: now.Add(s.Settings.InheritedLease), joinedAt: now,
 		}
 	}
--- a/coordination/schedule/task.go
+++ b/coordination/schedule/task.go
@@ -13,8 +13,9 @@
 	job  *jobState
 	step *job.Step
 
-	done     bool
-	failures int
+	done bool
+	// failures are the numbers of the failed runs.
+	failures []int
 	// lastRun is the highest number of a run of the task.
 	lastRun    int
 	checkpoint string
@@ -214,9 +215,9 @@
 				if t.done {
 					p.Done = append(p.Done, i)
 				}
-				if t.failures > 0 && !s.step.LongRunning {
+				if len(t.failures) > 0 {
 					if p.Failures == nil {
-						p.Failures = make(map[int]int)
+						p.Failures = make(map[int][]int)
 					}
 					p.Failures[i] = t.failures
 				}
--- a/coordination/schedule/wave.go
+++ b/coordination/schedule/wave.go
@@ -152,7 +152,7 @@
 			continue
 		}
 		e := s.endpoints[l.Endpoint]
-		if e == nil || (e.seen && len(e.runs)+len(e.unknownRuns) == 0) {
+		if l.Endpoint == "" || (e != nil && e.seen && len(e.runs)+len(e.unknownRuns) == 0) {
 			i.Endpoint = l.Endpoint
 			idle = append(idle, i)
 		}
@@ -199,7 +199,7 @@
 		l := sights[i.Name]
 		load := loads[l.Pool]
 		e := s.endpoints[l.Endpoint]
-		if e == nil || load == nil {
+		if l.Endpoint == "" || load == nil {
 			// An instance without an endpoint, as in a spare pool, runs nothing.
 			i.Phase = Reserved
 			s.heldBack[i.Name] = true
@@ -207,6 +207,9 @@
 			continue
 		}
 		switch {
+		case e == nil:
+			// The endpoint's entry has not arrived yet.
+			continue
 		case !pressing && load.waiting > 0:
 			continue
 		case float64(load.reserved+1) > max(1, poolShare*float64(load.endpoints)):
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -85,10 +85,11 @@
 	for ctx.Err() == nil {
 		n.ownership.awaitClaim(ctx)
 		pause(ctx, spread())
-		if ctx.Err() != nil || !n.ownership.claimable() {
+		revision, may := n.ownership.claimable()
+		if ctx.Err() != nil || !may {
 			continue
 		}
-		t, err := n.ownership.claim(ctx)
+		t, err := n.ownership.claim(ctx, revision)
 		if err != nil {
 			event.ClaimFailed.Log(log.Fields{"error": err.Error()})
 			pause(ctx, claimRetry)
--- a/entry/node/ownership.go
+++ b/entry/node/ownership.go
@@ -126,20 +126,24 @@
 	return r.Name == o.self.Name && r.Process == o.self.Process
 }
 
-// claimable tells whether this entry may claim the pools: there is no owner, or
-// the owner is an earlier process of this entry.
-func (o *ownership) claimable() bool {
+// claimable tells whether this entry may claim the pools, as there is no owner, or
+// the owner is an earlier process of this entry, and the revision that the owner's
+// key has then.
+func (o *ownership) claimable() (revision int64, may bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if !o.viewed || o.held != nil {
-		return false
+		return 0, false
 	}
-	return o.revision == 0 || (o.owner.Name == o.self.Name && o.owner.Process != o.self.Process)
+	return o.revision, o.revision == 0 || (o.owner.Name == o.self.Name && o.owner.Process != o.self.Process)
 }
 
 // awaitClaim returns once the pools may be claimed.
 func (o *ownership) awaitClaim(ctx context.Context) {
-	for ctx.Err() == nil && !o.claimable() {
+	for ctx.Err() == nil {
+		if _, may := o.claimable(); may {
+			return
+		}
 		select {
 		case <-ctx.Done():
 		case <-o.changed:
@@ -147,8 +151,8 @@
 	}
 }
 
-// claim tries to become the owner.
-func (o *ownership) claim(ctx context.Context) (t *heldTerm, err error) {
+// claim tries to become the owner while the owner's key has a revision.
+func (o *ownership) claim(ctx context.Context, revision int64) (t *heldTerm, err error) {
 	defer fault.Annotate(&err, "node: claim the pools")
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
@@ -174,9 +178,6 @@
 	if err != nil {
 		return nil, err
 	}
-	o.mu.Lock()
-	revision := o.revision
-	o.mu.Unlock()
 	written, err := o.store.Commit(ctx, store.Transaction{
 		Conditions: []store.Condition{{Key: manager.OwnerKey, Revision: revision}, {Key: manager.TermKey, Revision: term.Revision}},
 		Puts: []store.Put{
