--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := api coordination azurepointd azurepoint platformd endpointd demo measure
+MODULES := api coordination entry platform azurepointd azurepoint platformd endpointd demo measure
 TOOLS := $(CURDIR)/.tools
 GOLANGCI_LINT_VERSION := v2.12.2
 OGEN_VERSION := v1.25.0
--- /dev/null
+++ b/coordination/schedule/balance_test.go
@@ -0,0 +1,80 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/azurepoint/azurepoint/coordination/job"
+)
+
+// Guards against a flood of one queue that waits for its own pool while others
+// stand idle: the queues' demand comes in turns, five times the mean for some
+// seconds and a twentieth of it in between.
+func TestAFloodGetsInstancesOfIdlePools(t *testing.T) {
+	w := newWorld(t, "e1", "e2")
+	var sights []InstanceSight
+	listed := []Endpoint{{ID: "e1", Pool: "p", Capacity: testRoom}, {ID: "e2", Pool: "p", Capacity: testRoom}}
+	for i := range 5 {
+		id := fmt.Sprintf("o%d", i)
+		listed = append(listed, Endpoint{ID: id, Pool: "other", Capacity: testRoom})
+		sights = append(sights, InstanceSight{Name: "m-" + id, Pool: "other", Endpoint: id, Up: true})
+		w.running[id] = make(map[string]Listing)
+	}
+	sights = append(sights, InstanceSight{Name: "m-spare", Pool: "spare", Up: true})
+	w.s.List(listed, w.now)
+	for _, l := range listed {
+		w.report(l.ID)
+	}
+	w.now = w.now.Add(settleTime + time.Second)
+	pools := []string{"p", "other"}
+	if moves := w.s.PlanMoves(sights, pools, "spare", nil, w.now); len(moves) > 0 {
+		t.Fatalf("moves %v without demand", moves)
+	}
+	for i := range 8 {
+		r := record(fmt.Sprintf("j%d", i), job.Step{Count: 4, CPU: 1500, EstimateMillis: 600})
+		r.Accepted = w.now.UnixMilli()
+		w.s.Add(r, w.now)
+	}
+	moves := w.s.PlanMoves(sights, pools, "spare", nil, w.now)
+	if len(moves) < 3 || moves[0].Instance != "m-spare" {
+		t.Fatalf("moves %v, want the spare instance first and then idle ones", moves)
+	}
+	for _, m := range moves {
+		if m.To != "p" {
+			t.Errorf("move %v to a pool without demand", m)
+		}
+	}
+	kept := 0
+	for _, e := range w.s.endpoints {
+		if e.Pool == "other" && !e.moving {
+			kept++
+		}
+	}
+	if kept < 1 {
+		t.Error("the idle pool keeps no endpoint for its own first jobs")
+	}
+}
+
+// Guards against pools that cost without need, and against pools that shrink
+// before their demand is known.
+func TestAnIdlePoolShrinksAfterAWhile(t *testing.T) {
+	w := newWorld(t, "e1", "e2", "e3", "e4")
+	var sights []InstanceSight
+	for i := range 4 {
+		id := fmt.Sprintf("e%d", i+1)
+		sights = append(sights, InstanceSight{Name: "m-" + id, Pool: "p", Endpoint: id, Up: true})
+	}
+	plan := func() int { return len(w.s.PlanMoves(sights, []string{"p"}, "spare", nil, w.now)) }
+	if n := plan(); n > 0 {
+		t.Fatalf("%d moves at once", n)
+	}
+	w.now = w.now.Add(learnTime)
+	if n := plan(); n > 0 {
+		t.Fatalf("%d moves as soon as there is a surplus", n)
+	}
+	w.now = w.now.Add(shrinkAfter)
+	if n := plan(); n != 3 {
+		t.Fatalf("%d moves, want all endpoints but one", n)
+	}
+}
--- a/entry/manager/register.go
+++ b/entry/manager/register.go
@@ -26,6 +26,9 @@
 	// firstCommitRetry and longestCommitRetry bound the delay after a failure.
 	firstCommitRetry   = 30 * time.Millisecond
 	longestCommitRetry = 300 * time.Millisecond
+	// refuseAfter is how long a new job waits for a store that refuses it, before
+	// its caller is told to come back: a quarter of the shortest objective.
+	refuseAfter = 450 * time.Millisecond
 )
 
 // Outcome is what became of a submitted job.
@@ -58,10 +61,12 @@
 
 // creation is a new job whose submitters wait for its outcome.
 type creation struct {
-	record  job.Record
-	until   time.Time
-	outcome Outcome
-	done    chan struct{}
+	record job.Record
+	// refuseAt is when a job that is certainly not stored is refused, and until is
+	// when its outcome is left open.
+	refuseAt, until time.Time
+	outcome         Outcome
+	done            chan struct{}
 }
 
 // register writes the records of an owner, one transaction at a time, under the
@@ -107,7 +112,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c = &creation{record: r, until: until, done: make(chan struct{})}
+	c = &creation{record: r, refuseAt: time.Now().Add(refuseAfter), until: until, done: make(chan struct{})}
 	g.creations[r.ID] = c
 	g.queue = append(g.queue, &write{id: r.ID, value: value, state: r.State, creation: c})
 	g.kick()
@@ -175,15 +180,14 @@
 func (g *register) expire(batch []*write) (kept []*write) {
 	now := time.Now()
 	for _, w := range batch {
-		if w.creation == nil || now.Before(w.creation.until) {
+		switch {
+		case w.creation == nil, w.uncertain && now.Before(w.creation.until), now.Before(w.creation.refuseAt):
 			kept = append(kept, w)
-			continue
-		}
-		outcome := Refused
-		if w.uncertain {
-			outcome = Unsettled
+		case w.uncertain:
+			g.settle(w, Unsettled)
+		default:
+			g.settle(w, Refused)
 		}
-		g.settle(w, outcome)
 	}
 	return kept
 }
--- a/entry/node/front.go
+++ b/entry/node/front.go
@@ -25,6 +25,9 @@
 	// ownerWait is how long a new owner is awaited before a job is stored without
 	// one.
 	ownerWait = 400 * time.Millisecond
+	// refuseAfter is how long a job that is certainly not stored is held before its
+	// caller is told to come back: a quarter of the shortest objective.
+	refuseAfter = 500 * time.Millisecond
 	// ownerPoll separates looks at who the owner is.
 	ownerPoll = 30 * time.Millisecond
 	// answerMargin is left of the caller's deadline for the way back.
@@ -54,7 +57,8 @@
 	until = until.Add(-answerMargin)
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
-	giveUp := time.Now().Add(ownerWait)
+	arrived := time.Now()
+	giveUp := arrived.Add(ownerWait)
 	uncertain := false
 	for ctx.Err() == nil && time.Now().Before(giveUp) {
 		r, err := n.submitToOwner(ctx, j, until)
@@ -73,7 +77,7 @@
 		}
 		pause(ctx, ownerPoll)
 	}
-	return n.logged(j, n.storeDirectly(ctx, j, uncertain), "store")
+	return n.logged(j, n.storeDirectly(ctx, j, uncertain, arrived.Add(refuseAfter)), "store")
 }
 
 // logged writes the line of a submission that did not reach the store.
@@ -109,7 +113,7 @@
 }
 
 // storeDirectly stores a job for the next owner to find.
-func (n *Node) storeDirectly(ctx context.Context, j job.Job, uncertain bool) (r manager.Reply) {
+func (n *Node) storeDirectly(ctx context.Context, j job.Job, uncertain bool, refuseAt time.Time) (r manager.Reply) {
 	record := job.Record{Job: j, State: job.Queued}
 	value, err := record.Encode()
 	if err != nil {
@@ -134,7 +138,7 @@
 		case !errors.Is(err, store.ErrNotDone):
 			uncertain = true
 		}
-		if n.storeLost.Load() && !uncertain {
+		if !uncertain && (n.storeLost.Load() || !time.Now().Before(refuseAt)) {
 			break
 		}
 		pause(ctx, ownerPoll*2)
