--- a/coordination/schedule/endpoint.go
+++ b/coordination/schedule/endpoint.go
@@ -71,8 +71,6 @@
 	avoidUntil time.Time
 	// upkeep and moving keep new work away before planned upkeep and before a move.
 	upkeep, moving bool
-	// seenRunning is the number of tasks in the last report.
-	seenRunning int
 	// unknownRuns are listed runs of unknown size, with their numbers; they are
 	// stopped, and the endpoint gets no work until they are gone.
 	unknownRuns map[string]unknownRun
--- a/coordination/schedule/schedule_test.go
+++ b/coordination/schedule/schedule_test.go
@@ -13,7 +13,7 @@
 	w := newWorld(t, "e1")
 	w.s.Add(record("j", job.Step{Count: 1, CPU: 1000}), w.now)
 	w.start()
-	w.end("e1", taskName("j", 0), EndDone)
+	w.end("e1", firstTask("j"), EndDone)
 	w.report("e1")
 	w.wantState("j", job.Running)
 	if e, _ := w.s.Endpoint("e1"); e.Acknowledge != 0 {
@@ -137,7 +137,7 @@
 	w := newWorld(t, "e1")
 	w.s.Add(record("j", job.Step{Count: 1, CPU: 1000}), w.now)
 	w.start()
-	w.end("e1", taskName("j", 0), EndFailed)
+	w.end("e1", firstTask("j"), EndFailed)
 	w.report("e1")
 	stored := w.store()[0].Record
 
@@ -166,7 +166,7 @@
 	w.report("e1")
 	w.s.Add(record("k", job.Step{Count: 1, CPU: 1000}), w.now)
 	orders := w.starts(w.start())
-	if len(orders) != 1 || orders[0].Task != taskName("k", 0) {
+	if len(orders) != 1 || orders[0].Task != firstTask("k") {
 		t.Fatalf("orders %v, want only the new job", orders)
 	}
 	w.now = w.now.Add(testSettings.InheritedLease)
@@ -212,10 +212,10 @@
 	r := record("j", job.Step{Count: 1, CPU: 1000})
 	r.Steps = append(r.Steps, job.Step{Count: 1, CPU: 1000, After: []int{0}})
 	w.s.Add(r, w.now)
-	if orders := w.start(); len(orders) != 1 || orders[0].Task != taskName("j", 0) {
+	if orders := w.start(); len(orders) != 1 || orders[0].Task != firstTask("j") {
 		t.Fatalf("orders %v, want the first step", orders)
 	}
-	w.end("e1", taskName("j", 0), EndDone)
+	w.end("e1", firstTask("j"), EndDone)
 	w.report("e1")
 	if orders := w.start(); len(orders) != 1 || orders[0].Task != "j.0.1.0" {
 		t.Fatalf("orders %v, want the second step", orders)
--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -298,6 +298,12 @@
 	}
 }
 
+// InheritSettled is Inherit for an endpoint that has been in its pool for a while.
+func (s *Scheduler) InheritSettled(l Endpoint, now time.Time) {
+	s.Inherit(l, now)
+	s.endpoints[l.ID].joinedAt = time.Time{}
+}
+
 // Inherit makes an endpoint known on which an earlier owner may have started
 // tasks.
 func (s *Scheduler) Inherit(l Endpoint, now time.Time) {
--- a/coordination/schedule/task.go
+++ b/coordination/schedule/task.go
@@ -210,19 +210,7 @@
 	r := job.Record{Job: j.Job, State: j.state, EndedAt: j.endedAt}
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
-			p := job.Progress{Occurrence: o.index, Step: s.index}
-			for i, t := range s.tasks {
-				if t.done {
-					p.Done = append(p.Done, i)
-				}
-				if len(t.failures) > 0 {
-					if p.Failures == nil {
-						p.Failures = make(map[int][]int)
-					}
-					p.Failures[i] = t.failures
-				}
-			}
-			if len(p.Done) > 0 || len(p.Failures) > 0 {
+			if p := s.progress(o.index); len(p.Done) > 0 || len(p.Failures) > 0 {
 				r.Progress = append(r.Progress, p)
 			}
 		}
@@ -230,6 +218,23 @@
 	return r
 }
 
+// progress returns what is to be stored of a step.
+func (s *stepState) progress(occurrence int) (p job.Progress) {
+	p = job.Progress{Occurrence: occurrence, Step: s.index}
+	for i, t := range s.tasks {
+		if t.done {
+			p.Done = append(p.Done, i)
+		}
+		if len(t.failures) > 0 {
+			if p.Failures == nil {
+				p.Failures = make(map[int][]int)
+			}
+			p.Failures[i] = t.failures
+		}
+	}
+	return p
+}
+
 // complete tells whether all tasks have ended as done.
 func (j *jobState) complete() bool {
 	for _, o := range j.occurrences {
--- a/coordination/schedule/world_test.go
+++ b/coordination/schedule/world_test.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -129,6 +128,7 @@
 	}
 }
 
-func taskName(id string, index int) string {
-	return fmt.Sprintf("%s.0.0.%d", id, index)
+// firstTask returns the name of the first task of a job.
+func firstTask(id string) string {
+	return job.Ref{}.Name(id)
 }
--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -60,6 +60,7 @@
 	declared     []Wave
 	wavesChanged chan struct{}
 	waves        map[int64]*waveProgress
+	orders       *recentOrders
 
 	lostOnce sync.Once
 	wake     chan struct{}
@@ -71,6 +72,7 @@
 
 // Init prepares the manager; it must be called before every other method.
 func (m *Manager) Init() {
+	m.orders = &recentOrders{owner: m.Term.Owner, free: m.Settings.OrderLease + handoverMargin, ordered: make(map[string]time.Time)}
 	m.wavesChanged = make(chan struct{}, 1)
 	m.waves = make(map[int64]*waveProgress)
 }
@@ -143,6 +145,9 @@
 	if err != nil {
 		return err
 	}
+	if err = m.orders.load(ctx, m.Store); err != nil {
+		return err
+	}
 	known, found, err := m.Store.Get(ctx, endpointsKey)
 	if err != nil {
 		return err
@@ -167,7 +172,7 @@
 		}
 		for _, e := range endpoints {
 			m.recorded[e.ID] = e
-			m.scheduler.Inherit(e, now)
+			m.scheduler.InheritSettled(e, now)
 		}
 	}
 	m.loaded = true
@@ -190,16 +195,16 @@
 		case <-tick.C:
 		case <-m.wake:
 		}
-		for _, o := range m.orders() {
+		for _, o := range m.planned() {
 			m.send(ctx, o)
 		}
 		m.startHolders(ctx)
 	}
 }
 
-// orders returns the orders to send now; there are none while the ownership is
+// planned returns the orders to send now; there are none while the ownership is
 // not confirmed.
-func (m *Manager) orders() (orders []schedule.Order) {
+func (m *Manager) planned() (orders []schedule.Order) {
 	confirmed := m.Term.Confirmed()
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/entry/manager/moves.go
+++ b/entry/manager/moves.go
@@ -49,8 +49,6 @@
 	ended := make(chan error, 1)
 	b := &balancer{manager: m, moving: make(map[string]*moving)}
 	go func() {
-		// An earlier owner may have given orders for the same instances.
-		pause(ctx, m.Settings.OrderLease+handoverMargin)
 		for ctx.Err() == nil {
 			if m.Term.Confirmed() {
 				b.step(ctx)
@@ -81,12 +79,25 @@
 	m.mu.Lock()
 	var free []schedule.InstanceSight
 	for _, l := range b.listed {
-		if b.moving[l.Name] == nil {
+		if b.moving[l.Name] == nil && !m.orders.blocked(l.Name) {
 			free = append(free, l)
 		}
 	}
 	moves := m.scheduler.PlanMoves(free, pools.Serving, pools.Spare, incoming, time.Now())
 	m.mu.Unlock()
+	if len(moves) == 0 {
+		return
+	}
+	names := make([]string, 0, len(moves))
+	for _, v := range moves {
+		names = append(names, v.Instance)
+	}
+	if !m.orders.announce(ctx, m.Store, names) {
+		for _, v := range moves {
+			b.settle(&moving{move: v})
+		}
+		return
+	}
 	for _, v := range moves {
 		b.order(ctx, v)
 	}
--- a/entry/manager/waves.go
+++ b/entry/manager/waves.go
@@ -84,8 +84,6 @@
 func (m *Manager) runWaves(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
 	go func() {
-		// An earlier owner may have given orders for the same instances.
-		pause(ctx, m.Settings.OrderLease+handoverMargin)
 		for ctx.Err() == nil {
 			if m.stepWaves(ctx) {
 				pause(ctx, waveInterval)
@@ -168,7 +166,12 @@
 	idle := m.scheduler.PlanWave(&p.wave, sights, time.Now())
 	m.mu.Unlock()
 	m.kick()
-	if len(idle) == 0 {
+	names := make([]string, 0, len(idle))
+	idle = slices.DeleteFunc(idle, func(i *schedule.WaveInstance) bool { return m.orders.blocked(i.Name) })
+	for _, i := range idle {
+		names = append(names, i.Name)
+	}
+	if len(idle) == 0 || !m.orders.announce(ctx, m.Store, names) {
 		return
 	}
 	for _, i := range idle {
--- a/entry/node/front.go
+++ b/entry/node/front.go
@@ -54,6 +54,9 @@
 
 // Submit stores a job, through the owner or, if none answers, without it.
 func (n *Node) Submit(ctx context.Context, j job.Job, until time.Time) (r manager.Reply) {
+	if n.cut() {
+		return n.logged(j, manager.Reply{Outcome: manager.Refused, RetryAfter: comeBack, Reason: "cut off"}, "breaker")
+	}
 	until = until.Add(-answerMargin)
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
@@ -108,7 +111,7 @@
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	r, err = n.Peers.Submit(ctx, owner.Address, j, until)
-	n.ownerLost.Store(err != nil)
+	n.ownerReach.note(err == nil)
 	return r, err
 }
 
@@ -138,7 +141,7 @@
 		case !errors.Is(err, store.ErrNotDone):
 			uncertain = true
 		}
-		if !uncertain && (n.storeLost.Load() || !time.Now().Before(refuseAt)) {
+		if !uncertain && (n.storeReach.lost() || !time.Now().Before(refuseAt)) {
 			break
 		}
 		pause(ctx, ownerPoll*2)
@@ -191,7 +194,7 @@
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
 	state, known, isOwner, err := n.Peers.State(ctx, owner.Address, id)
-	n.ownerLost.Store(err != nil)
+	n.ownerReach.note(err == nil)
 	if err == nil && !isOwner {
 		err = errNoOwner
 	}
@@ -236,7 +239,7 @@
 		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 		defer cancel()
 		state, known, owner, err = n.Peers.Cancel(ctx, record.Address, id)
-		n.ownerLost.Store(err != nil)
+		n.ownerReach.note(err == nil)
 	}
 	switch {
 	case err != nil:
@@ -283,7 +286,7 @@
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
 	count, isOwner, err := n.Peers.Pending(ctx, owner.Address, queue)
-	n.ownerLost.Store(err != nil)
+	n.ownerReach.note(err == nil)
 	if err == nil && !isOwner {
 		err = errNoOwner
 	}
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -39,8 +39,8 @@
 	ownership     *ownership
 	configuration atomic.Pointer[queue.Configuration]
 	stopping      atomic.Bool
-	storeLost     atomic.Bool
-	ownerLost     atomic.Bool
+	storeReach    reach
+	ownerReach    reach
 
 	mu     sync.Mutex
 	active *manager.Manager
@@ -56,6 +56,7 @@
 
 // Init prepares the node; it must be called before every other method.
 func (n *Node) Init() {
+	n.Store = watchedStore{Store: n.Store, reach: &n.storeReach}
 	n.ownership = &ownership{
 		store: n.Store, self: ownerRecord{Name: n.Name, Address: n.Address, Process: n.Process}, changed: make(chan struct{}, 1),
 	}
@@ -304,12 +305,10 @@
 }
 
 func (n *Node) lostStore(err error) {
-	n.storeLost.Store(true)
 	event.StoreLost.Log(log.Fields{"error": err.Error()})
 }
 
 func (n *Node) regainedStore() {
-	n.storeLost.Store(false)
 	event.StoreRegained.Log(nil)
 }
 
@@ -331,7 +330,12 @@
 // Ready tells whether callers should come to this entry: it knows the
 // configuration, and reaches the owner or the store.
 func (n *Node) Ready() bool {
-	return n.configuration.Load() != nil && !n.stopping.Load() && (!n.storeLost.Load() || !n.ownerLost.Load())
+	return n.configuration.Load() != nil && !n.stopping.Load() && !n.cut()
+}
+
+// cut tells whether this entry reaches neither the owner nor the store.
+func (n *Node) cut() bool {
+	return n.storeReach.lost() && n.ownerReach.lost() && n.manager() == nil
 }
 
 // errNoOwner means that no owner of the pools is known or answers.
--- a/entry/node/world_test.go
+++ b/entry/node/world_test.go
@@ -60,8 +60,9 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
+	off := &cut{Store: w.store}
 	n := &Node{
-		Name: name, Address: listener.Addr().String(), Process: time.Now().UnixNano(), Store: &cut{Store: w.store},
+		Name: name, Address: listener.Addr().String(), Process: time.Now().UnixNano(), Store: off,
 		Peers: peer.NewClient(), Endpoints: w.endpoints, Directory: w.directory, Machines: standin.Machines{},
 		Manager: manager.Settings{LongestLease: 10 * time.Second, StateKept: time.Minute},
 	}
@@ -84,7 +85,7 @@
 		<-served
 	}
 	e := &entry{Node: n, stop: end, kill: func() {
-		n.Store.(*cut).off.Store(true)
+		off.off.Store(true)
 		end()
 	}}
 	w.t.Cleanup(end)
