--- a/coordination/schedule/balance.go
+++ b/coordination/schedule/balance.go
@@ -193,9 +193,8 @@
 		}
 		b.waiting = l.waiting
 		lasting, size, withLasting := 0, 0, 0
-		for _, id := range sortedKeys(s.endpoints) {
-			e := s.endpoints[id]
-			if e.Pool != pool || !e.listed || e.Draining || e.reserved() {
+		for _, e := range s.ofPool(pool) {
+			if !e.listed || e.Draining || e.reserved() {
 				continue
 			}
 			size = max(size, e.Capacity.CPU)
--- /dev/null
+++ b/coordination/schedule/bench_test.go
@@ -0,0 +1,55 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/azurepoint/azurepoint/coordination/job"
+)
+
+// BenchmarkFlood measures the scheduler's time for a task, with the endpoints of
+// the grown deployments and a flood in one pool.
+func BenchmarkFlood(b *testing.B) {
+	s := &Scheduler{Settings: testSettings}
+	now := time.UnixMilli(1_700_000_000_000)
+	var listed []Endpoint
+	for i := range 349 {
+		listed = append(listed, Endpoint{
+			ID: fmt.Sprintf("e%03d", i), Pool: fmt.Sprintf("p%d", i%5), Capacity: Capacity{CPU: 32000, MemoryMB: 131072},
+		})
+	}
+	s.List(listed, now)
+	for _, l := range listed {
+		s.Report(l.ID, Report{Sent: now, Arrived: now, Born: 1})
+	}
+	numbers := make(map[string]int64)
+	var running []Order
+	jobs, ended := 0, 0
+	b.ResetTimer()
+	for ended < b.N {
+		now = now.Add(10 * time.Millisecond)
+		for range 2 {
+			r := record(fmt.Sprintf("%016x", jobs), job.Step{Count: 8, CPU: 3100, MemoryMB: 4000, EstimateMillis: 640})
+			r.Pool = "p0"
+			s.Add(r, now)
+			jobs++
+		}
+		for _, o := range s.Plan(now, now) {
+			s.Answered(o, Accepted, now)
+			running = append(running, o)
+		}
+		for i := 0; i < 16 && len(running) > 0; i++ {
+			o := running[0]
+			running = running[1:]
+			numbers[o.Endpoint]++
+			s.Report(o.Endpoint, Report{Sent: now.Add(-time.Hour), Arrived: now, Born: 1, Ended: []Ending{
+				{Number: numbers[o.Endpoint], Task: o.Task, Run: o.Run, How: EndDone},
+			}})
+			ended++
+		}
+		for _, w := range s.Writes(now, time.Second, 15) {
+			s.Stored(w.Record.ID, w.Version, w.Record.State)
+		}
+	}
+}
--- a/coordination/schedule/evacuate.go
+++ b/coordination/schedule/evacuate.go
@@ -9,23 +9,27 @@
 // there is room for them elsewhere. Of one step, no more tasks are away at once
 // than its job allows.
 func (s *Scheduler) evacuate(now time.Time) {
-	for _, id := range sortedKeys(s.endpoints) {
-		e := s.endpoints[id]
-		if !e.seen || e.silent() || (!e.reserved() && !e.Draining) {
+	for pool := range s.active {
+		for _, e := range s.ofPool(pool) {
+			if e.seen && !e.silent() && (e.reserved() || e.Draining) {
+				s.evacuateEndpoint(e, now)
+			}
+		}
+	}
+}
+
+func (s *Scheduler) evacuateEndpoint(e *endpoint, now time.Time) {
+	for _, r := range sortedRuns(e) {
+		if r.stopWanted || !r.task.step.LongRunning || r.state != confirmed {
 			continue
 		}
-		for _, r := range sortedRuns(e) {
-			if r.stopWanted || !r.task.step.LongRunning || r.state != confirmed {
-				continue
-			}
-			st := r.task.job.occurrences[r.task.ref.Occurrence].steps[r.task.ref.Step]
-			candidates, _ := s.candidates(e.Pool, now)
-			if s.choose(st, r.task, candidates, nil) == nil {
-				continue
-			}
-			if e.Draining || st.away(r.task) < max(st.step.MayMiss, 1) {
-				r.stopWanted = true
-			}
+		st := r.task.job.occurrences[r.task.ref.Occurrence].steps[r.task.ref.Step]
+		candidates, _ := s.candidates(e.Pool, now)
+		if s.choose(st, r.task, candidates, nil) == nil {
+			continue
+		}
+		if e.Draining || st.away(r.task) < max(st.step.MayMiss, 1) {
+			s.stop(r)
 		}
 	}
 }
--- a/coordination/schedule/order.go
+++ b/coordination/schedule/order.go
@@ -1,6 +1,8 @@
 package schedule
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/azurepoint/azurepoint/coordination/job"
@@ -98,6 +100,7 @@
 	case Unknown:
 		if r.state == starting {
 			r.state = uncertain
+			s.stopping[r] = true
 		}
 		s.Unanswered(e.ID, now)
 	case NotDone, Outdated, NoRoom, Unhealthy:
@@ -135,20 +138,35 @@
 				orders = append(orders, Order{Action: Stop, Endpoint: e.ID, Task: name, Run: u.number})
 			}
 		}
-		for _, r := range e.runs {
-			if r.state == uncertain && now.After(r.startUntil) && !r.stopWanted {
-				// A report sent from now on shows whether the order was carried out.
-				continue
-			}
-			if (r.stopWanted || r.state == uncertain) && !r.stopSent {
-				r.stopSent = true
-				orders = append(orders, Order{Action: Stop, Endpoint: e.ID, Task: r.task.name, Run: r.number})
-			}
+	}
+	for _, r := range s.sortedStops() {
+		e := r.endpoint
+		if !e.seen || e.silent() || r.stopSent {
+			continue
+		}
+		if r.state == uncertain && now.After(r.startUntil) && !r.stopWanted {
+			// A report sent from now on shows whether the order was carried out.
+			continue
+		}
+		if r.stopWanted || r.state == uncertain {
+			r.stopSent = true
+			orders = append(orders, Order{Action: Stop, Endpoint: e.ID, Task: r.task.name, Run: r.number})
 		}
 	}
 	return orders
 }
 
+// sortedStops returns the runs that may need an order to stop, in order.
+func (s *Scheduler) sortedStops() (runs []*run) {
+	for r := range s.stopping {
+		runs = append(runs, r)
+	}
+	slices.SortFunc(runs, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(a.task.name, b.task.name), cmp.Compare(a.number, b.number))
+	})
+	return runs
+}
+
 // start creates a run of a task on an endpoint.
 func (s *Scheduler) start(t *task, e *endpoint, number int, now time.Time) Order {
 	r := &run{
--- a/coordination/schedule/plan.go
+++ b/coordination/schedule/plan.go
@@ -65,11 +65,7 @@
 // endpoint of the pool can still run tasks of an earlier owner.
 func (s *Scheduler) candidates(pool string, now time.Time) (usable []*endpoint, settled bool) {
 	settled = true
-	for _, id := range sortedKeys(s.endpoints) {
-		e := s.endpoints[id]
-		if e.Pool != pool {
-			continue
-		}
+	for _, e := range s.ofPool(pool) {
 		if !e.seen && now.Before(e.leaseUntil) {
 			settled = false
 		}
--- a/coordination/schedule/report.go
+++ b/coordination/schedule/report.go
@@ -179,7 +179,7 @@
 		s.Counts.Done++
 		for _, r := range m.runs {
 			if !t.step.Gang {
-				r.stopWanted = true
+				s.stop(r)
 			}
 		}
 	}
@@ -250,7 +250,9 @@
 		task: t, endpoint: e, number: l.Run, state: confirmed, size: size(t.step),
 		startedAt: r.Arrived, confirmedAt: r.Arrived, pace: fullPace, paceSent: fullPace,
 	}
-	adopted.stopWanted = t.job.state.Terminal() || t.done || (len(t.runs) > 0 && !t.step.AllowDuplicates)
+	if t.job.state.Terminal() || t.done || (len(t.runs) > 0 && !t.step.AllowDuplicates) {
+		s.stop(adopted)
+	}
 	t.job.begun = true
 	e.runs[l.Task] = adopted
 	e.used = e.used.plus(adopted.size)
--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -48,6 +48,11 @@
 	// heldBack are instances of the spare pool that have their upkeep.
 	heldBack  map[string]bool
 	startedAt time.Time
+	// sorted caches the endpoints of each pool in order; it is nil when the
+	// endpoints have changed.
+	sorted map[string][]*endpoint
+	// stopping are the runs that may need an order to stop.
+	stopping map[*run]bool
 	// Counts are the figures of the scheduler's decisions.
 	Counts Counts
 	// Ended is called for each run that ends, for logs and metrics.
@@ -83,6 +88,7 @@
 	s.active = make(map[string]map[string]*jobState)
 	s.demands = make(map[string]*demand)
 	s.heldBack = make(map[string]bool)
+	s.stopping = make(map[*run]bool)
 }
 
 // Load takes over a stored job of an earlier owner; Add takes a new one.
@@ -165,7 +171,7 @@
 		for _, st := range o.steps {
 			for _, t := range st.tasks {
 				for _, r := range t.runs {
-					r.stopWanted = true
+					s.stop(r)
 				}
 			}
 		}
@@ -291,6 +297,7 @@
 		e.Endpoint = l
 		e.listed = true
 	}
+	s.sorted = nil
 	for id, e := range s.endpoints {
 		if !present[id] {
 			e.listed = false
@@ -309,6 +316,7 @@
 func (s *Scheduler) Inherit(l Endpoint, now time.Time) {
 	s.init()
 	if s.endpoints[l.ID] == nil {
+		s.sorted = nil
 		s.endpoints[l.ID] = &endpoint{
 			Endpoint: l, runs: make(map[string]*run), unknownRuns: make(map[string]unknownRun),
 			leaseUntil: now.Add(s.Settings.InheritedLease), joinedAt: now,
@@ -386,6 +394,7 @@
 		s.dropRuns(e, now)
 		if !e.listed {
 			delete(s.endpoints, id)
+			s.sorted = nil
 		}
 	}
 }
@@ -402,10 +411,29 @@
 		}
 		if !e.listed {
 			delete(s.endpoints, id)
+			s.sorted = nil
 		}
 	}
 }
 
+// ofPool returns the endpoints of a pool in order.
+func (s *Scheduler) ofPool(pool string) []*endpoint {
+	if s.sorted == nil {
+		s.sorted = make(map[string][]*endpoint)
+		for _, id := range sortedKeys(s.endpoints) {
+			e := s.endpoints[id]
+			s.sorted[e.Pool] = append(s.sorted[e.Pool], e)
+		}
+	}
+	return s.sorted[pool]
+}
+
+// stop marks a run that should not go on.
+func (s *Scheduler) stop(r *run) {
+	r.stopWanted = true
+	s.stopping[r] = true
+}
+
 // dropRuns ends all runs of an endpoint as lost.
 func (s *Scheduler) dropRuns(e *endpoint, now time.Time) {
 	for _, r := range sortedRuns(e) {
@@ -426,6 +454,7 @@
 // end removes a run; the task's later runs have higher numbers.
 func (s *Scheduler) end(r *run, how string, now time.Time) {
 	delete(r.endpoint.runs, r.task.name)
+	delete(s.stopping, r)
 	r.endpoint.used = r.endpoint.used.minus(r.size)
 	r.task.runs = slices.DeleteFunc(r.task.runs, func(o *run) bool { return o == r })
 	if len(r.task.runs) == 0 {
--- a/entry/event/writer.go
+++ b/entry/event/writer.go
@@ -14,6 +14,8 @@
 const (
 	// bufferedLines is how many lines wait for a slow reader of the output.
 	bufferedLines = 1024
+	// gatheredBytes bounds the lines that share a write.
+	gatheredBytes = 32 << 10
 	// droppedReport is how often the number of dropped lines is told.
 	droppedReport = 10 * time.Second
 )
@@ -56,7 +58,7 @@
 	for {
 		select {
 		case line := <-w.lines:
-			if _, err = w.output.Write(line); err != nil {
+			if _, err = w.output.Write(w.gather(line)); err != nil {
 				return err
 			}
 		case <-report.C:
@@ -69,6 +71,19 @@
 	}
 }
 
+// gather appends the lines that wait to a line, so that they share a write.
+func (w *Writer) gather(line []byte) []byte {
+	for len(line) < gatheredBytes {
+		select {
+		case next := <-w.lines:
+			line = append(line, next...)
+		default:
+			return line
+		}
+	}
+	return line
+}
+
 func (w *Writer) drain() (err error) {
 	for {
 		select {
--- a/entry/manager/hold.go
+++ b/entry/manager/hold.go
@@ -59,7 +59,7 @@
 		case err == nil:
 			failures = 0
 			if ended {
-				pause(ctx, gatherEnds)
+				pause(ctx, h.manager.gather())
 			}
 		case ctx.Err() != nil:
 		default:
@@ -141,6 +141,13 @@
 	m.scheduler.Unanswered(h.id, time.Now())
 }
 
+// gather returns how long ends are gathered before the next look.
+func (m *Manager) gather() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return gatherEnds * time.Duration(1+len(m.holders)/gatherEndpoints)
+}
+
 func (m *Manager) sight(id string) (s schedule.Sight, known bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -182,8 +182,9 @@
 
 // plan sends the scheduler's orders until the context ends.
 func (m *Manager) plan(ctx context.Context) {
-	tick := time.NewTicker(planInterval)
-	defer tick.Stop()
+	due := time.NewTimer(0)
+	defer due.Stop()
+	planned := time.Time{}
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -192,9 +193,13 @@
 			m.sending--
 			m.apply(a)
 			continue
-		case <-tick.C:
 		case <-m.wake:
+			due.Reset(max(0, planSpacing-time.Since(planned)))
+			continue
+		case <-due.C:
 		}
+		planned = time.Now()
+		due.Reset(planInterval)
 		for _, o := range m.planned() {
 			m.send(ctx, o)
 		}
--- a/entry/manager/settings.go
+++ b/entry/manager/settings.go
@@ -38,8 +38,11 @@
 	holdTimeout = 700 * time.Millisecond
 	// lookTimeout bounds a look at an endpoint that did not answer the last one.
 	lookTimeout = 600 * time.Millisecond
-	// gatherEnds lets ends that come close together share a look.
-	gatherEnds = 15 * time.Millisecond
+	// gatherEnds lets ends that come close together share a look; it is multiplied
+	// by the number of endpoints beyond gatherEndpoints, as every look takes about a
+	// tenth of a millisecond of the owner's processor.
+	gatherEnds      = 15 * time.Millisecond
+	gatherEndpoints = 80
 	// orderTimeout bounds an order.
 	orderTimeout = 700 * time.Millisecond
 	// startWithin is how late an endpoint may carry out a start.
@@ -56,7 +59,7 @@
 	// planInterval is the longest time between two plans.
 	planInterval = 100 * time.Millisecond
 	// planSpacing is the shortest time between two plans.
-	planSpacing = 4 * time.Millisecond
+	planSpacing = 8 * time.Millisecond
 	// runsPerTerm separates the run numbers of successive owners; it is above the
 	// runs that an owner can start of a task without storing an end of it.
 	runsPerTerm = 64
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -27,8 +27,10 @@
 	Address string
 	// Process is the start of the process in Unix nanoseconds.
 	Process int64
-	Store   store.Store
-	Peers   *peer.Client
+	// Cores is the processor that the instance has.
+	Cores float64
+	Store store.Store
+	Peers *peer.Client
 	// Endpoints, Directory and Machines are what a manager of the pools needs.
 	Endpoints manager.Endpoints
 	Directory manager.Directory
@@ -85,7 +87,7 @@
 	following := control.Run(viewing)
 	for ctx.Err() == nil {
 		n.ownership.awaitClaim(ctx)
-		pause(ctx, spread())
+		pause(ctx, claimDelay(n.Cores))
 		revision, may := n.ownership.claimable()
 		if ctx.Err() != nil || !may {
 			continue
--- a/entry/node/ownership.go
+++ b/entry/node/ownership.go
@@ -30,7 +30,10 @@
 	authorityMargin = 100 * time.Millisecond
 	// claimSpread is the longest random delay before a claim, so that few entries
 	// claim at the same time.
-	claimSpread = 150 * time.Millisecond
+	claimSpread = 40 * time.Millisecond
+	// weakDelay is the delay of an entry without any processor, so that the entries
+	// with the most of it claim first.
+	weakDelay = 250 * time.Millisecond
 	// claimRetry separates claims that failed.
 	claimRetry = 250 * time.Millisecond
 	// claimTimeout bounds a claim.
@@ -277,7 +280,8 @@
 	}
 }
 
-// spread returns a random delay before a claim.
-func spread() time.Duration {
-	return time.Duration(rand.Int64N(int64(claimSpread)))
+// claimDelay returns the delay before a claim of an entry with a number of cores.
+func claimDelay(cores float64) time.Duration {
+	weak := time.Duration(float64(weakDelay) * (1 - min(cores, 1)))
+	return weak + time.Duration(rand.Int64N(int64(claimSpread)))
 }
