--- a/azurepoint/internal/cli/cli.go
+++ b/azurepoint/internal/cli/cli.go
@@ -35,6 +35,9 @@
 	if err != nil {
 		return p.fail(ExitUsage, err)
 	}
+	if o.Explain != nil {
+		return explain(o.Explain, stdin, p)
+	}
 	secret, err := readFile(o.SecretFile)
 	if err != nil {
 		return p.fail(ExitUsage, err)
--- /dev/null
+++ b/azurepoint/internal/cli/explain_test.go
@@ -0,0 +1,51 @@
+package cli
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+)
+
+const logs = `   1.5 edge-b {"fields":{"event":8302,"job":"aa","reason":"cut off"},"level":"info","timestamp":"2026-01-01T00:00:01Z","message":"job refused"}
+{"fields":{"event":8202,"term":2},"timestamp":"2026-01-01T00:00:03Z","message":"took the pools over"}
+{"fields":{"event":8402,"job":"bb","task":"0.0.1"},"timestamp":"2026-01-01T00:00:03Z","message":"run ended"}
+{"fields":{"event":8404,"task":"aa.0.0.1","run":1},"timestamp":"2026-01-01T00:00:07.5Z","message":"order got no answer"}
+{"fields":{"event":8404,"task":"aa.0`
+
+// Guards against a story that leaves out lines of a job, mixes in those of others,
+// or hides silences and broken lines.
+func TestExplain(t *testing.T) {
+	var out, errs bytes.Buffer
+	if code := Run(t.Context(), []string{"explain", "aa"}, strings.NewReader(logs), &out, &errs); code != ExitDone {
+		t.Fatalf("code %d: %s", code, &errs)
+	}
+	for _, want := range []string{
+		"edge-b 8302 job refused reason=cut off", "took the pools over", "nothing for 4.5s", "order got no answer", "1 lines could not be read",
+	} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q is missing in\n%s", want, &out)
+		}
+	}
+	if strings.Contains(out.String(), "run ended") {
+		t.Errorf("a line of another job in\n%s", &out)
+	}
+}
+
+// Guards against errors that do not tell what is wrong.
+func TestExplainErrors(t *testing.T) {
+	for _, c := range []struct {
+		args []string
+		want string
+		code int
+	}{
+		{[]string{"explain", "cc"}, `no line of the logs is about "cc"`, ExitRefused},
+		{[]string{"explain"}, "id is required", ExitUsage},
+		{[]string{"explain", "aa", "no-such-file"}, "no such file", ExitUsage},
+	} {
+		var out, errs bytes.Buffer
+		code := Run(t.Context(), c.args, strings.NewReader(logs), &out, &errs)
+		if code != c.code || !strings.Contains(strings.ToLower(errs.String()), strings.ToLower(c.want)) {
+			t.Errorf("%v: code %d, %q", c.args, code, &errs)
+		}
+	}
+}
--- a/azurepoint/internal/cli/options.go
+++ b/azurepoint/internal/cli/options.go
@@ -45,21 +45,22 @@
 
 // options are the command line; each verb of the language is a subcommand.
 type options struct {
-	Run     *runCommand    `arg:"subcommand:run" help:"run statements, separated by ';' or new lines"`
-	Change  *changeCommand `arg:"subcommand:change" help:"tell what became of a change"`
-	Dump    *struct{}      `arg:"subcommand:dump" help:"print the state of the entry"`
-	Metrics *struct{}      `arg:"subcommand:metrics" help:"print the metrics of the entry"`
-	Show    *words         `arg:"subcommand:show" help:"ask: pools, members, instances, waves, versions, usage, movable, drainable, change"`
-	Create  *words         `arg:"subcommand:create" help:"create a pool or member"`
-	Set     *words         `arg:"subcommand:set" help:"change a pool or member"`
-	Add     *words         `arg:"subcommand:add" help:"add an instance"`
-	Drop    *words         `arg:"subcommand:drop" help:"drop an instance"`
-	Move    *words         `arg:"subcommand:move" help:"move instances to a pool"`
-	Cancel  *words         `arg:"subcommand:cancel" help:"cancel a move or drain"`
-	Declare *words         `arg:"subcommand:declare" help:"declare a maintenance wave"`
-	Pause   *words         `arg:"subcommand:pause" help:"pause a wave"`
-	Resume  *words         `arg:"subcommand:resume" help:"resume a wave"`
-	End     *words         `arg:"subcommand:end" help:"end a wave"`
+	Run     *runCommand     `arg:"subcommand:run" help:"run statements, separated by ';' or new lines"`
+	Change  *changeCommand  `arg:"subcommand:change" help:"tell what became of a change"`
+	Explain *explainCommand `arg:"subcommand:explain" help:"tell the story of a job from the logs of entries"`
+	Dump    *struct{}       `arg:"subcommand:dump" help:"print the state of the entry"`
+	Metrics *struct{}       `arg:"subcommand:metrics" help:"print the metrics of the entry"`
+	Show    *words          `arg:"subcommand:show" help:"ask: pools, members, instances, waves, versions, usage, movable, drainable, change"`
+	Create  *words          `arg:"subcommand:create" help:"create a pool or member"`
+	Set     *words          `arg:"subcommand:set" help:"change a pool or member"`
+	Add     *words          `arg:"subcommand:add" help:"add an instance"`
+	Drop    *words          `arg:"subcommand:drop" help:"drop an instance"`
+	Move    *words          `arg:"subcommand:move" help:"move instances to a pool"`
+	Cancel  *words          `arg:"subcommand:cancel" help:"cancel a move or drain"`
+	Declare *words          `arg:"subcommand:declare" help:"declare a maintenance wave"`
+	Pause   *words          `arg:"subcommand:pause" help:"pause a wave"`
+	Resume  *words          `arg:"subcommand:resume" help:"resume a wave"`
+	End     *words          `arg:"subcommand:end" help:"end a wave"`
 
 	Address    string        `arg:"--address,env:AZUREPOINT_ADDRESS" placeholder:"IP:PORT" help:"operators' address of an entry"`
 	SecretFile string        `arg:"--secret-file,env:AZUREPOINT_SECRET_FILE" placeholder:"FILE" help:"file with the operators' secret"`
@@ -97,6 +98,10 @@
 }
 
 func (o *options) check() (err error) {
+	if o.Explain != nil {
+		// Logs are read without an entry.
+		return nil
+	}
 	if _, err = netip.ParseAddrPort(o.Address); err != nil {
 		return errors.Errorf("--address or AZUREPOINT_ADDRESS must be an IP:port, not %q", o.Address)
 	}
--- a/azurepointd/internal/event/catalogue_test.go
+++ b/azurepointd/internal/event/catalogue_test.go
@@ -2,161 +2,16 @@
 
 import (
 	"flag"
-	"fmt"
-	"go/ast"
-	"go/parser"
-	"go/token"
-	"os"
-	"path/filepath"
-	"regexp"
-	"slices"
-	"strconv"
-	"strings"
 	"testing"
-)
-
-var update = flag.Bool("update", false, "rewrite the table of docs/events.md from the code")
 
-const page = "../../../docs/events.md"
-
-// row is one event, as the code or the catalogue has it.
-type row struct {
-	number            int
-	level, name, text string
-}
+	"github.com/azurepoint/azurepoint/coordination/event/catalogue"
+)
 
-// tableRow matches a line of the catalogue's table.
-var tableRow = regexp.MustCompile(`(?m)^\| (\d+) \| (\w+) \| (\w+) \| (.+?) \| (.*?) ?\|\n`)
+var update = flag.Bool("update", false, "rewrite the table of the page from the code")
 
 // Guards against events that the catalogue leaves out or tells otherwise, rows
 // without an event, and numbers that stand for two events or are in the file of
 // another duty.
 func TestCatalogue(t *testing.T) {
-	inCode := eventsOfCode(t)
-	if *update {
-		rewrite(t, inCode)
-	}
-	listed := rowsOfPage(t)
-	for i, r := range inCode {
-		if i > 0 && inCode[i-1].number == r.number {
-			t.Errorf("%s and %s have the number %d", inCode[i-1].name, r.name, r.number)
-		}
-		if !slices.Contains(listed, r) {
-			t.Errorf("not in the catalogue, or other than there: %+v", r)
-		}
-	}
-	for i, r := range listed {
-		if i > 0 && listed[i-1].number >= r.number {
-			t.Errorf("event %d follows event %d in the catalogue", r.number, listed[i-1].number)
-		}
-		if !slices.Contains(inCode, r) {
-			t.Errorf("not in the code, or other than there: %+v", r)
-		}
-	}
-}
-
-// eventsOfCode returns the Event literals of this package by number.
-func eventsOfCode(t *testing.T) (rows []row) {
-	t.Helper()
-	files, err := filepath.Glob("*.go")
-	if err != nil || len(files) == 0 {
-		t.Fatalf("no files: %v", err)
-	}
-	for _, name := range files {
-		file, err := parser.ParseFile(token.NewFileSet(), name, nil, parser.SkipObjectResolution)
-		if err != nil {
-			t.Fatal(err)
-		}
-		first := len(rows)
-		for node := range ast.Preorder(file) {
-			spec, isValue := node.(*ast.ValueSpec)
-			for i := 0; isValue && i < len(spec.Values); i++ {
-				literal, isLiteral := spec.Values[i].(*ast.CompositeLit)
-				if isLiteral && fmt.Sprint(literal.Type) == "Event" {
-					rows = append(rows, eventOf(t, spec.Names[i].Name, literal.Elts))
-				}
-			}
-		}
-		for _, r := range rows[first:] {
-			if r.number/1000 != rows[first].number/1000 {
-				t.Errorf("%s: event %d is of another range than %d", name, r.number, rows[first].number)
-			}
-		}
-	}
-	slices.SortFunc(rows, func(a, b row) int { return a.number - b.number })
-	return rows
-}
-
-// eventOf reads the number, level and text of an Event literal with keys in this
-// order.
-func eventOf(t *testing.T, name string, values []ast.Expr) (r row) {
-	t.Helper()
-	if len(values) != 3 {
-		t.Fatalf("%s has %d values", name, len(values))
-	}
-	for i, key := range []string{"Number", "Level", "Text"} {
-		pair, isPair := values[i].(*ast.KeyValueExpr)
-		if !isPair || fmt.Sprint(pair.Key) != key {
-			t.Fatalf("%s: value %d has not the key %s", name, i, key)
-		}
-		values[i] = pair.Value
-	}
-	number, isNumber := values[0].(*ast.BasicLit)
-	level, isLevel := values[1].(*ast.SelectorExpr)
-	text, isText := values[2].(*ast.BasicLit)
-	if !isNumber || !isLevel || !isText {
-		t.Fatalf("%s is not a number, a level and a text", name)
-	}
-	_, err := fmt.Sscanf(number.Value+" "+text.Value, "%d %q", &r.number, &r.text)
-	if err != nil {
-		t.Fatalf("%s: %v", name, err)
-	}
-	r.name = name
-	r.level = strings.ToLower(strings.TrimSuffix(level.Sel.Name, "Level"))
-	return r
-}
-
-func readPage(t *testing.T) string {
-	t.Helper()
-	text, err := os.ReadFile(page)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return string(text)
-}
-
-// rowsOfPage returns the rows of the catalogue, without their notes.
-func rowsOfPage(t *testing.T) (rows []row) {
-	t.Helper()
-	for _, m := range tableRow.FindAllStringSubmatch(readPage(t), -1) {
-		number, err := strconv.Atoi(m[1])
-		if err != nil {
-			t.Fatal(err)
-		}
-		rows = append(rows, row{number: number, level: m[2], name: m[3], text: m[4]})
-	}
-	return rows
-}
-
-// rewrite replaces the rows of the table and keeps the notes by number.
-func rewrite(t *testing.T, rows []row) {
-	t.Helper()
-	text := readPage(t)
-	notes := make(map[string]string)
-	for _, m := range tableRow.FindAllStringSubmatch(text, -1) {
-		notes[m[1]] = m[5]
-	}
-	var table strings.Builder
-	for _, r := range rows {
-		fmt.Fprintf(&table, "| %d | %s | %s | %s | %s |\n", r.number, r.level, r.name, r.text, notes[strconv.Itoa(r.number)])
-	}
-	const head = "|---|---|---|---|---|\n"
-	before, after, found := strings.Cut(text, head)
-	if !found {
-		t.Fatalf("%s has no table", page)
-	}
-	text = before + head + table.String() + tableRow.ReplaceAllString(after, "")
-	if err := os.WriteFile(page, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	catalogue.Check(t, "../../../docs/events.md", *update)
 }
--- a/coordination/schedule/order.go
+++ b/coordination/schedule/order.go
@@ -29,6 +29,9 @@
 	Endpoint string
 	Task     string
 	Run      int
+	// Job is the job of a start, and Waited how long it has been accepted.
+	Job    string
+	Waited time.Duration
 	// Spec and Checkpoint belong to a start.
 	Spec       string
 	Checkpoint string
@@ -183,7 +186,7 @@
 	if j.state == job.Queued {
 		j.state = job.Running
 	}
-	o := Order{Action: Start, Endpoint: e.ID, Task: t.name, Run: number, Spec: j.Spec, Advised: j.Advised}
+	o := Order{Action: Start, Endpoint: e.ID, Task: t.name, Run: number, Job: j.ID, Waited: now.Sub(j.acceptedAt), Spec: j.Spec, Advised: j.Advised}
 	if t.step.KeepCheckpoints {
 		o.Checkpoint = t.checkpoint
 	}
--- a/entry/manager/hold.go
+++ b/entry/manager/hold.go
@@ -10,6 +10,7 @@
 
 	"github.com/azurepoint/azurepoint/coordination/schedule"
 	"github.com/azurepoint/azurepoint/entry/event"
+	"github.com/azurepoint/azurepoint/entry/meter"
 )
 
 // holder looks at one endpoint again and again, and so renews the lease of what
@@ -99,6 +100,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	sent := time.Now()
+	defer meter.Timer("look", sent)
 	look, err := m.Endpoints.Hold(ctx, Target{ID: sight.ID, Address: sight.Address}, call)
 	if err != nil {
 		return false, err
--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -12,6 +12,7 @@
 	"github.com/azurepoint/azurepoint/coordination/job"
 	"github.com/azurepoint/azurepoint/coordination/schedule"
 	"github.com/azurepoint/azurepoint/entry/event"
+	"github.com/azurepoint/azurepoint/entry/meter"
 	"github.com/azurepoint/azurepoint/entry/store"
 )
 
@@ -258,6 +259,7 @@
 	}
 	m.mu.Unlock()
 	if w.state.Terminal() {
+		meter.Count("jobs." + string(w.state))
 		event.JobEnded.Log(log.Fields{"job": w.id, "state": string(w.state), "term": m.Term.Number})
 		for _, c := range waiters {
 			close(c)
@@ -316,6 +318,7 @@
 
 // logRunEnd writes the line of a run's end.
 func logRunEnd(r schedule.RunEnd) {
+	meter.Count("runs." + r.How)
 	event.RunEnded.Log(log.Fields{
 		"job": r.Job, "task": strings.TrimPrefix(r.Task, r.Job+"."), "run": r.Run, "endpoint": r.Endpoint,
 		"how": r.How, "tookMillis": r.Took.Milliseconds(),
--- a/entry/manager/register.go
+++ b/entry/manager/register.go
@@ -11,6 +11,7 @@
 
 	"github.com/azurepoint/azurepoint/coordination/job"
 	"github.com/azurepoint/azurepoint/entry/event"
+	"github.com/azurepoint/azurepoint/entry/meter"
 	"github.com/azurepoint/azurepoint/entry/store"
 )
 
@@ -46,6 +47,11 @@
 	Unsettled
 )
 
+// String returns the outcome as it is shown in figures.
+func (o Outcome) String() string {
+	return [...]string{"notOwner", "accepted", "refused", "unsettled"}[o]
+}
+
 // write is one record on its way to the store. Its value stays the same until it
 // is known whether it was stored.
 type write struct {
@@ -202,6 +208,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
+	defer meter.Timer("commit", time.Now())
 	revision, err := g.store.Commit(ctx, t)
 	var conflict *store.ConflictError
 	switch {
--- a/entry/manager/send.go
+++ b/entry/manager/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -9,6 +10,7 @@
 
 	"github.com/azurepoint/azurepoint/coordination/schedule"
 	"github.com/azurepoint/azurepoint/entry/event"
+	"github.com/azurepoint/azurepoint/entry/meter"
 )
 
 // answer is what an order led to.
@@ -28,13 +30,21 @@
 		m.apply(answer{order: o, answer: schedule.NotDone})
 		return
 	}
+	if o.Action == schedule.Start {
+		event.RunStarted.Log(log.Fields{
+			"job": o.Job, "task": strings.TrimPrefix(o.Task, o.Job+"."), "run": o.Run, "endpoint": o.Endpoint,
+			"waitedMillis": o.Waited.Milliseconds(), "term": m.Term.Number,
+		})
+	}
 	target := Target{ID: sight.ID, Address: sight.Address}
 	m.sending++
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
 		a := answer{order: o}
+		sent := time.Now()
 		a.answer, a.err = m.call(ctx, h, target, o)
+		meter.Timer("orders."+o.Action.String(), sent)
 		m.answers <- a
 	}()
 }
--- a/entry/node/front.go
+++ b/entry/node/front.go
@@ -10,6 +10,7 @@
 	"github.com/azurepoint/azurepoint/coordination/job"
 	"github.com/azurepoint/azurepoint/entry/event"
 	"github.com/azurepoint/azurepoint/entry/manager"
+	"github.com/azurepoint/azurepoint/entry/meter"
 	"github.com/azurepoint/azurepoint/entry/queue"
 	"github.com/azurepoint/azurepoint/entry/store"
 )
@@ -54,6 +55,7 @@
 
 // Submit stores a job, through the owner or, if none answers, without it.
 func (n *Node) Submit(ctx context.Context, j job.Job, until time.Time) (r manager.Reply) {
+	defer meter.Timer("submit", time.Now())
 	if n.cut() {
 		return n.logged(j, manager.Reply{Outcome: manager.Refused, RetryAfter: comeBack, Reason: "cut off"}, "breaker")
 	}
@@ -87,6 +89,7 @@
 func (n *Node) logged(j job.Job, r manager.Reply, by string) manager.Reply {
 	owner, _ := n.ownership.current()
 	fields := log.Fields{"job": j.ID, "queue": j.Queue, "by": by, "term": owner.Term, "reason": r.Reason}
+	meter.Count("submissions." + r.Outcome.String())
 	switch r.Outcome {
 	case manager.Refused, manager.NotOwner:
 		event.JobRefused.Log(fields)
@@ -162,6 +165,7 @@
 // State returns the state of a job; known is false only if the owner or the store
 // says that there is no such job.
 func (n *Node) State(ctx context.Context, id string) (state job.State, known bool, err error) {
+	defer meter.Timer("state", time.Now())
 	if state, known, err = n.askState(ctx, id); err == nil && known {
 		return state, true, nil
 	}
