--- a/coordination/schedule/bench_test.go
+++ b/coordination/schedule/bench_test.go
@@ -11,6 +11,16 @@
 // BenchmarkFlood measures the scheduler's time for a task, with the endpoints of
 // the grown deployments and a flood in one pool.
 func BenchmarkFlood(b *testing.B) {
+	benchmark(b, 0)
+}
+
+// BenchmarkBacklog is BenchmarkFlood with a thousand jobs that wait.
+func BenchmarkBacklog(b *testing.B) {
+	benchmark(b, 1000)
+}
+
+func benchmark(b *testing.B, backlog int) {
+	b.Helper()
 	s := &Scheduler{Settings: testSettings}
 	now := time.UnixMilli(1_700_000_000_000)
 	var listed []Endpoint
@@ -26,6 +36,12 @@
 	numbers := make(map[string]int64)
 	var running []Order
 	jobs, ended := 0, 0
+	for range backlog {
+		r := record(fmt.Sprintf("b%015x", jobs), job.Step{Count: 8, CPU: 3100, MemoryMB: 4000, EstimateMillis: 640})
+		r.Pool = "p0"
+		s.Add(r, now)
+		jobs++
+	}
 	b.ResetTimer()
 	for ended < b.N {
 		now = now.Add(10 * time.Millisecond)
--- a/coordination/schedule/order.go
+++ b/coordination/schedule/order.go
@@ -131,7 +131,7 @@
 // stops returns the orders that end runs which should not go on.
 func (s *Scheduler) stops(now time.Time) (orders []Order) {
 	for _, e := range s.endpoints {
-		if !e.seen || e.silent() {
+		if len(e.unknownRuns) == 0 || !e.seen || e.silent() {
 			continue
 		}
 		for _, name := range sortedKeys(e.unknownRuns) {
--- a/coordination/schedule/plan.go
+++ b/coordination/schedule/plan.go
@@ -48,19 +48,74 @@
 	if len(jobs) == 0 {
 		return nil
 	}
-	candidates, settled := s.candidates(pool, now)
-	if len(candidates) == 0 {
+	endpoints, settled := s.candidates(pool, now)
+	if len(endpoints) == 0 {
 		return nil
 	}
-	for _, j := range s.sortJobs(jobs, now) {
-		if j.inherited && !settled {
+	c := &candidates{endpoints: endpoints}
+	c.measure()
+	for _, j := range s.order(pool, jobs, now) {
+		if j.inherited && !settled || j.state.Terminal() {
 			continue
 		}
-		orders = append(orders, s.planJob(j, candidates, now, wall)...)
+		orders = append(orders, s.planJob(j, c, now, wall)...)
 	}
 	return orders
 }
 
+// candidates are the endpoints of a pool that take new work.
+type candidates struct {
+	endpoints []*endpoint
+	// most is the most room of each kind that one of them has, so that tasks that
+	// fit nowhere are passed over without looking at each.
+	most Capacity
+}
+
+// measure finds the most room.
+func (c *candidates) measure() {
+	c.most = Capacity{}
+	for _, e := range c.endpoints {
+		free := e.free()
+		c.most = Capacity{max(c.most.CPU, free.CPU), max(c.most.MemoryMB, free.MemoryMB), max(c.most.GPU, free.GPU)}
+	}
+}
+
+// taken updates the most room after a task was placed on e.
+func (c *candidates) taken(before Capacity) {
+	if before.CPU == c.most.CPU || before.MemoryMB == c.most.MemoryMB || before.GPU == c.most.GPU && before.GPU > 0 {
+		c.measure()
+	}
+}
+
+// Bounds of the cached order of a pool's jobs.
+const (
+	// orderKept is how long a long queue keeps its order, as ranking a thousand jobs
+	// takes half a millisecond.
+	orderKept = 40 * time.Millisecond
+	// shortQueue is ordered for each plan.
+	shortQueue = 64
+)
+
+// poolOrder is the order of a pool's jobs.
+type poolOrder struct {
+	jobs  []*jobState
+	until time.Time
+}
+
+// order returns the pool's jobs in the order in which they are placed.
+func (s *Scheduler) order(pool string, jobs map[string]*jobState, now time.Time) []*jobState {
+	o := s.orders[pool]
+	if o == nil {
+		o = &poolOrder{}
+		s.orders[pool] = o
+	}
+	if len(jobs) <= shortQueue || !now.Before(o.until) {
+		o.jobs = s.sortJobs(jobs, now)
+		o.until = now.Add(orderKept)
+	}
+	return o.jobs
+}
+
 // candidates returns the endpoints that take new work, and whether no other
 // endpoint of the pool can still run tasks of an earlier owner.
 func (s *Scheduler) candidates(pool string, now time.Time) (usable []*endpoint, settled bool) {
@@ -84,13 +139,15 @@
 		sorted = append(sorted, j)
 	}
 	slices.SortFunc(sorted, func(a, b *jobState) int {
-		return cmp.Or(
-			cmp.Compare(a.late, b.late),
-			cmp.Compare(a.Priority, b.Priority),
-			cmp.Compare(a.order, b.order),
-			a.acceptedAt.Compare(b.acceptedAt),
-			cmp.Compare(a.ID, b.ID),
-		)
+		switch {
+		case a.late != b.late:
+			return cmp.Compare(a.late, b.late)
+		case a.Priority != b.Priority:
+			return cmp.Compare(a.Priority, b.Priority)
+		case a.order != b.order:
+			return cmp.Compare(a.order, b.order)
+		}
+		return cmp.Or(a.acceptedAt.Compare(b.acceptedAt), cmp.Compare(a.ID, b.ID))
 	})
 	if len(sorted) > queueDepth {
 		sorted = sorted[:queueDepth]
@@ -143,7 +200,7 @@
 }
 
 // planJob starts the job's tasks whose turn has come.
-func (s *Scheduler) planJob(j *jobState, candidates []*endpoint, now, wall time.Time) (orders []Order) {
+func (s *Scheduler) planJob(j *jobState, c *candidates, now, wall time.Time) (orders []Order) {
 	for _, o := range j.occurrences {
 		if o.due > 0 && wall.UnixMilli() < o.due {
 			break
@@ -153,26 +210,31 @@
 				continue
 			}
 			if st.step.Gang {
-				orders = append(orders, s.planGang(st, candidates, now)...)
+				orders = append(orders, s.planGang(st, c, now)...)
 				continue
 			}
-			orders = append(orders, s.planStep(st, candidates, now)...)
+			orders = append(orders, s.planStep(st, c, now)...)
 		}
 	}
 	return orders
 }
 
-func (s *Scheduler) planStep(st *stepState, candidates []*endpoint, now time.Time) (orders []Order) {
+func (s *Scheduler) planStep(st *stepState, c *candidates, now time.Time) (orders []Order) {
 	for _, t := range st.tasks {
 		if t.done || now.Before(t.notBefore) || !t.wantsRun() {
 			continue
 		}
-		e := s.choose(st, t, candidates, nil)
+		if !c.most.holds(size(st.step)) {
+			break
+		}
+		e := s.choose(st, t, c.endpoints, nil)
 		if e == nil {
 			// The other tasks of the step are of the same size.
 			break
 		}
+		before := e.free()
 		orders = append(orders, s.start(t, e, s.nextRun(t), now))
+		c.taken(before)
 	}
 	return orders
 }
@@ -198,7 +260,7 @@
 const maxCopies = 2
 
 // planGang starts all tasks of a gang, or none.
-func (s *Scheduler) planGang(st *stepState, candidates []*endpoint, now time.Time) (orders []Order) {
+func (s *Scheduler) planGang(st *stepState, c *candidates, now time.Time) (orders []Order) {
 	number := max(st.gangRun, s.Settings.FirstRun)
 	for _, t := range st.tasks {
 		if len(t.runs) > 0 || now.Before(t.notBefore) {
@@ -209,7 +271,7 @@
 	taken := make(map[*endpoint]gangShare)
 	chosen := make([]*endpoint, len(st.tasks))
 	for i, t := range st.tasks {
-		e := s.choose(st, t, candidates, taken)
+		e := s.choose(st, t, c.endpoints, taken)
 		if e == nil {
 			return nil
 		}
@@ -230,6 +292,7 @@
 		t.checkpoint = checkpoint
 		orders = append(orders, s.start(t, chosen[i], st.gangRun, now))
 	}
+	c.measure()
 	return orders
 }
 
--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -45,6 +45,7 @@
 	// active holds the jobs of each pool that are not final.
 	active  map[string]map[string]*jobState
 	demands map[string]*demand
+	orders  map[string]*poolOrder
 	// heldBack are instances of the spare pool that have their upkeep.
 	heldBack  map[string]bool
 	startedAt time.Time
@@ -87,6 +88,7 @@
 	s.dirty = make(map[string]*jobState)
 	s.active = make(map[string]map[string]*jobState)
 	s.demands = make(map[string]*demand)
+	s.orders = make(map[string]*poolOrder)
 	s.heldBack = make(map[string]bool)
 	s.stopping = make(map[*run]bool)
 }
--- a/entry/event/writer.go
+++ b/entry/event/writer.go
@@ -20,6 +20,19 @@
 	droppedReport = 10 * time.Second
 )
 
+// runLines bounds the lines about runs in a second: a fleet of 50 endpoints stays
+// below it, and 150 lines take about 0.3% of a core.
+const runLines = 150
+
+// leftOut counts lines above the rate of their event.
+var leftOut atomic.Int64
+
+// Events of runs that are bounded, as a flood starts thousands in a second.
+var (
+	RunStartedLimited = RunStarted.Limit(runLines, &leftOut)
+	RunEndedLimited   = RunEnded.Limit(runLines, &leftOut)
+)
+
 // Writer passes log lines to an output without ever blocking; lines that find the
 // buffer full are counted and dropped.
 type Writer struct {
@@ -62,8 +75,9 @@
 				return err
 			}
 		case <-report.C:
-			if n := w.dropped.Swap(0); n > 0 {
-				LogDropped.Log(log.Fields{"lines": n})
+			full, limited := w.dropped.Swap(0), leftOut.Swap(0)
+			if full+limited > 0 {
+				LogDropped.Log(log.Fields{"bufferFull": full, "aboveRate": limited})
 			}
 		case <-ctx.Done():
 			return w.drain()
--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -319,6 +319,9 @@
 // logRunEnd writes the line of a run's end.
 func logRunEnd(r schedule.RunEnd) {
 	meter.Count("runs." + r.How)
+	if !event.RunEndedLimited.Allow() {
+		return
+	}
 	event.RunEnded.Log(log.Fields{
 		"job": r.Job, "task": strings.TrimPrefix(r.Task, r.Job+"."), "run": r.Run, "endpoint": r.Endpoint,
 		"how": r.How, "tookMillis": r.Took.Milliseconds(),
--- a/entry/manager/send.go
+++ b/entry/manager/send.go
@@ -30,7 +30,7 @@
 		m.apply(answer{order: o, answer: schedule.NotDone})
 		return
 	}
-	if o.Action == schedule.Start {
+	if o.Action == schedule.Start && event.RunStartedLimited.Allow() {
 		event.RunStarted.Log(log.Fields{
 			"job": o.Job, "task": strings.TrimPrefix(o.Task, o.Job+"."), "run": o.Run, "endpoint": o.Endpoint,
 			"waitedMillis": o.Waited.Milliseconds(), "term": m.Term.Number,
