--- a/coordination/schedule/endpoint.go
+++ b/coordination/schedule/endpoint.go
@@ -51,6 +51,12 @@
 	seen bool
 	// silentSince is the time of the first unanswered call since the last answer.
 	silentSince time.Time
+	// reportedAt is when the last look was answered.
+	reportedAt time.Time
+	// lagsUntil is until when the endpoint counts as slow.
+	lagsUntil time.Time
+	// doubts counts orders without an answer since the last answered look.
+	doubts int
 	// leaseUntil is when every lease that may have been granted has lapsed.
 	leaseUntil time.Time
 	// born identifies the lifetime of the endpoint's process.
@@ -89,6 +95,16 @@
 	version int
 }
 
+// unsettled tells whether a run waits for a look that shows whether it goes on.
+func (e *endpoint) unsettled() bool {
+	for _, r := range e.runs {
+		if r.state == uncertain {
+			return true
+		}
+	}
+	return false
+}
+
 // silent tells whether the endpoint has left calls unanswered.
 func (e *endpoint) silent() bool {
 	return !e.silentSince.IsZero()
--- a/coordination/schedule/order.go
+++ b/coordination/schedule/order.go
@@ -64,6 +64,9 @@
 const (
 	// refusedDelay keeps new work from an endpoint that refused a start.
 	refusedDelay = 300 * time.Millisecond
+	// doubtsToSilence is how many orders in a row without an answer, and without an
+	// answered look between them, make an endpoint silent.
+	doubtsToSilence = 3
 )
 
 // Answered applies the answer to an order.
@@ -105,7 +108,12 @@
 			r.state = uncertain
 			s.stopping[r] = true
 		}
-		s.Unanswered(e.ID, now)
+		// Looks show whether the endpoint answers at all; a few lost orders alone do not
+		// close it.
+		e.doubts++
+		if e.doubts >= doubtsToSilence {
+			s.Unanswered(e.ID, now)
+		}
 	case NotDone, Outdated, NoRoom, Unhealthy:
 		s.Counts.Refused++
 		if r.state == starting {
--- a/coordination/schedule/plan.go
+++ b/coordination/schedule/plan.go
@@ -249,7 +249,7 @@
 		return false
 	}
 	for _, r := range t.runs {
-		if !r.endpoint.silent() && !r.stopWanted && r.state != uncertain {
+		if !r.endpoint.silent() && !r.stopWanted && r.state != uncertain && !r.lags {
 			return false
 		}
 	}
@@ -351,7 +351,7 @@
 	if slices.Contains(t.avoid, e.ID) {
 		score -= avoidWeight
 	}
-	if e.failures > 0 {
+	if e.failures > 0 || e.doubts > 0 || e.lagsUntil.After(e.reportedAt) {
 		score -= suspectWeight
 	}
 	return score
--- a/coordination/schedule/report.go
+++ b/coordination/schedule/report.go
@@ -79,7 +79,9 @@
 		e.born = r.Born
 	}
 	e.seen = true
+	e.reportedAt = r.Arrived
 	e.silentSince = time.Time{}
+	e.doubts = 0
 	for _, n := range r.Ended {
 		if n.Number > e.applied {
 			s.applyEnd(e, n, r.Arrived)
@@ -278,6 +280,7 @@
 		known.percentAt = r.Arrived
 	}
 	known.figure = l.Figure
+	s.judgeProgress(known, r.Arrived)
 }
 
 // applyAbsence ends a run that a report does not list although the endpoint must
--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -338,6 +338,8 @@
 type Sight struct {
 	Endpoint
 	Listed, Seen, Silent bool
+	// Unsettled tells that a run waits for a look that shows whether it goes on.
+	Unsettled bool
 	// Acknowledge is the highest end whose effect is stored.
 	Acknowledge int64
 	Runs        int
@@ -363,7 +365,7 @@
 
 func (e *endpoint) sight() Sight {
 	return Sight{
-		Endpoint: e.Endpoint, Listed: e.listed, Seen: e.seen, Silent: e.silent(),
+		Endpoint: e.Endpoint, Listed: e.listed, Seen: e.seen, Silent: e.silent(), Unsettled: e.unsettled(),
 		Acknowledge: e.acknowledged, Runs: len(e.runs) + len(e.unknownRuns), LeaseUntil: e.leaseUntil,
 	}
 }
--- a/coordination/schedule/task.go
+++ b/coordination/schedule/task.go
@@ -24,6 +24,9 @@
 	avoid []string
 	// notBefore delays the next run of a task that ends at once.
 	notBefore time.Time
+	// rescued is set once a run was stopped because it lagged; long tasks lag too,
+	// and must not be restarted again and again.
+	rescued   bool
 	awaySince time.Time
 }
 
@@ -58,6 +61,8 @@
 	// stoppedAt is when the endpoint's answer to the stop arrived.
 	stoppedAt time.Time
 
+	// lags is set once the run makes far less progress than others do.
+	lags      bool
 	percent   int
 	percentAt time.Time
 	// figure is the endpoint's figure of the run: tail latency of a serving task
--- a/coordination/schedule/wave.go
+++ b/coordination/schedule/wave.go
@@ -25,6 +25,9 @@
 type WaveInstance struct {
 	Name  string
 	Phase Phase
+	// Runs is how many tasks the instance still runs while it is reserved, and Lasting
+	// how many of them last.
+	Runs, Lasting int
 	// Endpoint is the endpoint that the order takes away.
 	Endpoint  string
 	OrderedAt time.Time
@@ -64,10 +67,11 @@
 	// goneAfter is how long an instance may be missing from the platform's list
 	// before it counts as taken away.
 	goneAfter = 5 * time.Second
-	// drainTime is about how long a reserved endpoint takes to become idle.
-	drainTime = 2 * time.Second
+	// drainTime is about how long a reserved endpoint takes to become idle: its
+	// lasting tasks move one after the other, each in about a second.
+	drainTime = 4 * time.Second
 	// waveReserve is left of a wave's time for upkeeps that have to be given again.
-	waveReserve = 5 * time.Second
+	waveReserve = 6 * time.Second
 )
 
 // poolShare is the part of a pool's endpoints that may be reserved at once.
@@ -152,6 +156,7 @@
 			continue
 		}
 		e := s.endpoints[l.Endpoint]
+		i.Runs, i.Lasting = e.countRuns()
 		if l.Endpoint == "" || (e != nil && e.seen && len(e.runs)+len(e.unknownRuns) == 0) {
 			i.Endpoint = l.Endpoint
 			idle = append(idle, i)
@@ -160,6 +165,19 @@
 	return idle
 }
 
+// countRuns returns how many tasks run on the endpoint, and how many of them last.
+func (e *endpoint) countRuns() (runs, lasting int) {
+	if e == nil {
+		return 0, 0
+	}
+	for _, r := range e.runs {
+		if r.task.step.LongRunning {
+			lasting++
+		}
+	}
+	return len(e.runs) + len(e.unknownRuns), lasting
+}
+
 // hold keeps new work from an instance while its upkeep is about to begin.
 func (s *Scheduler) hold(i *WaveInstance, e *endpoint) {
 	held := i.Phase == Reserved
@@ -199,6 +217,7 @@
 		l := sights[i.Name]
 		load := loads[l.Pool]
 		e := s.endpoints[l.Endpoint]
+		i.Runs, i.Lasting = e.countRuns()
 		if l.Endpoint == "" || load == nil {
 			// An instance without an endpoint, as in a spare pool, runs nothing.
 			i.Phase = Reserved
--- a/entry/event/event.go
+++ b/entry/event/event.go
@@ -75,5 +75,6 @@
 	UpkeepRefused  = Event{Number: 8504, Level: log.InfoLevel, Text: "upkeep of an instance refused"}
 	MachinesFailed = Event{Number: 8505, Level: log.WarnLevel, Text: "instances cannot be listed"}
 	MoveOrdered    = Event{Number: 8506, Level: log.InfoLevel, Text: "move of an instance ordered"}
+	InstanceHeld   = Event{Number: 8508, Level: log.InfoLevel, Text: "instance waits for its upkeep"}
 	MoveRefused    = Event{Number: 8507, Level: log.InfoLevel, Text: "move of an instance refused"}
 )
--- a/entry/manager/hold.go
+++ b/entry/manager/hold.go
@@ -80,7 +80,8 @@
 	unconfirmedDelay = 200 * time.Millisecond
 )
 
-// look asks the endpoint once, and tells whether ends are waiting.
+// look asks the endpoint once, and tells whether the next look should wait a
+// little, as this one was answered at once.
 func (h *holder) look(ctx context.Context, sight schedule.Sight) (ended bool, err error) {
 	m := h.manager
 	if !m.Term.Confirmed() {
@@ -90,8 +91,10 @@
 	call := HoldCall{Fence: m.Term.Number, Acknowledge: sight.Acknowledge}
 	timeout := lookTimeout
 	if sight.Seen && !sight.Silent {
-		call.Wait = holdWait
-		timeout = holdWait + holdTimeout
+		if !sight.Unsettled {
+			call.Wait = holdWait
+			timeout = holdWait + holdTimeout
+		}
 		if m.mayExtend(sight) {
 			call.Until = h.deadline(m.scheduler.Settings.Lease)
 			m.leased(h.id)
@@ -115,7 +118,7 @@
 		})
 	}
 	m.report(h.id, look.Report)
-	return len(look.Ended) > 0, nil
+	return len(look.Ended) > 0 || sight.Unsettled, nil
 }
 
 // deadline returns the time on the endpoint's clock after a duration from now.
--- a/entry/manager/waves.go
+++ b/entry/manager/waves.go
@@ -166,6 +166,11 @@
 	idle := m.scheduler.PlanWave(&p.wave, sights, time.Now())
 	m.mu.Unlock()
 	m.kick()
+	for _, i := range p.wave.Instances {
+		if i.Phase == schedule.Reserved && i.Runs > 0 {
+			event.InstanceHeld.Log(log.Fields{"wave": p.wave.Number, "instance": i.Name, "runs": i.Runs, "lasting": i.Lasting})
+		}
+	}
 	names := make([]string, 0, len(idle))
 	idle = slices.DeleteFunc(idle, func(i *schedule.WaveInstance) bool { return m.orders.blocked(i.Name) })
 	for _, i := range idle {
