--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -142,10 +142,16 @@
 }
 
 func (m *Manager) tryLoad(ctx context.Context) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
 	items, _, err := m.Store.Range(ctx, jobPrefix)
 	if err != nil {
 		return err
 	}
+	cancelled, _, err := m.Store.Range(ctx, CancelPrefix)
+	if err != nil {
+		return err
+	}
 	if err = m.orders.load(ctx, m.Store); err != nil {
 		return err
 	}
@@ -165,6 +171,11 @@
 		}
 		m.scheduler.Load(r, now)
 	}
+	// A job that was cancelled without an owner must not start before the mark is
+	// seen in the view.
+	for _, i := range cancelled {
+		m.scheduler.Cancel(strings.TrimPrefix(i.Key, CancelPrefix), now)
+	}
 	if found {
 		m.endpointsRevision = known.Revision
 		var endpoints []schedule.Endpoint
@@ -307,6 +318,8 @@
 	if known {
 		return nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
 	item, found, err := m.Store.Get(ctx, JobKey(id))
 	if err != nil || !found {
 		return err
--- a/entry/manager/settings.go
+++ b/entry/manager/settings.go
@@ -56,6 +56,8 @@
 	// recordDelay is how long the record of a job that goes on may wait to be
 	// stored, well below the 4 s in which ends have to be acknowledged.
 	recordDelay = time.Second
+	// loadTimeout bounds one attempt to read all jobs: 20 pages of a slow store.
+	loadTimeout = 6 * time.Second
 	// planInterval is the longest time between two plans.
 	planInterval = 100 * time.Millisecond
 	// planSpacing is the shortest time between two plans.
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -193,7 +193,7 @@
 	for len(handled) > 0 && ctx.Err() == nil {
 		part := handled[:min(most, len(handled))]
 		handled = handled[len(part):]
-		if _, err := n.Store.Commit(ctx, store.Transaction{Removes: part}); err != nil {
+		if err := n.commit(ctx, store.Transaction{Removes: part}); err != nil {
 			event.RecordFailed.Log(log.Fields{"action": "remove marks", "error": err.Error()})
 			return
 		}
--- a/entry/node/node_test.go
+++ b/entry/node/node_test.go
@@ -8,6 +8,7 @@
 	"github.com/azurepoint/azurepoint/coordination/job"
 	"github.com/azurepoint/azurepoint/entry/manager"
 	"github.com/azurepoint/azurepoint/entry/standin"
+	"github.com/azurepoint/azurepoint/entry/store"
 )
 
 const id = "0123456789abcdef"
@@ -209,3 +210,63 @@
 	w.await(owner, "2222222222222222", job.Completed, 8*time.Second)
 	w.check()
 }
+
+// Guards against jobs that are told as accepted and never run: the answer to the
+// removal of a mark was lost, and its owner waited for it for good (seed
+// 297893816804 of kradan-cover, 909924051765 of wmus-sched).
+func TestALostAnswerDoesNotEndAdoption(t *testing.T) {
+	w := newWorld(t)
+	a, b := w.start("a"), w.start("b")
+	w.submit(a, "1111111111111111", "10", job.Step{Count: 1, CPU: 1000})
+	other := b
+	if b.manager() != nil {
+		other = a
+	}
+	var lost atomic.Int64
+	w.store.Fault = func(call string) standin.Fault {
+		if call == "commit" && lost.Add(1) == 2 {
+			// The first commit stores the job and its mark, the second removes the mark.
+			return standin.AnswerLost
+		}
+		return standin.Served
+	}
+	for _, id := range []string{id, "2222222222222222"} {
+		j := job.Job{ID: id, Queue: "q", Pool: "p", Spec: "10", Steps: []job.Step{{Count: 1, CPU: 1000}}, Accepted: time.Now().UnixMilli()}
+		if r := other.storeDirectly(t.Context(), j, false, time.Now().Add(time.Second)); r.Outcome != manager.Accepted {
+			t.Fatalf("outcome %d, want accepted", r.Outcome)
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	w.await(other, "2222222222222222", job.Completed, 5*time.Second)
+	w.check()
+}
+
+// Guards against a new owner that starts a job which was cancelled while there was
+// none: the mark of the cancelling was seen after the first plan (seed
+// 533768308299 of kradan-cover).
+func TestAJobCancelledWithoutAnOwnerIsNotStarted(t *testing.T) {
+	w := newWorld(t)
+	j := job.Record{Job: job.Job{ID: id, Queue: "q", Pool: "p", Spec: "10", Steps: []job.Step{{Count: 3, CPU: 1000}}}, State: job.Queued}
+	value, err := j.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = w.store.Commit(t.Context(), store.Transaction{Puts: []store.Put{
+		{Key: manager.JobKey(id), Value: value}, {Key: manager.CancelPrefix + id},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var starts atomic.Int64
+	w.endpoints.Fault = func(call, _ string) standin.Fault {
+		if call == "start" {
+			starts.Add(1)
+		}
+		return standin.Served
+	}
+	a := w.start("a")
+	w.await(a, id, job.Cancelled, 5*time.Second)
+	if n := starts.Load(); n > 0 {
+		t.Errorf("%d starts of a cancelled job", n)
+	}
+}
