--- a/entry/node/front.go
+++ b/entry/node/front.go
@@ -87,6 +87,7 @@
 
 // logged writes the line of a submission that did not reach the store.
 func (n *Node) logged(j job.Job, r manager.Reply, by string) manager.Reply {
+	r = n.doubts.settle(j.ID, r)
 	owner, _ := n.ownership.current()
 	fields := log.Fields{"job": j.ID, "queue": j.Queue, "by": by, "term": owner.Term, "reason": r.Reason}
 	meter.Count("submissions." + r.Outcome.String())
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -43,6 +43,7 @@
 	stopping      atomic.Bool
 	storeReach    reach
 	ownerReach    reach
+	doubts        doubts
 
 	mu     sync.Mutex
 	active *manager.Manager
--- a/entry/node/node_test.go
+++ b/entry/node/node_test.go
@@ -155,6 +155,13 @@
 			t.Errorf("fault %d: outcome %d, want %d", f, r.Outcome, want)
 		}
 	}
+	// The write that got no answer may still take effect, so that a refusal of the
+	// next attempt would not be true.
+	fault.Store(int64(standin.Refused))
+	j.ID = "aaaaaaaaaaaaaaa" + string('0'+rune(standin.Lost))
+	if r := a.Submit(t.Context(), j, time.Now().Add(900*time.Millisecond)); r.Outcome != manager.Unsettled {
+		t.Errorf("outcome %d after an attempt without answer, want unsettled", r.Outcome)
+	}
 }
 
 // Guards against a cancelled job that runs on, whichever entry is asked.
--- a/entry/node/owner.go
+++ b/entry/node/owner.go
@@ -16,7 +16,7 @@
 // Submit stores a job.
 func (a AsOwner) Submit(ctx context.Context, j job.Job, until time.Time) (r manager.Reply) {
 	if m := a.Node.manager(); m != nil {
-		return m.Submit(ctx, j, until)
+		return a.Node.doubts.settle(j.ID, m.Submit(ctx, j, until))
 	}
 	return manager.Reply{Outcome: manager.NotOwner}
 }
