--- a/coordination/event/catalogue/catalogue.go
+++ b/coordination/event/catalogue/catalogue.go
@@ -63,23 +63,30 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		first := len(rows)
-		for node := range ast.Preorder(file) {
-			spec, isValue := node.(*ast.ValueSpec)
-			for i := 0; isValue && i < len(spec.Values); i++ {
-				literal, isLiteral := spec.Values[i].(*ast.CompositeLit)
-				if isLiteral && fmt.Sprint(literal.Type) == "Event" {
-					rows = append(rows, eventOf(t, spec.Names[i].Name, literal.Elts))
-				}
+		inFile := eventsOfFile(t, file)
+		for _, r := range inFile {
+			if r.number/1000 != inFile[0].number/1000 {
+				t.Errorf("%s: event %d is of another range than %d", name, r.number, inFile[0].number)
 			}
 		}
-		for _, r := range rows[first:] {
-			if r.number/1000 != rows[first].number/1000 {
-				t.Errorf("%s: event %d is of another range than %d", name, r.number, rows[first].number)
+		rows = append(rows, inFile...)
+	}
+	slices.SortFunc(rows, func(a, b row) int { return a.number - b.number })
+	return rows
+}
+
+// eventsOfFile returns the Event literals of a file.
+func eventsOfFile(t *testing.T, file *ast.File) (rows []row) {
+	t.Helper()
+	for node := range ast.Preorder(file) {
+		spec, isValue := node.(*ast.ValueSpec)
+		for i := 0; isValue && i < len(spec.Values); i++ {
+			literal, isLiteral := spec.Values[i].(*ast.CompositeLit)
+			if isLiteral && fmt.Sprint(literal.Type) == "Event" {
+				rows = append(rows, eventOf(t, spec.Names[i].Name, literal.Elts))
 			}
 		}
 	}
-	slices.SortFunc(rows, func(a, b row) int { return a.number - b.number })
 	return rows
 }
 
@@ -114,7 +121,7 @@
 
 func readPage(t *testing.T, page string) string {
 	t.Helper()
-	text, err := os.ReadFile(page)
+	text, err := os.ReadFile(page) //nolint:gosec // the test names its page
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/entry/manager/keys.go
+++ b/entry/manager/keys.go
@@ -1,7 +1,5 @@
 package manager
 
-import "strings"
-
 // Keys of the key-value service.
 const (
 	// ControlPrefix is followed by every entry; its keys change rarely.
@@ -23,7 +21,3 @@
 func JobKey(id string) string {
 	return jobPrefix + id
 }
-
-func jobOf(key string) string {
-	return strings.TrimPrefix(key, jobPrefix)
-}
--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/apex/log"
+
 	"github.com/azurepoint/azurepoint/coordination/fault"
 	"github.com/azurepoint/azurepoint/coordination/job"
 	"github.com/azurepoint/azurepoint/coordination/schedule"
@@ -101,8 +102,8 @@
 
 func (m *Manager) run(ctx context.Context) (err error) {
 	defer fault.Annotate(&err, "manager")
-	if err = m.load(ctx); err != nil {
-		return err
+	if !m.load(ctx) {
+		return nil
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -127,14 +128,15 @@
 }
 
 // load reads the records of all jobs; the term's claim has ended every write of
-// the earlier owner.
-func (m *Manager) load(ctx context.Context) (err error) {
+// the earlier owner. It is false if the context ends before.
+func (m *Manager) load(ctx context.Context) (loaded bool) {
 	for failures := 0; ; failures++ {
-		if err = m.tryLoad(ctx); err == nil {
-			return nil
+		err := m.tryLoad(ctx)
+		if err == nil {
+			return true
 		}
 		if ctx.Err() != nil {
-			return nil
+			return false
 		}
 		event.RecordFailed.Log(log.Fields{"action": "load", "error": err.Error()})
 		pause(ctx, min(firstCommitRetry<<min(failures, 6), longestCommitRetry))
--- a/entry/store/follow.go
+++ b/entry/store/follow.go
@@ -37,11 +37,14 @@
 // Run follows the prefix until the context ends and reports its end.
 func (f *Follower) Run(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
-	go func() { ended <- f.follow(ctx) }()
+	go func() {
+		f.follow(ctx)
+		ended <- nil
+	}()
 	return ended
 }
 
-func (f *Follower) follow(ctx context.Context) (err error) {
+func (f *Follower) follow(ctx context.Context) {
 	revision := int64(-1)
 	for ctx.Err() == nil {
 		if revision < 0 {
@@ -51,7 +54,6 @@
 		}
 		f.pause(ctx)
 	}
-	return nil
 }
 
 // load reads all keys and returns the revision to go on from, or -1.
