--- a/coordination/schedule/endpoint.go
+++ b/coordination/schedule/endpoint.go
@@ -77,6 +77,8 @@
 	avoidUntil time.Time
 	// upkeep and moving keep new work away before planned upkeep and before a move.
 	upkeep, moving bool
+	// due tells that the endpoint's instance still has its upkeep before it.
+	due bool
 	// unknownRuns are listed runs of unknown size, with their numbers; they are
 	// stopped, and the endpoint gets no work until they are gone.
 	unknownRuns map[string]unknownRun
@@ -105,6 +107,16 @@
 	return false
 }
 
+// warming tells whether a lasting task starts up on the endpoint.
+func (e *endpoint) warming() bool {
+	for _, r := range e.runs {
+		if r.task.step.LongRunning && r.percent < atWork {
+			return true
+		}
+	}
+	return false
+}
+
 // silent tells whether the endpoint has left calls unanswered.
 func (e *endpoint) silent() bool {
 	return !e.silentSince.IsZero()
--- a/coordination/schedule/plan.go
+++ b/coordination/schedule/plan.go
@@ -342,6 +342,10 @@
 	if st.step.LongRunning && e.lastingCPU() > 0 {
 		score++
 	}
+	if st.step.LongRunning && e.due {
+		// The task would have to move again.
+		score -= suspectWeight
+	}
 	if st.step.DataRack != "" && e.Rack == st.step.DataRack {
 		score += dataWeight
 	}
--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -340,6 +340,8 @@
 	Listed, Seen, Silent bool
 	// Unsettled tells that a run waits for a look that shows whether it goes on.
 	Unsettled bool
+	// Warming tells that a lasting task starts up.
+	Warming bool
 	// Acknowledge is the highest end whose effect is stored.
 	Acknowledge int64
 	Runs        int
@@ -365,7 +367,7 @@
 
 func (e *endpoint) sight() Sight {
 	return Sight{
-		Endpoint: e.Endpoint, Listed: e.listed, Seen: e.seen, Silent: e.silent(), Unsettled: e.unsettled(),
+		Endpoint: e.Endpoint, Listed: e.listed, Seen: e.seen, Silent: e.silent(), Unsettled: e.unsettled(), Warming: e.warming(),
 		Acknowledge: e.acknowledged, Runs: len(e.runs) + len(e.unknownRuns), LeaseUntil: e.leaseUntil,
 	}
 }
--- a/coordination/schedule/wave.go
+++ b/coordination/schedule/wave.go
@@ -188,6 +188,7 @@
 	}
 	if e != nil {
 		e.upkeep = held
+		e.due = i.Phase == Waiting || held
 	}
 }
 
--- a/coordination/schedule/wave_test.go
+++ b/coordination/schedule/wave_test.go
@@ -101,3 +101,17 @@
 		t.Fatalf("orders %v, want the stop of the other task", orders)
 	}
 }
+
+// Guards against lasting tasks that move twice in a wave: with nine of them on one
+// instance a wave ran out of time (incident inc-d776 of wmus-sched).
+func TestLastingTasksAvoidInstancesWhoseUpkeepIsDue(t *testing.T) {
+	w := newWorld(t, "e1", "e2", "e3")
+	v, sights := testWave(w, 1, "e1", "e2")
+	w.s.PlanWave(v, sights, w.now)
+	w.s.Add(record("j", job.Step{Count: 3, CPU: 1000, LongRunning: true, MayMiss: 1}), w.now)
+	for _, o := range w.start() {
+		if o.Endpoint != "e3" {
+			t.Errorf("order %v on an instance whose upkeep is due", o)
+		}
+	}
+}
--- a/entry/manager/hold.go
+++ b/entry/manager/hold.go
@@ -91,10 +91,14 @@
 	call := HoldCall{Fence: m.Term.Number, Acknowledge: sight.Acknowledge}
 	timeout := lookTimeout
 	if sight.Seen && !sight.Silent {
-		if !sight.Unsettled {
+		switch {
+		case sight.Unsettled:
+		case sight.Warming:
+			call.Wait = warmingWait
+		default:
 			call.Wait = holdWait
-			timeout = holdWait + holdTimeout
 		}
+		timeout = call.Wait + holdTimeout
 		if m.mayExtend(sight) {
 			call.Until = h.deadline(m.scheduler.Settings.Lease)
 			m.leased(h.id)
--- a/entry/manager/settings.go
+++ b/entry/manager/settings.go
@@ -34,6 +34,9 @@
 	lease = 4 * time.Second
 	// holdWait is how long one look waits for an end, a quarter of the lease.
 	holdWait = time.Second
+	// warmingWait is how long a look waits while a lasting task starts up, as no end
+	// tells when it is at work and the next task of its step may move.
+	warmingWait = 250 * time.Millisecond
 	// holdTimeout is added to the wait before a look counts as unanswered.
 	holdTimeout = 700 * time.Millisecond
 	// lookTimeout bounds a look at an endpoint that did not answer the last one.
