--- /dev/null
+++ b/coordination/retry/pause.go
@@ -0,0 +1,16 @@
+package retry
+
+import (
+	"context"
+	"time"
+)
+
+// Pause waits, or returns early when the context ends.
+func Pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -23,13 +23,6 @@
 	// FirstRun is added to the run numbers of this owner, so that they are above
 	// those of every earlier owner.
 	FirstRun int
-	// RemoteFactor is how much longer a task takes away from its data.
-	RemoteFactor float64
-	// NoticePeriod is how long a task that may miss has to be back before another
-	// one of its step may be taken away.
-	NoticePeriod time.Duration
-	// PaceDelay is how long an endpoint takes to apply a new pace.
-	PaceDelay time.Duration
 }
 
 // Scheduler holds the jobs and endpoints of the pools that one owner manages. It
--- /dev/null
+++ b/entry/manager/forget.go
@@ -0,0 +1,50 @@
+package manager
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/azurepoint/azurepoint/coordination/retry"
+	"github.com/azurepoint/azurepoint/entry/event"
+	"github.com/azurepoint/azurepoint/entry/store"
+)
+
+// runForget removes the records of jobs that ended long ago, until the context
+// ends.
+func (m *Manager) runForget(ctx context.Context) <-chan error {
+	ended := make(chan error, 1)
+	go func() {
+		for ctx.Err() == nil {
+			retry.Pause(ctx, forgetInterval)
+			for ctx.Err() == nil && m.forget(ctx, time.Now()) {
+			}
+		}
+		ended <- nil
+	}()
+	return ended
+}
+
+// forget removes some old records and tells whether there may be more. Records that
+// are not removed now are loaded, and removed, by the next owner.
+func (m *Manager) forget(ctx context.Context, now time.Time) (more bool) {
+	m.mu.Lock()
+	ids := m.scheduler.Forget(now.Add(-m.Settings.StateKept-forgetMargin), store.MaxEntries-1)
+	m.mu.Unlock()
+	if len(ids) == 0 {
+		return false
+	}
+	t := store.Transaction{Conditions: []store.Condition{m.Term.Owner}}
+	for _, id := range ids {
+		t.Removes = append(t.Removes, JobKey(id))
+	}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	if _, err := m.Store.Commit(ctx, t); err != nil {
+		event.RecordFailed.Log(log.Fields{"action": "forget", "records": len(ids), "error": err.Error()})
+		return false
+	}
+	m.register.forget(ids)
+	return true
+}
--- a/entry/manager/hold.go
+++ b/entry/manager/hold.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 	"github.com/go-faster/errors"
 
+	"github.com/azurepoint/azurepoint/coordination/retry"
 	"github.com/azurepoint/azurepoint/coordination/schedule"
 	"github.com/azurepoint/azurepoint/entry/event"
 	"github.com/azurepoint/azurepoint/entry/meter"
@@ -60,13 +61,13 @@
 		case err == nil:
 			failures = 0
 			if ended {
-				pause(ctx, h.manager.gather())
+				retry.Pause(ctx, h.manager.gather())
 			}
 		case ctx.Err() != nil:
 		default:
 			h.fail(err, failures)
 			failures++
-			pause(ctx, min(firstLookRetry<<min(failures-1, 6), longestLookRetry))
+			retry.Pause(ctx, min(firstLookRetry<<min(failures-1, 6), longestLookRetry))
 		}
 	}
 }
@@ -85,7 +86,7 @@
 func (h *holder) look(ctx context.Context, sight schedule.Sight) (ended bool, err error) {
 	m := h.manager
 	if !m.Term.Confirmed() {
-		pause(ctx, unconfirmedDelay)
+		retry.Pause(ctx, unconfirmedDelay)
 		return false, nil
 	}
 	call := HoldCall{Fence: m.Term.Number, Acknowledge: sight.Acknowledge}
--- a/entry/manager/list.go
+++ b/entry/manager/list.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 	"github.com/go-faster/errors"
 
+	"github.com/azurepoint/azurepoint/coordination/retry"
 	"github.com/azurepoint/azurepoint/coordination/schedule"
 	"github.com/azurepoint/azurepoint/entry/event"
 	"github.com/azurepoint/azurepoint/entry/store"
@@ -51,7 +52,7 @@
 }
 
 // pruneUnlisted forgets when endpoints left the list once they are unknown.
-func (m *Manager) pruneUnlisted(time.Time) {
+func (m *Manager) pruneUnlisted() {
 	for id := range m.unlisted {
 		if _, known := m.scheduler.Endpoint(id); !known {
 			delete(m.unlisted, id)
@@ -88,7 +89,7 @@
 			return
 		}
 		event.RecordFailed.Log(log.Fields{"key": endpointsKey, "error": err.Error()})
-		pause(ctx, min(firstCommitRetry<<min(failures, 6), longestCommitRetry))
+		retry.Pause(ctx, min(firstCommitRetry<<min(failures, 6), longestCommitRetry))
 	}
 }
 
--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -11,6 +11,7 @@
 
 	"github.com/azurepoint/azurepoint/coordination/fault"
 	"github.com/azurepoint/azurepoint/coordination/job"
+	"github.com/azurepoint/azurepoint/coordination/retry"
 	"github.com/azurepoint/azurepoint/coordination/schedule"
 	"github.com/azurepoint/azurepoint/entry/event"
 	"github.com/azurepoint/azurepoint/entry/meter"
@@ -107,7 +108,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	parts := []<-chan error{m.register.run(ctx), m.Directory.Follow(ctx, m.list), m.runWaves(ctx), m.runMoves(ctx), m.runList(ctx)}
+	parts := []<-chan error{m.register.run(ctx), m.Directory.Follow(ctx, m.list), m.runWaves(ctx), m.runMoves(ctx), m.runList(ctx), m.runForget(ctx)}
 	m.plan(ctx)
 	cancel()
 	for ; m.sending > 0; m.sending-- {
@@ -139,7 +140,7 @@
 			return false
 		}
 		event.RecordFailed.Log(log.Fields{"action": "load", "error": err.Error()})
-		pause(ctx, min(firstCommitRetry<<min(failures, 6), longestCommitRetry))
+		retry.Pause(ctx, min(firstCommitRetry<<min(failures, 6), longestCommitRetry))
 	}
 }
 
@@ -229,7 +230,7 @@
 	defer m.mu.Unlock()
 	now := time.Now()
 	m.scheduler.Expire(now)
-	m.pruneUnlisted(now)
+	m.pruneUnlisted()
 	if !confirmed {
 		return nil
 	}
--- a/entry/manager/moves.go
+++ b/entry/manager/moves.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/azurepoint/azurepoint/coordination/retry"
 	"github.com/azurepoint/azurepoint/coordination/schedule"
 	"github.com/azurepoint/azurepoint/entry/event"
 )
@@ -53,7 +54,7 @@
 			if m.Term.Confirmed() {
 				b.step(ctx)
 			}
-			pause(ctx, balanceInterval)
+			retry.Pause(ctx, balanceInterval)
 		}
 		ended <- nil
 	}()
--- a/entry/manager/register.go
+++ b/entry/manager/register.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/azurepoint/azurepoint/coordination/job"
+	"github.com/azurepoint/azurepoint/coordination/retry"
 	"github.com/azurepoint/azurepoint/entry/event"
 	"github.com/azurepoint/azurepoint/entry/meter"
 	"github.com/azurepoint/azurepoint/entry/store"
@@ -146,6 +147,14 @@
 	progressed bool
 }
 
+// retry returns the failures in a row and when the next transaction may start.
+func (e commitEnd) retry(earlier int) (failures int, at time.Time) {
+	if e.progressed {
+		return 0, time.Time{}
+	}
+	return earlier + 1, time.Now().Add(min(firstCommitRetry<<min(earlier, 6), longestCommitRetry))
+}
+
 // write commits what is due until the context ends. Several transactions may be
 // under way, as a slow store takes 300 ms for each; a record is in one of them at
 // most.
@@ -164,16 +173,11 @@
 		case <-tick.C:
 		case <-next.C:
 		case <-g.wake:
-			pause(ctx, gatherWrites)
+			retry.Pause(ctx, gatherWrites)
 		case e := <-ends:
 			underWay--
 			held = append(held, e.left...)
-			if e.progressed {
-				failures = 0
-			} else {
-				failures++
-				retryAt = time.Now().Add(min(firstCommitRetry<<min(failures-1, 6), longestCommitRetry))
-			}
+			failures, retryAt = e.retry(failures)
 		}
 		for underWay < mostCommits && !time.Now().Before(retryAt) {
 			held = g.fill(held)
@@ -352,18 +356,18 @@
 	g.queue = nil
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // adopt makes the revision of a record known that another entry has written.
 func (g *register) adopt(item store.Item) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.adopted = append(g.adopted, item)
 }
+
+// forget drops the revisions of records that were removed.
+func (g *register) forget(ids []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, id := range ids {
+		delete(g.revisions, JobKey(id))
+	}
+}
--- a/entry/manager/settings.go
+++ b/entry/manager/settings.go
@@ -10,20 +10,13 @@
 type Settings struct {
 	// LongestLease is the longest lease that endpoints grant.
 	LongestLease time.Duration
-	// RemoteFactor is how much longer a task takes away from its data.
-	RemoteFactor float64
-	// NoticePeriod is how long a task must be back before another of its step may
-	// be taken away.
-	NoticePeriod time.Duration
-	// PaceDelay is how long an endpoint takes to apply a pace.
-	PaceDelay time.Duration
 	// StateKept is how long a final state can be asked for.
 	StateKept time.Duration
 	// OrderLease is how long the platform needs to see one holder of a duty before
 	// another takes its turn.
 	OrderLease time.Duration
-	// MoveTime and UpkeepTime are how long an instance is away.
-	MoveTime, UpkeepTime time.Duration
+	// UpkeepTime is how long an instance is away.
+	UpkeepTime time.Duration
 }
 
 // Times of leases and calls.
@@ -61,6 +54,11 @@
 	recordDelay = time.Second
 	// loadTimeout bounds one attempt to read all jobs: 20 pages of a slow store.
 	loadTimeout = 6 * time.Second
+	// forgetInterval separates removals of old records, and forgetMargin is added to
+	// the time for which a final state is kept: a repeated submission must still find
+	// its record.
+	forgetInterval = 10 * time.Second
+	forgetMargin   = time.Minute
 	// planInterval is the longest time between two plans.
 	planInterval = 100 * time.Millisecond
 	// planSpacing is the shortest time between two plans.
@@ -79,8 +77,5 @@
 		StartWithin:    startWithin,
 		SlowClock:      slowClock,
 		FirstRun:       (number - 1) * runsPerTerm,
-		RemoteFactor:   s.RemoteFactor,
-		NoticePeriod:   s.NoticePeriod,
-		PaceDelay:      s.PaceDelay,
 	}
 }
--- a/entry/manager/waves.go
+++ b/entry/manager/waves.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 	"github.com/go-faster/errors"
 
+	"github.com/azurepoint/azurepoint/coordination/retry"
 	"github.com/azurepoint/azurepoint/coordination/schedule"
 	"github.com/azurepoint/azurepoint/entry/event"
 	"github.com/azurepoint/azurepoint/entry/store"
@@ -86,7 +87,7 @@
 	go func() {
 		for ctx.Err() == nil {
 			if m.stepWaves(ctx) {
-				pause(ctx, waveInterval)
+				retry.Pause(ctx, waveInterval)
 				continue
 			}
 			select {
--- a/entry/node/front.go
+++ b/entry/node/front.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/azurepoint/azurepoint/coordination/job"
+	"github.com/azurepoint/azurepoint/coordination/retry"
 	"github.com/azurepoint/azurepoint/entry/event"
 	"github.com/azurepoint/azurepoint/entry/manager"
 	"github.com/azurepoint/azurepoint/entry/meter"
@@ -80,7 +81,7 @@
 		if r.Outcome == manager.Unsettled {
 			uncertain = true
 		}
-		pause(ctx, ownerPoll)
+		retry.Pause(ctx, ownerPoll)
 	}
 	return n.logged(j, n.storeDirectly(ctx, j, uncertain, arrived.Add(refuseAfter)), "store")
 }
@@ -148,7 +149,7 @@
 		if !uncertain && (n.storeReach.lost() || !time.Now().Before(refuseAt)) {
 			break
 		}
-		pause(ctx, ownerPoll*2)
+		retry.Pause(ctx, ownerPoll*2)
 	}
 	if uncertain {
 		return manager.Reply{Outcome: manager.Unsettled, Reason: "the store does not answer"}
@@ -217,7 +218,7 @@
 		if err == nil {
 			break
 		}
-		pause(ctx, ownerPoll)
+		retry.Pause(ctx, ownerPoll)
 	}
 	asked, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -12,6 +12,7 @@
 	"github.com/apex/log"
 	"github.com/go-faster/errors"
 
+	"github.com/azurepoint/azurepoint/coordination/retry"
 	"github.com/azurepoint/azurepoint/entry/event"
 	"github.com/azurepoint/azurepoint/entry/manager"
 	"github.com/azurepoint/azurepoint/entry/peer"
@@ -88,7 +89,7 @@
 	following := control.Run(viewing)
 	for ctx.Err() == nil {
 		n.ownership.awaitClaim(ctx)
-		pause(ctx, claimDelay(n.Cores))
+		retry.Pause(ctx, claimDelay(n.Cores))
 		revision, may := n.ownership.claimable()
 		if ctx.Err() != nil || !may {
 			continue
@@ -96,7 +97,7 @@
 		t, err := n.ownership.claim(ctx, revision)
 		if err != nil {
 			event.ClaimFailed.Log(log.Fields{"error": err.Error()})
-			pause(ctx, claimRetry)
+			retry.Pause(ctx, claimRetry)
 			continue
 		}
 		n.own(ctx, t)
@@ -343,12 +344,3 @@
 
 // errNoOwner means that no owner of the pools is known or answers.
 var errNoOwner = errors.New("node: no owner of the pools answers")
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/entry/node/node_test.go
+++ b/entry/node/node_test.go
@@ -316,3 +316,28 @@
 	w.await(a, fmt.Sprintf("%016x", 0x1000+jobs-1), job.Completed, 5*time.Second)
 	w.check()
 }
+
+// Guards against a store that fills up with jobs that ended long ago.
+func TestOldRecordsAreRemoved(t *testing.T) {
+	w := newWorld(t)
+	old := job.Record{
+		Job: job.Job{ID: id, Queue: "q", Pool: "p"}, State: job.Completed, EndedAt: time.Now().Add(-time.Hour).UnixMilli(),
+	}
+	value, err := old.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err = w.store.Commit(t.Context(), store.Transaction{Puts: []store.Put{{Key: manager.JobKey(id), Value: value}}}); err != nil {
+		t.Fatal(err)
+	}
+	a := w.start("a")
+	w.await(a, id, job.Completed, 3*time.Second)
+	until := time.Now().Add(15 * time.Second)
+	for time.Now().Before(until) {
+		if _, found, _ := w.store.Get(t.Context(), manager.JobKey(id)); !found {
+			return
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	t.Error("the record is still there")
+}
--- a/entry/store/follow.go
+++ b/entry/store/follow.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/azurepoint/azurepoint/coordination/retry"
 )
 
 // Delays of a follower.
@@ -102,8 +104,5 @@
 	if f.failures == 0 {
 		return
 	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(min(firstRetry<<min(f.failures-1, 10), longestRetry)):
-	}
+	retry.Pause(ctx, min(firstRetry<<min(f.failures-1, 10), longestRetry))
 }
