Take a loan's copy from the room of an entry that keeps the pool as well

In the trace two entries of one data centre kept pool cover at once, as they had taken it over before they saw each other. One lent 4 slots and gave the other a copy, which that one kept but did not count, and lent 3 more. The cap of 8 was exceeded by one.

The copy is now taken from the room of an entry that keeps the pool, or refused, and then the loan is not made. SetForeign no longer opens books of a pool that was handed over.

TestLoanOutlivesItsLender now waits a second until the pool has been handed over; until then the loan may be refused, and the new test has the bound for that time.

--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,10 @@
 vet:
 	@for m in $(MODULES); do (cd $$m && go vet ./...) || exit 1; done
 
+# The cache of the linter holds paths of the checkout that filled it, and a shared
+# one fails once that checkout is gone.
+lint format: export GOLANGCI_LINT_CACHE = $(TOOLS)/lint-cache
+
 lint: $(TOOLS)/golangci-lint-$(GOLANGCI_LINT_VERSION)
 	@for m in $(MODULES); do (cd $$m && $< run --config ../.golangci.yml ./...) || exit 1; done
 
--- a/azurepointd/internal/dispatch/borrow.go
+++ b/azurepointd/internal/dispatch/borrow.go
@@ -64,7 +64,9 @@
 	case opMirror:
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		d.ledger.Mirror(x, time.Now())
+		if !d.ledger.Mirror(x, time.Now()) {
+			return &peerrpc.BorrowReply{}, nil
+		}
 		return &peerrpc.BorrowReply{Slots: r.GetSlots()}, nil
 	case opKnown:
 		d.mu.Lock()
@@ -110,14 +112,15 @@
 }
 
 // mirror gives a copy of a loan to the entry that would be the next keeper of
-// its pool; a loan that no other entry knows would be lost with this one.
+// its pool; a loan that no other entry knows would be lost with this one. An entry
+// that keeps the pool as well refuses what it has no room for.
 func (d *Dispatcher) mirror(ctx context.Context, x quota.Loan) (known bool) {
 	next, found := membership.Rendezvous(d.others(), "pool/"+x.From)
 	if !found {
 		return false
 	}
-	_, err := d.callBorrow(ctx, next, x, opMirror)
-	return err == nil
+	reply, err := d.callBorrow(ctx, next, x, opMirror)
+	return err == nil && int(reply.GetSlots()) >= x.Slots
 }
 
 // others returns the other live entries of the data centre that do not leave.
--- a/azurepointd/internal/dispatch/sharing_test.go
+++ b/azurepointd/internal/dispatch/sharing_test.go
@@ -107,6 +107,30 @@
 	return list
 }
 
+// Guards the cap against two keepers of one pool, as after entries that did not
+// see each other: what one lends, the other does not use or lend as well.
+func TestTwoKeepersKeepTheCap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, e := newFleet(), &fakeEndpoints{}
+		for i := range 4 {
+			f.add(e, fmt.Sprintf("i%d", i), "north", "cover")
+			f.add(e, fmt.Sprintf("j%d", i), "south", "cover")
+		}
+		f.state.Members["a"] = fleet.Member{Name: "a", Cap: 8}
+		n1, n2 := startEntry(t, "n1", "north", f, e), startEntry(t, "n2", "north", f, e)
+		s1 := startEntry(t, "s1", "south", f, e)
+		n1.askMany(t, 1)
+		n2.ask(t, func(r *peerrpc.GrantRequest) { r.Pool = "spare" })
+		time.Sleep(100 * time.Millisecond) // both keep pool cover
+		link(n1, n2, s1)
+		south := s1.askMany(t, 8)
+		time.Sleep(time.Second)
+		if got := len(grantedOf(south)); got > 7 {
+			t.Errorf("%d slots in use in the south and 1 in the north, cap 8", got)
+		}
+	})
+}
+
 // Guards a loan to another data centre against the death of the lender: the
 // next keeper has a copy and does not use the slots a second time.
 func TestLoanOutlivesItsLender(t *testing.T) {
@@ -120,6 +144,9 @@
 		n1, n2 := startEntry(t, "n1", "north", f, e), startEntry(t, "n2", "north", f, e)
 		s1 := startEntry(t, "s1", "south", f, e)
 		link(n1, n2, s1)
+		// Entries that kept the pool before they saw each other hand it over;
+		// TestTwoKeepersKeepTheCap has what they may lend until then.
+		time.Sleep(time.Second)
 		n1.askMany(t, 1) // n1 takes the pool over
 		south := s1.askMany(t, 8)
 		time.Sleep(time.Second)
--- a/coordination/quota/ledger.go
+++ b/coordination/quota/ledger.go
@@ -96,9 +96,12 @@
 }
 
 // SetForeign tells how many slots are in use in a pool by tasks that are not in
-// the books; they count as used by every member.
+// the books; they count as used by every member. It does nothing for a pool whose
+// books are not kept here.
 func (l *Ledger) SetForeign(pool string, slots int) {
-	l.keep(pool).foreign = slots
+	if k, kept := l.keeping[pool]; kept {
+		k.foreign = slots
+	}
 }
 
 // Close ends the keeping of a pool; uses in its books stay until released.
--- a/coordination/quota/ledger_test.go
+++ b/coordination/quota/ledger_test.go
@@ -346,6 +346,41 @@
 	}
 }
 
+// Guards the cap while a pool changes hands and two entries keep it: a loan of
+// one is taken from the room of the other, or refused by it.
+func TestTwoKeepersLendOnce(t *testing.T) {
+	s := newSystem()
+	old, next := s.keepers[0], &Ledger{DataCentre: "north", ClockError: clockError}
+	next.Observe(s.states[0])
+	next.Open("p")
+	next.Settle("p", 0, s.now)
+	a := Account{Member: "m", Pool: "p"}
+	x := Loan{Member: "m", From: "p", To: "south/q/s1/1", Slots: 2, Until: s.now.Add(6 * time.Second)}
+	x.Slots = old.Lend(x, s.now)
+	if kept := next.Mirror(x, s.now); !kept || next.Room(a, s.now, s.now) != 1 {
+		t.Errorf("copy kept %t, then room for %d slots, want 3 less 2 lent", kept, next.Room(a, s.now, s.now))
+	}
+	if kept := next.Mirror(x, s.now); !kept || next.Room(a, s.now, s.now) != 1 {
+		t.Errorf("same copy again kept %t, then room for %d slots, want 1", kept, next.Room(a, s.now, s.now))
+	}
+	y := x
+	y.To = "south/q/s2/1"
+	if kept := next.Mirror(y, s.now); kept || next.Room(a, s.now, s.now) != 1 {
+		t.Errorf("copy of a loan without room kept %t, then room for %d slots, want 1", kept, next.Room(a, s.now, s.now))
+	}
+	next.Close("p")
+	next.SetForeign("p", 1)
+	if kept := next.Mirror(y, s.now); !kept {
+		t.Error("an entry that handed the pool over refused the copy of a loan")
+	}
+	fresh := &Ledger{DataCentre: "north", ClockError: clockError}
+	fresh.Observe(s.states[0])
+	fresh.Open("p")
+	if fresh.Mirror(x, s.now) {
+		t.Error("a keeper that does not know its books yet took the copy of a loan")
+	}
+}
+
 // Guards the edges that random steps seldom hit: when lender and borrower stop
 // counting on a loan, repeated and late requests, and the longest use.
 func TestLoanEdges(t *testing.T) {
--- a/coordination/quota/loan.go
+++ b/coordination/quota/loan.go
@@ -90,12 +90,23 @@
 }
 
 // Mirror keeps a copy of a loan that another keeper in the data centre made; a
-// later copy with fewer slots replaces it.
-func (l *Ledger) Mirror(x Loan, now time.Time) {
+// later copy with fewer slots replaces it. If the pool is kept here as well, as
+// while it changes hands, the loan is taken from the room here; kept is false if
+// there is too little, and the other keeper must not make the loan.
+func (l *Ledger) Mirror(x Loan, now time.Time) (kept bool) {
+	if _, keeping := l.keeping[x.From]; keeping && !slices.ContainsFunc(l.mirrors, x.same) {
+		if slots := l.Lend(x, now); slots >= x.Slots {
+			return true
+		}
+		x.Slots = 0
+		l.Lend(x, now)
+		return false
+	}
 	l.mirrors = slices.DeleteFunc(l.mirrors, func(y Loan) bool {
 		return y.same(x) || !now.Before(y.Until.Add(l.ClockError))
 	})
 	l.mirrors = append(l.mirrors, x)
+	return true
 }
 
 // Known returns how many slots of a pool's parts this entry knows to be lent,
