Do not dump a fake entry whose lock a frozen call holds

TestControls hung in about one of ten runs: virtual time stood still. Cause, from the goroutine dumps of two hung runs: a call in gate sleeps up to 10 ms after the end of a freeze and holds the lock of the upkeep, and the test's watch waits for that lock in Dump. A wait for a mutex does not count as blocked for synctest, so the sleep never ended. The watch skipped frozen entries, but not those that had just thawed; it now skips entries with a call in gate.

--- a/azurepointd/internal/upkeep/entry_test.go
+++ b/azurepointd/internal/upkeep/entry_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/azurepoint/azurepoint/api/endpointapi"
@@ -26,6 +27,9 @@
 	stop   func() // ends the present incarnation
 	end    <-chan error
 	frozen bool
+	// gated counts the calls that wait for the end of a freeze, at most 10 ms longer
+	// than it lasts.
+	gated  atomic.Int32
 	cutOff bool
 	killed bool
 	lags   bool // by ten seconds more
@@ -93,8 +97,13 @@
 	e.start(ctx)
 }
 
-// gate blocks while the entry is frozen.
+// gate blocks while the entry is frozen. A caller may hold a lock of the upkeep.
 func (e *fakeEntry) gate() {
+	if !e.is(&e.frozen) {
+		return
+	}
+	e.gated.Add(1)
+	defer e.gated.Add(-1)
 	for e.is(&e.frozen) {
 		time.Sleep(10 * time.Millisecond)
 	}
--- a/azurepointd/internal/upkeep/world_test.go
+++ b/azurepointd/internal/upkeep/world_test.go
@@ -248,13 +248,16 @@
 	synctest.Wait()
 }
 
-// watch dumps the state of every entry while it runs, and keeps the longest.
+// watch dumps the state of every entry while it runs, and keeps the longest. A call
+// that still waits in gate may hold the lock that Dump needs; virtual time would
+// stand still for good, as a goroutine that waits for a mutex does not count as
+// blocked.
 func (w *world) watch() {
 	for _, e := range w.entries {
 		e.lock.Lock()
 		u := e.upkeep
 		e.lock.Unlock()
-		if e.is(&e.frozen) {
+		if e.is(&e.frozen) || e.gated.Load() > 0 {
 			continue
 		}
 		var b strings.Builder
