Clear endpoints of late jobs for a flood of another pool, and keep room for lasting tasks

Late work counted as urgent, and an endpoint leaves a pool only while it is idle, which a backlog never lets it be. Moves began 4 s after the flood. A wave's last instances waited up to 20 s with one lasting task, for which short tasks left no room elsewhere.

Now jobs in time make a pool's firm need, late ones a need to be done within 8 s. Endpoints beyond the firm need are cleared for pools that miss some, and firm needs are met first. A lasting task that finds no room has it kept on one endpoint.

--- a/coordination/schedule/balance.go
+++ b/coordination/schedule/balance.go
@@ -78,16 +78,16 @@
 type balance struct {
 	pool string
 	// have are the endpoints that serve or are on their way; need are those that the
-	// demand takes.
-	have, need int
-	// idle are endpoints that could leave at once.
-	idle    []*endpoint
-	waiting float64
+	// demand takes, and firm those of them that jobs in time take.
+	have, need, firm int
+	// idle are endpoints that could leave at once, and busy those that could once
+	// their tasks have ended.
+	idle, busy []*endpoint
 }
 
-// surplus is how many endpoints the pool can give away.
-func (b *balance) surplus() int {
-	return min(b.have-b.need, len(b.idle))
+// surplus is how many endpoints beyond a target the pool can give away at once.
+func (b *balance) surplus(target func(*balance) int) int {
+	return min(b.have-target(b), len(b.idle))
 }
 
 // PlanMoves returns the moves that bring pools to the size that their demand
@@ -108,17 +108,26 @@
 		}
 	}
 	slices.SortFunc(balances, func(a, b *balance) int {
-		return cmp.Or(cmp.Compare(b.need-b.have, a.need-a.have), cmp.Compare(a.pool, b.pool))
+		return cmp.Or(cmp.Compare(b.firm-b.have, a.firm-a.have), cmp.Compare(b.need-b.have, a.need-a.have), cmp.Compare(a.pool, b.pool))
 	})
-	for _, b := range balances {
-		for short := b.need - b.have; short > 0; short-- {
-			if m, found := s.take(b.pool, &free, spare, balances, byEndpoint); found {
+	missing := 0
+	// Jobs in time come first in all pools.
+	for _, target := range []func(*balance) int{(*balance).firmNeed, (*balance).wholeNeed} {
+		for _, b := range balances {
+			for b.have < target(b) {
+				m, found := s.take(b.pool, &free, spare, balances, target, byEndpoint)
+				if !found {
+					break
+				}
+				b.have++
 				moves = append(moves, m)
-				continue
 			}
-			break
 		}
 	}
+	for _, b := range balances {
+		missing += max(0, b.firm-b.have)
+	}
+	clearOut(balances, missing)
 	if now.Sub(s.startedAt) < learnTime || spare == "" {
 		return moves
 	}
@@ -128,16 +137,38 @@
 	return moves
 }
 
+func (b *balance) firmNeed() int  { return b.firm }
+func (b *balance) wholeNeed() int { return b.need }
+
+// clearOut keeps new tasks from as many endpoints as other pools miss for jobs in
+// time, in the pools that have more than their own jobs in time take; late jobs
+// would keep them busy for good. They move once they are idle.
+func clearOut(balances []*balance, missing int) {
+	for _, b := range balances {
+		slices.SortStableFunc(b.busy, func(x, y *endpoint) int {
+			return cmp.Or(cmp.Compare(len(x.runs), len(y.runs)), cmp.Compare(x.ID, y.ID))
+		})
+		extra := max(0, min(missing, b.have-b.firm, len(b.busy)))
+		missing -= extra
+		for i, e := range b.busy {
+			e.clearing = i < extra
+		}
+		for _, e := range b.idle {
+			e.clearing = false
+		}
+	}
+}
+
 // take finds an instance for a pool: a spare one, else one of the pool with the
-// largest surplus.
-func (s *Scheduler) take(pool string, free *[]InstanceSight, spare string, balances []*balance, byEndpoint map[string]string) (m Move, found bool) {
+// largest surplus over its target.
+func (s *Scheduler) take(pool string, free *[]InstanceSight, spare string, balances []*balance, target func(*balance) int, byEndpoint map[string]string) (m Move, found bool) {
 	if len(*free) > 0 {
 		i := (*free)[0]
 		*free = (*free)[1:]
 		return Move{Instance: i.Name, Endpoint: i.Endpoint, From: spare, To: pool}, true
 	}
-	donor := slices.MaxFunc(balances, func(a, b *balance) int { return cmp.Compare(a.surplus(), b.surplus()) })
-	if donor.surplus() <= 0 || donor.pool == pool {
+	donor := slices.MaxFunc(balances, func(a, b *balance) int { return cmp.Compare(a.surplus(target), b.surplus(target)) })
+	if donor.surplus(target) <= 0 || donor.pool == pool {
 		return Move{}, false
 	}
 	return s.leave(donor, pool, byEndpoint)
@@ -162,7 +193,7 @@
 // shrink gives endpoints to the spare pool that have not been needed for a while.
 func (s *Scheduler) shrink(b *balance, spare string, byEndpoint map[string]string, now time.Time) (moves []Move) {
 	d := s.demandOf(b.pool)
-	if b.surplus() <= 0 {
+	if b.surplus((*balance).wholeNeed) <= 0 {
 		d.surplusSince = time.Time{}
 		return nil
 	}
@@ -172,7 +203,7 @@
 	if now.Sub(d.surplusSince) < shrinkAfter {
 		return nil
 	}
-	for b.surplus() > 0 {
+	for b.surplus((*balance).wholeNeed) > 0 {
 		m, found := s.leave(b, spare, byEndpoint)
 		if !found {
 			break
@@ -184,14 +215,13 @@
 
 // balances returns the size and need of each pool.
 func (s *Scheduler) balances(pools []string, incoming map[string]int, now time.Time) (all []*balance) {
-	loads := s.loads()
+	loads := s.loads(now)
 	for _, pool := range pools {
 		b := &balance{pool: pool, have: incoming[pool]}
 		l := loads[pool]
 		if l == nil {
 			l = &load{}
 		}
-		b.waiting = l.waiting
 		lasting, size, withLasting := 0, 0, 0
 		for _, e := range s.ofPool(pool) {
 			if !e.listed || e.Draining || e.reserved() {
@@ -202,19 +232,25 @@
 				continue
 			}
 			b.have++
-			held := e.lastingCPU()
+			held := e.lasting().CPU
 			if held > 0 {
 				withLasting++
 			}
 			lasting += held
-			if e.seen && len(e.runs) == 0 && len(e.unknownRuns) == 0 && now.Sub(e.joinedAt) > settleTime {
+			switch {
+			case !e.seen || len(e.unknownRuns) > 0 || held > 0 || now.Sub(e.joinedAt) <= settleTime:
+				e.clearing = false
+			case len(e.runs) == 0:
 				b.idle = append(b.idle, e)
+			default:
+				b.busy = append(b.busy, e)
 			}
 		}
 		d := s.demandOf(pool)
 		d.decay(now)
-		b.need = needed(d.rate*headroom+l.urgent, lasting, size)
-		b.need = max(b.need, withLasting+spareEndpoints)
+		inTime := max(d.rate*headroom, l.running) + l.urgent
+		b.firm = max(needed(inTime, lasting, size), withLasting+spareEndpoints)
+		b.need = max(needed(inTime+l.overdue, lasting, size), b.firm)
 		all = append(all, b)
 	}
 	return all
@@ -237,13 +273,3 @@
 	}
 	return free
 }
-
-// lastingCPU returns the processors that lasting tasks take.
-func (e *endpoint) lastingCPU() (cpu int) {
-	for _, r := range e.runs {
-		if r.task.step.LongRunning {
-			cpu += r.size.CPU
-		}
-	}
-	return cpu
-}
--- a/coordination/schedule/balance_test.go
+++ b/coordination/schedule/balance_test.go
@@ -56,6 +56,70 @@
 	}
 }
 
+// Guards against late jobs of one pool that hold the instances which jobs in time of
+// another pool need: the queues' floods come in turns, and the backlog of one flood
+// outlasts the beginning of the next.
+func TestALateBacklogGivesWayToAFlood(t *testing.T) {
+	w := newWorld(t)
+	var listed []Endpoint
+	var sights []InstanceSight
+	for i := range 12 {
+		id, pool := fmt.Sprintf("o%02d", i), "other"
+		if i == 0 {
+			id, pool = "p0", "p"
+		}
+		listed = append(listed, Endpoint{ID: id, Pool: pool, Capacity: testRoom})
+		sights = append(sights, InstanceSight{Name: "m-" + id, Pool: pool, Endpoint: id, Up: true})
+		w.running[id] = make(map[string]Listing)
+	}
+	w.s.List(listed, w.now)
+	for _, l := range listed {
+		w.report(l.ID)
+	}
+	w.now = w.now.Add(settleTime + time.Second)
+	add := func(count int, pool string) {
+		for i := range count {
+			r := record(fmt.Sprintf("%s%03d", pool, i), job.Step{Count: 4, CPU: 2000, EstimateMillis: 250})
+			r.Pool, r.Queue = pool, pool
+			r.Accepted = w.now.UnixMilli()
+			w.s.Add(r, w.now)
+		}
+	}
+	add(200, "other")
+	w.now = w.now.Add(3 * time.Second) // the objective is 1.5 s
+	w.start()
+	add(60, "p")
+	moved := 0
+	for range 8 {
+		w.now = w.now.Add(250 * time.Millisecond)
+		for _, m := range w.s.PlanMoves(sights, []string{"p", "other"}, "", map[string]int{"p": moved}, w.now) {
+			if m.To != "p" {
+				t.Fatalf("move %v away from the flood", m)
+			}
+			moved++
+		}
+		for id, running := range w.running {
+			for task := range running {
+				w.end(id, task, EndDone)
+			}
+			w.report(id)
+		}
+		w.start()
+	}
+	if moved < 8 {
+		t.Errorf("%d of 11 instances moved to jobs in time while late jobs of their pool waited, want 8 or more", moved)
+	}
+	kept := 0
+	for _, e := range w.s.endpoints {
+		if e.Pool == "other" && !e.moving {
+			kept++
+		}
+	}
+	if kept == 0 {
+		t.Error("no endpoint is left to the late jobs")
+	}
+}
+
 // Guards against pools that cost without need, and against pools that shrink
 // before their demand is known.
 func TestAnIdlePoolShrinksAfterAWhile(t *testing.T) {
--- a/coordination/schedule/endpoint.go
+++ b/coordination/schedule/endpoint.go
@@ -77,6 +77,11 @@
 	avoidUntil time.Time
 	// upkeep and moving keep new work away before planned upkeep and before a move.
 	upkeep, moving bool
+	// kept is the room that only lasting tasks may take.
+	kept Capacity
+	// clearing keeps new work away until the endpoint is idle and can move to a pool
+	// that needs it.
+	clearing bool
 	// due tells that the endpoint's instance still has its upkeep before it.
 	due bool
 	// unknownRuns are listed runs of unknown size, with their numbers; they are
@@ -136,6 +141,34 @@
 	return e.Capacity.minus(e.used)
 }
 
+// freeFor returns the room that a task of the step may take.
+func (e *endpoint) freeFor(st *stepState) Capacity {
+	if st.step.LongRunning {
+		return e.free()
+	}
+	return e.free().minus(e.kept)
+}
+
+// takes tells whether the endpoint may run the task beside others of its step, of
+// which some more are about to be placed there, if it has room.
+func (e *endpoint) takes(st *stepState, t *task, more int) bool {
+	if !e.hasLabel(st.step.Requires) || e.runs[t.name] != nil {
+		return false
+	}
+	a := st.step.AntiAffinity
+	return a <= 0 || e.count(st, t)+more < a
+}
+
+// lasting returns the room that lasting tasks take.
+func (e *endpoint) lasting() (room Capacity) {
+	for _, r := range e.runs {
+		if r.task.step.LongRunning {
+			room = room.plus(r.size)
+		}
+	}
+	return room
+}
+
 func (e *endpoint) hasLabel(label string) bool {
 	return label == "" || slices.Contains(e.Labels, label)
 }
--- a/coordination/schedule/evacuate.go
+++ b/coordination/schedule/evacuate.go
@@ -10,6 +10,9 @@
 // than its job allows.
 func (s *Scheduler) evacuate(now time.Time) {
 	for pool := range s.active {
+		for _, e := range s.ofPool(pool) {
+			e.kept = Capacity{}
+		}
 		for _, e := range s.ofPool(pool) {
 			if e.seen && !e.silent() && (e.reserved() || e.Draining) {
 				s.evacuateEndpoint(e, now)
@@ -26,6 +29,7 @@
 		st := r.task.job.occurrences[r.task.ref.Occurrence].steps[r.task.ref.Step]
 		candidates, _ := s.candidates(e.Pool, now)
 		if s.choose(st, r.task, candidates, nil) == nil {
+			keepRoom(st, r.task, candidates)
 			continue
 		}
 		if e.Draining || st.away(r.task) < max(st.step.MayMiss, 1) {
@@ -34,6 +38,26 @@
 	}
 }
 
+// keepRoom keeps other tasks out of the room that a lasting task needs on an
+// endpoint, until enough of them have ended there. In a flood, short tasks would
+// take every room that becomes free.
+func keepRoom(st *stepState, t *task, candidates []*endpoint) (found bool) {
+	need := size(st.step)
+	var best *endpoint
+	for _, e := range candidates {
+		if !e.takes(st, t, 0) || !e.Capacity.minus(e.lasting()).minus(e.kept).holds(need) {
+			continue
+		}
+		if best == nil || e.free().minus(e.kept).CPU > best.free().minus(best.kept).CPU {
+			best = e
+		}
+	}
+	if best != nil {
+		best.kept = best.kept.plus(need)
+	}
+	return best != nil
+}
+
 // away counts the other tasks of a step that are not at work for certain.
 func (s *stepState) away(except *task) (count int) {
 	for _, t := range s.tasks {
--- a/coordination/schedule/plan.go
+++ b/coordination/schedule/plan.go
@@ -124,7 +124,7 @@
 		if !e.seen && now.Before(e.leaseUntil) {
 			settled = false
 		}
-		if e.usable() && !now.Before(e.avoidUntil) {
+		if e.usable() && !e.clearing && !now.Before(e.avoidUntil) {
 			usable = append(usable, e)
 		}
 	}
@@ -224,11 +224,14 @@
 		if t.done || now.Before(t.notBefore) || !t.wantsRun() {
 			continue
 		}
-		if !c.most.holds(size(st.step)) {
-			break
+		var e *endpoint
+		if c.most.holds(size(st.step)) {
+			e = s.choose(st, t, c.endpoints, nil)
 		}
-		e := s.choose(st, t, c.endpoints, nil)
 		if e == nil {
+			if st.step.LongRunning && keepRoom(st, t, c.endpoints) {
+				continue
+			}
 			// The other tasks of the step are of the same size.
 			break
 		}
@@ -308,10 +311,7 @@
 	bestScore := 0.0
 	rack := st.rack()
 	for _, e := range candidates {
-		if !e.hasLabel(st.step.Requires) || !e.free().minus(taken[e].room).holds(need) || e.runs[t.name] != nil {
-			continue
-		}
-		if a := st.step.AntiAffinity; a > 0 && e.count(st, t)+taken[e].tasks >= a {
+		if !e.freeFor(st).minus(taken[e].room).holds(need) || !e.takes(st, t, taken[e].tasks) {
 			continue
 		}
 		score := s.score(st, t, e, rack)
@@ -339,7 +339,7 @@
 // endpoints, as these stay.
 func (s *Scheduler) score(st *stepState, t *task, e *endpoint, rack string) (score float64) {
 	score = float64(e.used.CPU) / float64(max(e.Capacity.CPU, 1))
-	if st.step.LongRunning && e.lastingCPU() > 0 {
+	if st.step.LongRunning && e.lasting().CPU > 0 {
 		score++
 	}
 	if st.step.LongRunning && e.due {
--- a/coordination/schedule/task.go
+++ b/coordination/schedule/task.go
@@ -252,6 +252,20 @@
 	return len(j.occurrences) > 0
 }
 
+// runningCPU returns the processors, in thousandths, that the job's runs take.
+func (j *jobState) runningCPU() (cpu float64) {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				for _, r := range t.runs {
+					cpu += float64(r.size.CPU)
+				}
+			}
+		}
+	}
+	return cpu
+}
+
 // running tells whether any run of the job may be going on.
 func (j *jobState) running() bool {
 	for _, o := range j.occurrences {
--- a/coordination/schedule/wave.go
+++ b/coordination/schedule/wave.go
@@ -203,7 +203,7 @@
 			waiting = append(waiting, i)
 		}
 	}
-	loads := s.loads()
+	loads := s.loads(now)
 	slices.SortStableFunc(waiting, func(a, b *WaveInstance) int {
 		l, r := sights[a.Name], sights[b.Name]
 		return cmp.Or(
@@ -256,9 +256,11 @@
 	// waiting is the work of tasks that could run, in core-milliseconds, and
 	// capacity the pool's processors.
 	waiting, capacity float64
-	// urgent are the processors that the waiting work takes to be done within its
-	// jobs' slack.
-	urgent float64
+	// urgent are the processors that the waiting work of jobs in time takes to be
+	// done within their slack; running are those that their tasks take now.
+	urgent, running float64
+	// overdue are the processors that the waiting work of late jobs takes.
+	overdue float64
 }
 
 // pressure is how long the pool needs for the tasks that wait.
@@ -269,8 +271,12 @@
 	return l.waiting / l.capacity
 }
 
+// overdueDrain is the time in which the waiting work of late jobs should be done, in
+// milliseconds. A flood lasts about as long, and a late job earns a tenth or less.
+const overdueDrain = 8000
+
 // loads returns how busy each pool is.
-func (s *Scheduler) loads() (loads map[string]*load) {
+func (s *Scheduler) loads(now time.Time) (loads map[string]*load) {
 	loads = make(map[string]*load)
 	for _, e := range s.endpoints {
 		l := loads[e.Pool]
@@ -294,15 +300,25 @@
 		}
 		for _, j := range jobs {
 			if !j.lasting() {
-				work := s.waitingWork(j)
-				loads[pool].waiting += work
-				loads[pool].urgent += work / (drainShare * s.slack(j))
+				s.rank(j, now)
+				loads[pool].add(j, s.waitingWork(j), s.slack(j))
 			}
 		}
 	}
 	return loads
 }
 
+// add counts a job's waiting work, in core-milliseconds, and what it runs.
+func (l *load) add(j *jobState, work, slack float64) {
+	l.waiting += work
+	if j.late != onTime {
+		l.overdue += work / overdueDrain
+		return
+	}
+	l.urgent += work / (drainShare * slack)
+	l.running += j.runningCPU()
+}
+
 // slack returns how long a job may wait in all and still meet its objective, in
 // milliseconds.
 func (s *Scheduler) slack(j *jobState) (millis float64) {
