Grow a pool for the lasting tasks of an upkeep, and play a wave of the upkeep's test to its end

Endpoints that leave with lasting tasks now count as a need of their pool. TestAPoolGrowsForTheLastingTasksOfAnUpkeep fails without the change.

The run now lasts until the wave has ended, and fails if 58 s pass without a reboot after the 8 minutes, the longest grant and the time until an instance counts as failed. A stall is still found, within 58 s. The history of the test's world has a lock, as it is now read while the world runs.

--- a/azurepointd/internal/upkeep/history_test.go
+++ b/azurepointd/internal/upkeep/history_test.go
@@ -112,6 +112,8 @@
 
 // reboots counts the reboots in the history.
 func (w *world) reboots() (n int) {
+	w.historyMu.Lock()
+	defer w.historyMu.Unlock()
 	for _, r := range w.history {
 		if r.what == "reboot" {
 			n++
--- a/azurepointd/internal/upkeep/upkeep_test.go
+++ b/azurepointd/internal/upkeep/upkeep_test.go
@@ -51,7 +51,7 @@
 // stalls, under faults of entries and of the log and with racing operators.
 func TestProperties(t *testing.T) {
 	for seed := range seeds(6) {
-		w := playSeed(t, seed, options{silentReports: seed%3 == 2, storm: seed%2 == 1}, 8*time.Minute)
+		w := playSeed(t, seed, options{silentReports: seed%3 == 2, storm: seed%2 == 1, wholeWave: true}, 8*time.Minute)
 		for property, found := range w.violations() {
 			t.Errorf("seed %d: %s: %v", seed, property, found)
 		}
--- a/azurepointd/internal/upkeep/world_test.go
+++ b/azurepointd/internal/upkeep/world_test.go
@@ -25,6 +25,8 @@
 	breaks int
 	// storm makes faults and operators three times as frequent.
 	storm bool
+	// wholeWave lets the run last until the wave has ended or stalls.
+	wholeWave bool
 	// quietRun leaves out the faults of entries, log and operators.
 	quietRun bool
 	// silentReports is a run without reports of the entries' grants; homes
@@ -52,6 +54,7 @@
 	log       fakeLog
 	endpoints map[string]*fakeEndpoint
 	entries   []*fakeEntry
+	historyMu sync.Mutex
 	history   []record
 	tasks     int
 	faultsEnd time.Time
@@ -68,6 +71,8 @@
 }
 
 func (w *world) note(what, instance, pool string, running int) {
+	w.historyMu.Lock()
+	defer w.historyMu.Unlock()
 	w.history = append(w.history, record{time.Now(), what, instance, pool, running})
 }
 
@@ -222,8 +227,26 @@
 	return w
 }
 
-// play runs the world for a time under synctest and waits for its end. Faults
-// end after two thirds of the time.
+// stallAfter is the longest time without a reboot in a wave that goes on: an
+// instance drains for the longest grant and is away until it counts as failed.
+const stallAfter = 58 * time.Second
+
+// goOn waits while the wave goes on, as its budgets decide how long it takes: with
+// 2 at a time, operators that moved 17 waiting instances to one pool make it 4
+// minutes. It returns once the wave has ended or stalls.
+func (w *world) goOn() {
+	for reboots, since := 0, time.Now(); time.Since(since) < stallAfter; time.Sleep(time.Second) {
+		if w.log.head().Waves["w"].State == fleet.WaveEnded {
+			return
+		}
+		if n := w.reboots(); n != reboots {
+			reboots, since = n, time.Now()
+		}
+	}
+}
+
+// play runs the world for a time under synctest and waits for its end, with
+// wholeWave longer while the wave goes on. Faults end after two thirds of the time.
 func (w *world) play(length time.Duration) {
 	ctx, cancel := context.WithCancel(context.Background())
 	w.faultsEnd = time.Now().Add(length * 2 / 3)
@@ -240,6 +263,9 @@
 		w.watch()
 	}
 	others.Wait()
+	if w.wholeWave {
+		w.goOn()
+	}
 	cancel()
 	for _, e := range w.entries {
 		<-e.end
--- a/coordination/schedule/balance.go
+++ b/coordination/schedule/balance.go
@@ -80,6 +80,9 @@
 	// have are the endpoints that serve or are on their way; need are those that the
 	// demand takes, and firm those of them that jobs in time take.
 	have, need, firm int
+	// size is the processor of the largest endpoint. lasting are the processors that
+	// lasting tasks take, and withLasting the endpoints on which they run.
+	size, lasting, withLasting int
 	// idle are endpoints that could leave at once, and busy those that could once
 	// their tasks have ended.
 	idle, busy []*endpoint
@@ -222,40 +225,46 @@
 		if l == nil {
 			l = &load{}
 		}
-		lasting, size, withLasting := 0, 0, 0
 		for _, e := range s.ofPool(pool) {
-			if !e.listed || e.Draining || e.reserved() {
-				continue
-			}
-			size = max(size, e.Capacity.CPU)
-			if e.silent() {
-				continue
-			}
-			b.have++
-			held := e.lasting().CPU
-			if held > 0 {
-				withLasting++
-			}
-			lasting += held
-			switch {
-			case !e.seen || len(e.unknownRuns) > 0 || held > 0 || now.Sub(e.joinedAt) <= settleTime:
-				e.clearing = false
-			case len(e.runs) == 0:
-				b.idle = append(b.idle, e)
-			default:
-				b.busy = append(b.busy, e)
-			}
+			b.add(e, now)
 		}
 		d := s.demandOf(pool)
 		d.decay(now)
 		inTime := max(d.rate*headroom, l.running) + l.urgent
-		b.firm = max(needed(inTime, lasting, size), withLasting+spareEndpoints)
-		b.need = max(needed(inTime+l.overdue, lasting, size), b.firm)
+		b.firm = max(needed(inTime, b.lasting, b.size), b.withLasting+spareEndpoints)
+		b.need = max(needed(inTime+l.overdue, b.lasting, b.size), b.firm)
 		all = append(all, b)
 	}
 	return all
 }
 
+// add counts an endpoint of the pool.
+func (b *balance) add(e *endpoint, now time.Time) {
+	stays := e.listed && !e.Draining && !e.reserved()
+	if stays {
+		b.size = max(b.size, e.Capacity.CPU)
+		if e.silent() {
+			return
+		}
+		b.have++
+	}
+	// The lasting tasks of an endpoint that leaves need another place first.
+	held := e.lasting().CPU
+	if held > 0 {
+		b.withLasting++
+	}
+	b.lasting += held
+	switch {
+	case !stays:
+	case !e.seen || len(e.unknownRuns) > 0 || held > 0 || now.Sub(e.joinedAt) <= settleTime:
+		e.clearing = false
+	case len(e.runs) == 0:
+		b.idle = append(b.idle, e)
+	default:
+		b.busy = append(b.busy, e)
+	}
+}
+
 // needed returns how many endpoints of a size carry short and lasting work.
 func needed(short float64, lasting, size int) (count int) {
 	if size == 0 {
--- a/coordination/schedule/balance_test.go
+++ b/coordination/schedule/balance_test.go
@@ -142,3 +142,28 @@
 		t.Fatalf("%d moves, want all endpoints but one", n)
 	}
 }
+
+// Guards against an upkeep that waits for a place for its lasting tasks: a pool that
+// has shrunk to the endpoints of a step whose tasks run apart has none.
+func TestAPoolGrowsForTheLastingTasksOfAnUpkeep(t *testing.T) {
+	w := newWorld(t, "e1", "e2", "e3")
+	w.s.Add(record("lasting", job.Step{Count: 3, CPU: 1000, LongRunning: true, AntiAffinity: 1, MayMiss: 1}), w.now)
+	w.start()
+	sights := []InstanceSight{{Name: "m-spare", Pool: "spare", Up: true}}
+	for _, e := range []string{"e1", "e2", "e3"} {
+		w.report(e)
+		sights = append(sights, InstanceSight{Name: "m-" + e, Pool: "p", Endpoint: e, Up: true})
+	}
+	w.list("e1", "e2", "e3", "e4")
+	w.report("e4")
+	sights = append(sights, InstanceSight{Name: "m-e4", Pool: "p", Endpoint: "e4", Up: true})
+	w.now = w.now.Add(settleTime + time.Second)
+	if moves := w.s.PlanMoves(sights, []string{"p"}, "spare", nil, w.now); len(moves) > 0 {
+		t.Fatalf("moves %v before the upkeep", moves)
+	}
+	w.s.endpoints["e1"].upkeep = true
+	moves := w.s.PlanMoves(sights, []string{"p"}, "spare", nil, w.now)
+	if len(moves) != 1 || moves[0].Instance != "m-spare" || moves[0].To != "p" {
+		t.Errorf("moves %v, want the spare instance for the pool", moves)
+	}
+}
