--- a/coordination/changelog/compact.go
+++ b/coordination/changelog/compact.go
@@ -33,25 +33,27 @@
 	if err != nil {
 		return 0, err
 	}
-	if !l.Due(f.Snapshot) {
-		return f.Snapshot, nil
-	}
-	stored, won, err := l.writeSnapshot(ctx)
-	if err != nil || !won {
-		return f.Snapshot, err
+	stored = f.Snapshot
+	if l.Due(f.Snapshot) {
+		var won bool
+		if f.Snapshot, won, err = l.writeSnapshot(ctx); err != nil || !won {
+			return stored, err
+		}
+		f.Floor = max(f.Floor, f.Snapshot-l.margin())
+		if revision, won, err = l.writeFloor(ctx, revision, f); err != nil || !won {
+			return f.Snapshot, err
+		}
 	}
-	f.Snapshot = stored
-	f.Floor = max(f.Floor, stored-l.margin())
-	revision, won, err = l.writeFloor(ctx, revision, f)
-	if err != nil || !won {
-		return stored, err
+	// An earlier call may have raised the floor and not removed all records.
+	if f.Cleaned >= f.Floor {
+		return f.Snapshot, nil
 	}
 	if err = l.clean(ctx, f); err != nil {
-		return stored, err
+		return f.Snapshot, err
 	}
 	f.Cleaned = f.Floor
 	_, _, err = l.writeFloor(ctx, revision, f)
-	return stored, err
+	return f.Snapshot, err
 }
 
 func (l *Log) snapshotEvery() (records int64) {
