--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 lint format: export GOLANGCI_LINT_CACHE = $(TOOLS)/lint-cache
 
 lint: $(TOOLS)/golangci-lint-$(GOLANGCI_LINT_VERSION)
-	@for m in $(MODULES); do (cd $$m && $< run --config ../.golangci.yml ./...) || exit 1; done
+	@for m in $(MODULES); do (cd $$m && $< run --allow-parallel-runners --config ../.golangci.yml ./...) || exit 1; done
 
 format: $(TOOLS)/golangci-lint-$(GOLANGCI_LINT_VERSION)
 	@for m in $(MODULES); do (cd $$m && $< fmt --config ../.golangci.yml ./...) || exit 1; done
