Foresee rising demand, keep pools until it is known and order moves several at a time

Change: the demand is foreseen from its rise over two windows, pools keep their size for 3 s from the first job, surplus endpoints leave after 0.3 s, and four moves are ordered at once.

Conclusion: who waits in a flood is decided in its first two seconds.

--- a/coordination/schedule/balance.go
+++ b/coordination/schedule/balance.go
@@ -9,9 +9,14 @@
 
 // Demand of a pool and how its size follows.
 const (
-	// demandWindow is the time over which arriving work is averaged: long enough to
-	// smooth single jobs, short against the 8 s that a flood lasts.
-	demandWindow = 1200 * time.Millisecond
+	// demandWindow and trendWindow are the times over which arriving work is averaged.
+	// A flood rises for about 4 s; what the short average is above the long one tells
+	// how fast.
+	demandWindow = 500 * time.Millisecond
+	trendWindow  = 1500 * time.Millisecond
+	// moveLead is how far ahead the demand is foreseen: the time from the order of a
+	// move to the first task, and the half of the short window by which it lags.
+	moveLead = 2500 * time.Millisecond
 	// drainShare is the share of a job's slack in which its waiting work should be
 	// done.
 	drainShare = 0.7
@@ -22,12 +27,16 @@
 	// flood.
 	spareEndpoints = 1
 	// shrinkAfter is how long a pool must have had too many endpoints before one
-	// leaves. Two moves cost as much as an endpoint in 2.6 s.
-	shrinkAfter = 1200 * time.Millisecond
-	// learnTime is how long the demand is watched before a pool shrinks.
-	learnTime = 8 * time.Second
-	// settleTime keeps an endpoint in the pool that it joined.
-	settleTime = 3 * time.Second
+	// leaves: more than one look at the pools, so that a single job does not decide.
+	shrinkAfter = 300 * time.Millisecond
+	// learnTime is how long the demand is watched from the first job on before a pool
+	// shrinks: a flood under way shows within it.
+	learnTime = 3 * time.Second
+	// quietTime is how long pools keep their size if no job arrives at all.
+	quietTime = 30 * time.Second
+	// settleTime keeps an endpoint in the pool that it joined until tasks that wait for
+	// it are placed. Two moves cost as much as an endpoint in 2.6 s.
+	settleTime = time.Second
 )
 
 // Move is an order to give an instance to another pool.
@@ -37,9 +46,10 @@
 
 // demand is what a pool has to carry.
 type demand struct {
-	// rate is the arriving work in cores, as of at.
-	rate float64
-	at   time.Time
+	// rate and trendRate are the arriving work in cores over the short and the long
+	// window, as of at.
+	rate, trendRate float64
+	at              time.Time
 	// surplusSince is since when the pool has had too many endpoints.
 	surplusSince time.Time
 }
@@ -53,9 +63,13 @@
 	for i := range j.Steps {
 		work += s.expected(j, &j.Steps[i]) * float64(j.Steps[i].CPU) * float64(j.Steps[i].Count)
 	}
+	if s.firstArrival.IsZero() {
+		s.firstArrival = now
+	}
 	d := s.demandOf(j.Pool)
 	d.decay(now)
 	d.rate += work / float64(demandWindow.Milliseconds())
+	d.trendRate += work / float64(trendWindow.Milliseconds())
 }
 
 func (s *Scheduler) demandOf(pool string) *demand {
@@ -70,10 +84,19 @@
 func (d *demand) decay(now time.Time) {
 	if !d.at.IsZero() {
 		d.rate *= math.Exp(-float64(now.Sub(d.at)) / float64(demandWindow))
+		d.trendRate *= math.Exp(-float64(now.Sub(d.at)) / float64(trendWindow))
 	}
 	d.at = now
 }
 
+// foreseen returns the work that will arrive, in cores, when an instance that is
+// ordered now takes its first task. A demand that falls is not foreseen, as an
+// instance that left too early costs two moves.
+func (d *demand) foreseen() (cores float64) {
+	rise := max(0, d.rate-d.trendRate) / (trendWindow - demandWindow).Seconds()
+	return d.rate + rise*moveLead.Seconds()
+}
+
 // balance is a pool's size beside its need.
 type balance struct {
 	pool string
@@ -131,7 +154,7 @@
 		missing += max(0, b.firm-b.have)
 	}
 	clearOut(balances, missing)
-	if now.Sub(s.startedAt) < learnTime || spare == "" {
+	if spare == "" || !s.demandKnown(now) {
 		return moves
 	}
 	for _, b := range balances {
@@ -140,6 +163,14 @@
 	return moves
 }
 
+// demandKnown tells whether the demand was watched for long enough to shrink pools.
+func (s *Scheduler) demandKnown(now time.Time) bool {
+	if s.firstArrival.IsZero() {
+		return now.Sub(s.startedAt) >= quietTime
+	}
+	return now.Sub(s.firstArrival) >= learnTime
+}
+
 func (b *balance) firmNeed() int  { return b.firm }
 func (b *balance) wholeNeed() int { return b.need }
 
@@ -230,7 +261,7 @@
 		}
 		d := s.demandOf(pool)
 		d.decay(now)
-		inTime := max(d.rate*headroom, l.running) + l.urgent
+		inTime := max(d.foreseen()*headroom, l.running) + l.urgent
 		b.firm = max(needed(inTime, b.lasting, b.size), b.withLasting+spareEndpoints)
 		b.need = max(needed(inTime+l.overdue, b.lasting, b.size), b.firm)
 		all = append(all, b)
--- a/coordination/schedule/balance_test.go
+++ b/coordination/schedule/balance_test.go
@@ -133,7 +133,11 @@
 	if n := plan(); n > 0 {
 		t.Fatalf("%d moves at once", n)
 	}
-	w.now = w.now.Add(learnTime)
+	w.now = w.now.Add(quietTime - time.Millisecond)
+	if n := plan(); n > 0 {
+		t.Fatalf("%d moves before any job has come", n)
+	}
+	w.now = w.now.Add(time.Millisecond)
 	if n := plan(); n > 0 {
 		t.Fatalf("%d moves as soon as there is a surplus", n)
 	}
@@ -143,6 +147,30 @@
 	}
 }
 
+// Guards against pools that shrink at the first job, before a flood that is under way
+// shows, and against pools that stay large once the demand is known.
+func TestPoolsKeepTheirSizeUntilTheDemandIsKnown(t *testing.T) {
+	w := newWorld(t, "e1", "e2", "e3", "e4")
+	var sights []InstanceSight
+	for i := range 4 {
+		id := fmt.Sprintf("e%d", i+1)
+		sights = append(sights, InstanceSight{Name: "m-" + id, Pool: "p", Endpoint: id, Up: true})
+	}
+	plan := func() int { return len(w.s.PlanMoves(sights, []string{"p"}, "spare", nil, w.now)) }
+	w.now = w.now.Add(quietTime / 2)
+	w.s.Add(record("j", job.Step{Count: 1, CPU: 100, EstimateMillis: 100}), w.now)
+	w.now = w.now.Add(learnTime - time.Millisecond)
+	if n := plan(); n > 0 {
+		t.Fatalf("%d moves before the demand is known", n)
+	}
+	w.now = w.now.Add(time.Millisecond)
+	plan()
+	w.now = w.now.Add(shrinkAfter)
+	if n := plan(); n != 3 {
+		t.Fatalf("%d moves, want all endpoints but one", n)
+	}
+}
+
 // Guards against an upkeep that waits for a place for its lasting tasks: a pool that
 // has shrunk to the endpoints of a step whose tasks run apart has none.
 func TestAPoolGrowsForTheLastingTasksOfAnUpkeep(t *testing.T) {
--- a/coordination/schedule/flood_test.go
+++ b/coordination/schedule/flood_test.go
@@ -119,9 +119,13 @@
 
 // play runs the jobs until a time after the last one has arrived.
 func (f *flood) play(arrivals []*floodJob, rest time.Duration) {
+	f.playUntil(arrivals, arrivals[len(arrivals)-1].arrives.Add(rest))
+}
+
+// playUntil runs jobs until a time.
+func (f *flood) playUntil(arrivals []*floodJob, end time.Time) {
 	const tick = 10 * time.Millisecond
 	const look = 7
-	end := arrivals[len(arrivals)-1].arrives.Add(rest)
 	for n := 0; f.now.Before(end); n++ {
 		f.now = f.now.Add(tick)
 		for len(arrivals) > 0 && !arrivals[0].arrives.After(f.now) {
--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -40,8 +40,10 @@
 	demands map[string]*demand
 	orders  map[string]*poolOrder
 	// heldBack are instances of the spare pool that have their upkeep.
-	heldBack  map[string]bool
-	startedAt time.Time
+	heldBack map[string]bool
+	// startedAt is when the pools' sizes were first looked at, firstArrival when the
+	// first job that ends was taken.
+	startedAt, firstArrival time.Time
 	// sorted caches the endpoints of each pool in order; it is nil when the
 	// endpoints have changed.
 	sorted map[string][]*endpoint
--- a/entry/manager/moves.go
+++ b/entry/manager/moves.go
@@ -21,6 +21,9 @@
 	// order that got no answer is carried out 12 s later at most, but is fenced by
 	// the next order for the instance.
 	moveSettled = 13 * time.Second
+	// movesAtOnce bounds the orders under way. An order takes about 15 ms, so that a
+	// flood's 100 moves would be spread over more than a second one after the other.
+	movesAtOnce = 4
 )
 
 // Pools says which pools the operators have.
@@ -99,8 +102,28 @@
 		}
 		return
 	}
-	for _, v := range moves {
-		b.order(ctx, v)
+	b.orderAll(ctx, moves)
+}
+
+// orderAll orders moves, several at a time, and returns once all are answered.
+func (b *balancer) orderAll(ctx context.Context, moves []schedule.Move) {
+	answers := make(chan moveAnswer)
+	underWay := 0
+	for len(moves) > 0 || underWay > 0 {
+		if len(moves) == 0 || underWay == movesAtOnce {
+			b.answered(<-answers)
+			underWay--
+			continue
+		}
+		v := moves[0]
+		moves = moves[1:]
+		if !b.manager.Term.Confirmed() {
+			b.settle(&moving{move: v})
+			continue
+		}
+		b.moving[v.Instance] = &moving{move: v, orderedAt: time.Now()}
+		underWay++
+		go func() { answers <- b.order(ctx, v) }()
 	}
 }
 
@@ -154,23 +177,31 @@
 	b.manager.scheduler.Release(v.move.Endpoint)
 }
 
+// moveAnswer is what the order of a move led to.
+type moveAnswer struct {
+	move   schedule.Move
+	answer MachineAnswer
+	err    error
+}
+
 // order gives an idle instance to another pool.
-func (b *balancer) order(ctx context.Context, v schedule.Move) {
+func (b *balancer) order(ctx context.Context, v schedule.Move) (a moveAnswer) {
 	m := b.manager
-	if !m.Term.Confirmed() {
-		b.settle(&moving{move: v})
-		return
-	}
-	on := &moving{move: v, orderedAt: time.Now()}
-	b.moving[v.Instance] = on
-	answer, err := m.Machines.Move(ctx, MachineCall{Instance: v.Instance, Holder: m.Holder, Fence: m.Term.Number, Pool: v.To})
+	a.move = v
+	a.answer, a.err = m.Machines.Move(ctx, MachineCall{Instance: v.Instance, Holder: m.Holder, Fence: m.Term.Number, Pool: v.To})
+	return a
+}
+
+// answered records what the order of a move led to.
+func (b *balancer) answered(a moveAnswer) {
+	m, v := b.manager, a.move
 	fields := log.Fields{
-		"instance": v.Instance, "endpoint": v.Endpoint, "from": v.From, "to": v.To, "term": m.Term.Number, "answer": answer.String(),
+		"instance": v.Instance, "endpoint": v.Endpoint, "from": v.From, "to": v.To, "term": m.Term.Number, "answer": a.answer.String(),
 	}
-	if err != nil {
-		fields["error"] = err.Error()
+	if a.err != nil {
+		fields["error"] = a.err.Error()
 	}
-	switch answer {
+	switch a.answer {
 	case MachineDone:
 		event.MoveOrdered.Log(fields)
 		m.gone(v.Endpoint)
@@ -179,7 +210,7 @@
 	case MachineFenced:
 		m.lose()
 	case MachineBusy, MachineRefused, MachineLimited:
-		b.settle(on)
+		b.settle(b.moving[v.Instance])
 	}
 	event.MoveRefused.Log(fields)
 }
