Find the owner through other entries, and refuse at once what no write was tried for

Where the store is away for all, every submission tried a write without prospect, and an entry noticed only with its next watch, 2 s late, that the store was back.

Change: entries list themselves in the store. No write is tried while the store is lost, and an owner whose term is not confirmed takes nothing; both refusals are certain. A renewal that failed is repeated after 100 ms. make generate ran both proto files in one call, which the generator refuses.

--- a/Makefile
+++ b/Makefile
@@ -52,8 +52,8 @@
 	GOBIN=$(TOOLS) go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
 	GOBIN=$(TOOLS) go install github.com/twitchtv/twirp/protoc-gen-twirp@$(TWIRP_VERSION)
 	cd api && for a in caller operator endpoint; do $(TOOLS)/ogen --target $${a}api --package $${a}api --clean $$a.yaml || exit 1; done
-	cd api && PATH=$(TOOLS):$$PATH protoc --go_out=. --go_opt=module=github.com/azurepoint/azurepoint/api \
-		--twirp_out=. --twirp_opt=module=github.com/azurepoint/azurepoint/api peer.proto jobs.proto
+	cd api && for p in peer jobs; do PATH=$(TOOLS):$$PATH protoc --go_out=. --go_opt=module=github.com/azurepoint/azurepoint/api \
+		--twirp_out=. --twirp_opt=module=github.com/azurepoint/azurepoint/api $$p.proto || exit 1; done
 
 # Starts the processes on loopback, sends requests and checks the properties.
 demo: build
--- a/entry/event/event.go
+++ b/entry/event/event.go
@@ -31,6 +31,7 @@
 	EndpointBack    = Event{Number: 8106, Level: log.InfoLevel, Text: "endpoint answers"}
 	EndpointListed  = Event{Number: 8107, Level: log.InfoLevel, Text: "endpoint listed"}
 	EndpointGone    = Event{Number: 8108, Level: log.InfoLevel, Text: "endpoint no longer listed"}
+	StoreProbed     = Event{Number: 8110, Level: log.InfoLevel, Text: "key-value service answered a probe; callers' jobs are stored again"}
 	EndpointIgnored = Event{Number: 8109, Level: log.WarnLevel, Text: "entry of the endpoint list ignored"}
 )
 
@@ -43,6 +44,7 @@
 	AuthorityLost  = Event{Number: 8205, Level: log.WarnLevel, Text: "ownership cannot be confirmed; no orders until it is"}
 	AuthorityBack  = Event{Number: 8206, Level: log.InfoLevel, Text: "ownership confirmed again"}
 	ClaimFailed    = Event{Number: 8207, Level: log.InfoLevel, Text: "claim of the pools failed"}
+	OwnerHeard     = Event{Number: 8208, Level: log.InfoLevel, Text: "another entry told the owner of the pools"}
 )
 
 // Events of jobs.
--- a/entry/manager/keys.go
+++ b/entry/manager/keys.go
@@ -10,6 +10,8 @@
 	InboxPrefix = ControlPrefix + "inbox/"
 	// CancelPrefix marks jobs that an entry cancelled without the owner.
 	CancelPrefix = ControlPrefix + "cancel/"
+	// EntryPrefix names the entries and where the others reach them.
+	EntryPrefix = ControlPrefix + "entries/"
 	// TermKey counts the owners; its value is the fence of the last one.
 	TermKey = "azurepoint/term"
 	// endpointsKey holds the endpoints on which the owner may have started tasks.
--- a/entry/manager/submit.go
+++ b/entry/manager/submit.go
@@ -39,6 +39,10 @@
 		return Reply{Outcome: NotOwner, Reason: "the jobs are being loaded"}
 	case known:
 		return Reply{Outcome: Accepted}
+	case !m.Term.Confirmed():
+		// Another entry may own the pools by now, and no write is tried that would leave
+		// the job open.
+		return Reply{Outcome: NotOwner, Reason: "the ownership cannot be confirmed"}
 	case active >= mostActive:
 		return Reply{Outcome: Refused, RetryAfter: refusedRetry, Reason: "too many jobs"}
 	}
--- a/entry/node/front.go
+++ b/entry/node/front.go
@@ -12,6 +12,7 @@
 	"github.com/azurepoint/azurepoint/entry/event"
 	"github.com/azurepoint/azurepoint/entry/manager"
 	"github.com/azurepoint/azurepoint/entry/meter"
+	"github.com/azurepoint/azurepoint/entry/peer"
 	"github.com/azurepoint/azurepoint/entry/queue"
 	"github.com/azurepoint/azurepoint/entry/store"
 )
@@ -30,6 +31,9 @@
 	// refuseAfter is how long a job that is certainly not stored is held before its
 	// caller is told to come back: a quarter of the shortest objective.
 	refuseAfter = 500 * time.Millisecond
+	// ownerRetry separates submissions to an owner that did not answer the last call; a
+	// job that waits for it may stay open.
+	ownerRetry = 250 * time.Millisecond
 	// ownerPoll separates looks at who the owner is.
 	ownerPoll = 30 * time.Millisecond
 	// answerMargin is left of the caller's deadline for the way back.
@@ -74,7 +78,7 @@
 			}
 			return n.logged(j, r, "owner")
 		}
-		if err != nil && !errors.Is(err, errNoOwner) {
+		if err != nil && !errors.Is(err, errNoOwner) && !errors.Is(err, peer.ErrNotSent) {
 			// The call may have reached the owner.
 			uncertain = true
 		}
@@ -110,13 +114,14 @@
 		return m.Submit(ctx, j, until), nil
 	}
 	owner, found := n.ownership.current()
-	if !found || n.ownership.isSelf(owner) {
+	if !found || n.ownership.isSelf(owner) || !n.ownerReach.mayTry(ownerRetry) {
 		return manager.Reply{}, errNoOwner
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	r, err = n.Peers.Submit(ctx, owner.Address, j, until)
 	n.ownerReach.note(err == nil)
+	n.ownerServes.note(err == nil && r.Outcome != manager.NotOwner)
 	return r, err
 }
 
@@ -131,6 +136,10 @@
 		Conditions: []store.Condition{{Key: manager.JobKey(j.ID)}},
 		Puts:       []store.Put{{Key: manager.JobKey(j.ID), Value: value}, {Key: manager.InboxPrefix + j.ID, Value: []byte(j.Pool)}},
 	}
+	if !uncertain && n.storeReach.lost() {
+		// A write without an answer would leave the caller's job open for nothing.
+		return manager.Reply{Outcome: manager.Refused, RetryAfter: comeBack, Reason: "neither owner nor store can be reached"}
+	}
 	for ctx.Err() == nil {
 		err = n.commit(ctx, t)
 		var conflict *store.ConflictError
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -44,7 +44,10 @@
 	stopping      atomic.Bool
 	storeReach    reach
 	ownerReach    reach
-	doubts        doubts
+	// ownerServes is lost while the owner answers that it cannot serve.
+	ownerServes reach
+	doubts      doubts
+	entries     entries
 
 	mu     sync.Mutex
 	active *manager.Manager
@@ -64,6 +67,7 @@
 	n.ownership = &ownership{
 		store: n.Store, self: ownerRecord{Name: n.Name, Address: n.Address, Process: n.Process}, changed: make(chan struct{}, 1),
 	}
+	n.entries.reset()
 	n.inbox = make(map[string]bool)
 	n.cancels = make(map[string]bool)
 	n.waves = make(map[int64]manager.Wave)
@@ -87,6 +91,7 @@
 		Lost: n.lostStore, Regained: n.regainedStore,
 	}
 	following := control.Run(viewing)
+	parts := []<-chan error{n.askAround(viewing), n.probeStore(viewing), n.listSelf(ctx)}
 	for ctx.Err() == nil {
 		n.ownership.awaitClaim(ctx)
 		retry.Pause(ctx, claimDelay(n.Cores))
@@ -104,7 +109,15 @@
 	}
 	n.stopping.Store(true)
 	cancel()
-	return <-following
+	for _, part := range parts {
+		if e := <-part; e != nil && err == nil {
+			err = e
+		}
+	}
+	if e := <-following; err == nil {
+		err = e
+	}
+	return err
 }
 
 // own manages the pools until the term or the context ends.
@@ -266,24 +279,33 @@
 	clear(n.inbox)
 	clear(n.cancels)
 	n.mu.Unlock()
+	n.entries.reset()
 	owner, found := store.Item{}, false
 	for _, i := range items {
 		if i.Key == manager.OwnerKey {
 			owner, found = i, true
 			continue
 		}
-		n.mark(i.Key, true)
+		if !n.entries.note(store.Change{Item: i}) {
+			n.mark(i.Key, true)
+		}
+	}
+	if n.ownership.view(owner, found, asOf) {
+		n.newOwner()
 	}
-	n.ownership.view(owner, found, asOf)
 }
 
 func (n *Node) applyControl(changes []store.Change) {
 	for _, c := range changes {
 		if c.Key == manager.OwnerKey {
-			n.ownership.view(c.Item, !c.Removed, c.Revision)
+			if n.ownership.view(c.Item, !c.Removed, c.Revision) {
+				n.newOwner()
+			}
 			continue
 		}
-		n.mark(c.Key, !c.Removed)
+		if !n.entries.note(c) {
+			n.mark(c.Key, !c.Removed)
+		}
 	}
 }
 
@@ -337,9 +359,15 @@
 	return n.configuration.Load() != nil && !n.stopping.Load() && !n.cut()
 }
 
-// cut tells whether this entry reaches neither the owner nor the store.
+// cut tells whether this entry reaches neither the store nor an owner that does.
 func (n *Node) cut() bool {
-	return n.storeReach.lost() && n.ownerReach.lost() && n.manager() == nil
+	if !n.storeReach.lost() {
+		return false
+	}
+	if m := n.manager(); m != nil {
+		return !m.Term.Confirmed()
+	}
+	return n.ownerReach.lost() || n.ownerServes.lost()
 }
 
 // errNoOwner means that no owner of the pools is known or answers.
--- a/entry/node/owner.go
+++ b/entry/node/owner.go
@@ -6,6 +6,7 @@
 
 	"github.com/azurepoint/azurepoint/coordination/job"
 	"github.com/azurepoint/azurepoint/entry/manager"
+	"github.com/azurepoint/azurepoint/entry/peer"
 )
 
 // AsOwner answers other entries while this entry owns the pools.
@@ -44,3 +45,13 @@
 	}
 	return 0, false
 }
+
+// Current tells the owner as the store last showed it; an entry that has lost the
+// store tells only of itself.
+func (a AsOwner) Current() (v peer.OwnerView) {
+	if !a.Node.storeReach.lost() {
+		v.Record, v.Revision = a.Node.ownership.stored()
+	}
+	v.Serving = a.Node.ownership.serving()
+	return v
+}
--- a/entry/node/ownership.go
+++ b/entry/node/ownership.go
@@ -24,8 +24,10 @@
 	ownerLease = 2 * time.Second
 	// renewInterval is how often the lease is renewed.
 	renewInterval = 600 * time.Millisecond
-	// renewTimeout bounds a renewal; the next one starts after it.
-	renewTimeout = 500 * time.Millisecond
+	// renewTimeout bounds a renewal, and renewRetry is when a failed one is repeated: the
+	// owner serves again as soon as a store that was away answers.
+	renewTimeout = 400 * time.Millisecond
+	renewRetry   = 100 * time.Millisecond
 	// authorityMargin ends the owner's belief before the store's lease.
 	authorityMargin = 100 * time.Millisecond
 	// claimSpread is the longest random delay before a claim, so that few entries
@@ -59,6 +61,12 @@
 	// none.
 	owner    ownerRecord
 	revision int64
+	// record is the value of the owner's key.
+	record []byte
+	// heard is an owner of which another entry told while this one had lost the store,
+	// and heardRevision the revision of its key.
+	heard         ownerRecord
+	heardRevision int64
 	// viewed is set once the key was read.
 	viewed bool
 	// held is the term of this process, or nil.
@@ -83,8 +91,9 @@
 	t.lostOnce.Do(func() { close(t.lost) })
 }
 
-// view records the stored owner as it was at a revision of the store.
-func (o *ownership) view(item store.Item, found bool, asOf int64) {
+// view records the stored owner as it was at a revision of the store, and tells
+// whether it has changed.
+func (o *ownership) view(item store.Item, found bool, asOf int64) (changed bool) {
 	var r ownerRecord
 	if found {
 		if err := json.Unmarshal(item.Value, &r); err != nil {
@@ -99,11 +108,14 @@
 	if o.held != nil && asOf < o.held.revision {
 		// The view is older than this process's own claim.
 		o.mu.Unlock()
-		return
+		return false
 	}
-	changed := !o.viewed || o.revision != revision
+	changed = !o.viewed || o.revision != revision
 	o.viewed = true
-	o.owner, o.revision = r, revision
+	o.owner, o.revision, o.record = r, revision, item.Value
+	if asOf >= o.heardRevision {
+		o.heard, o.heardRevision = ownerRecord{}, 0
+	}
 	if o.held != nil && revision != o.held.revision {
 		o.held.lose()
 	}
@@ -115,15 +127,48 @@
 		default:
 		}
 	}
+	return changed
 }
 
-// current returns the stored owner, if there is one.
+// current returns the latest known owner, if there is one.
 func (o *ownership) current() (r ownerRecord, found bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.heardRevision > o.revision {
+		return o.heard, true
+	}
 	return o.owner, o.revision > 0
 }
 
+// stored returns the record of the owner as the store last showed it.
+func (o *ownership) stored() (record []byte, revision int64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.record, o.revision
+}
+
+// hear takes over what another entry read of the owner's key at a revision. A later
+// key than that of this process's term shows that the term is over. Changed tells
+// whether the owner is another one than was known.
+func (o *ownership) hear(record []byte, revision int64) (changed bool) {
+	var r ownerRecord
+	if err := json.Unmarshal(record, &r); err != nil {
+		event.RecordInvalid.Log(log.Fields{"key": manager.OwnerKey, "error": err.Error()})
+		return false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if revision <= max(o.revision, o.heardRevision) {
+		return false
+	}
+	o.heard, o.heardRevision = r, revision
+	event.OwnerHeard.Log(log.Fields{"owner": r.Name, "term": r.Term, "revision": revision})
+	if o.held != nil && revision > o.held.revision {
+		o.held.lose()
+	}
+	return true
+}
+
 // isSelf tells whether the record is of this process.
 func (o *ownership) isSelf(r ownerRecord) bool {
 	return r.Name == o.self.Name && r.Process == o.self.Process
@@ -197,11 +242,25 @@
 	}
 	o.mu.Lock()
 	o.held = t
-	o.owner, o.revision = record, max(o.revision, written)
+	if written > o.revision {
+		o.owner, o.revision, o.record = record, written, value
+	} else {
+		// A later key was seen before the answer to this claim.
+		t.lose()
+	}
 	o.mu.Unlock()
 	return t, nil
 }
 
+// serving tells whether this process owns the pools for certain; it may still be
+// loading the jobs.
+func (o *ownership) serving() bool {
+	o.mu.Lock()
+	t := o.held
+	o.mu.Unlock()
+	return t != nil && o.confirmed(t)
+}
+
 // confirmed tells whether the term is certain to last now.
 func (o *ownership) confirmed(t *heldTerm) bool {
 	now := bootTime()
@@ -226,21 +285,26 @@
 
 // keep renews the term's lease until the term or the context ends.
 func (o *ownership) keep(ctx context.Context, t *heldTerm) {
-	tick := time.NewTicker(renewInterval)
-	defer tick.Stop()
+	next := time.NewTimer(renewInterval)
+	defer next.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.lost:
 			return
-		case <-tick.C:
-			o.renew(ctx, t)
+		case <-next.C:
+			if o.renew(ctx, t) {
+				next.Reset(renewInterval)
+			} else {
+				next.Reset(renewRetry)
+			}
 		}
 	}
 }
 
-func (o *ownership) renew(ctx context.Context, t *heldTerm) {
+// renew renews the term's lease once.
+func (o *ownership) renew(ctx context.Context, t *heldTerm) (renewed bool) {
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	sent := bootTime()
@@ -254,6 +318,7 @@
 		event.OwnershipLost.Log(log.Fields{"term": t.number, "reason": "the lease has ended"})
 		t.lose()
 	}
+	return err == nil
 }
 
 // release gives the term up, so that another entry takes over at once.
--- a/entry/node/reach.go
+++ b/entry/node/reach.go
@@ -14,6 +14,21 @@
 type reach struct {
 	mu   sync.Mutex
 	down bool
+	// retryAt is when the next call may be made while the dependency is down.
+	retryAt time.Time
+}
+
+// mayTry tells whether a call is due: always, or once in a while when the last one got
+// no answer.
+func (r *reach) mayTry(every time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if r.down && now.Before(r.retryAt) {
+		return false
+	}
+	r.retryAt = now.Add(every)
+	return true
 }
 
 // note records whether a call was answered.
--- a/entry/node/world_test.go
+++ b/entry/node/world_test.go
@@ -51,6 +51,8 @@
 	kill func()
 	// stop ends the entry as planned.
 	stop func()
+	// off is the store as the entry reaches it.
+	off *cut
 }
 
 // start runs an entry and serves its peers.
@@ -84,7 +86,7 @@
 		_ = server.Close()
 		<-served
 	}
-	e := &entry{Node: n, stop: end, kill: func() {
+	e := &entry{Node: n, off: off, stop: end, kill: func() {
 		off.off.Store(true)
 		end()
 	}}
--- a/entry/peer/peer.go
+++ b/entry/peer/peer.go
@@ -28,12 +28,28 @@
 	idleTimeout = 30 * time.Second
 )
 
+// ErrNotSent means that no connection could be made, so that the owner has done
+// nothing.
+var ErrNotSent = errors.New("peer: no connection")
+
 // Owner answers as the owner of the pools, or that it is not the owner.
 type Owner interface {
 	Submit(ctx context.Context, j job.Job, until time.Time) (r manager.Reply)
 	State(id string) (state job.State, known, owner bool)
 	Cancel(ctx context.Context, id string) (state job.State, known, owner bool)
 	Pending(queue string) (count int, owner bool)
+	// Current tells what this entry knows of the owner.
+	Current() OwnerView
+}
+
+// OwnerView is what an entry knows of the owner of the pools.
+type OwnerView struct {
+	// Record is the stored record of the owner and Revision that of its key, 0 if no
+	// owner is known.
+	Record   []byte
+	Revision int64
+	// Serving tells whether the entry itself owns the pools for certain.
+	Serving bool
 }
 
 // Handler serves other entries.
@@ -80,6 +96,12 @@
 	return &jobsrpc.PendingReply{Owner: owner, Pending: int64(count)}, nil
 }
 
+// Current tells which entry owns the pools.
+func (h handler) Current(context.Context, *jobsrpc.CurrentRequest) (*jobsrpc.CurrentReply, error) {
+	v := h.owner.Current()
+	return &jobsrpc.CurrentReply{Record: v.Record, Revision: v.Revision, Serving: v.Serving}, nil
+}
+
 // Client calls other entries; its zero value is not usable, see NewClient.
 type Client struct {
 	http *http.Client
@@ -104,6 +126,10 @@
 		return manager.Reply{}, errors.Wrap(err, "peer: encode job")
 	}
 	reply, err := c.owner(address).Submit(ctx, &jobsrpc.SubmitRequest{Job: value, UntilUnixMillis: until.UnixMilli()})
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return manager.Reply{}, errors.Wrap(ErrNotSent, err.Error())
+	}
 	if err != nil {
 		return manager.Reply{}, errors.Wrap(err, "peer: submit")
 	}
@@ -138,3 +164,12 @@
 	}
 	return reply.Pending, reply.Owner, nil
 }
+
+// Current asks an entry what it knows of the owner of the pools.
+func (c *Client) Current(ctx context.Context, address string) (v OwnerView, err error) {
+	reply, err := c.owner(address).Current(ctx, &jobsrpc.CurrentRequest{})
+	if err != nil {
+		return OwnerView{}, errors.Wrap(err, "peer: current owner")
+	}
+	return OwnerView{Record: reply.Record, Revision: reply.Revision, Serving: reply.Serving}, nil
+}
