Do not lose a term whose claim is seen before its answer, and list entries soon after a failure

An entry that could not list itself tried again after 10 s, and late answers of an earlier owner were taken for the present one's in three more calls.

TestAClaimMayBeSeenBeforeItsAnswer fails without the change.

--- a/entry/node/entries.go
+++ b/entry/node/entries.go
@@ -22,8 +22,10 @@
 	// entryLease is how long an entry stays in the list without a renewal; a stale
 	// address only costs a question without an answer.
 	entryLease = 30 * time.Second
-	// entryRenew is how often the lease is renewed.
+	// entryRenew is how often the lease is renewed, and entryRetry when an entry that
+	// could not list itself tries again.
 	entryRenew = 10 * time.Second
+	entryRetry = time.Second
 	// askInterval separates questions about the owner while the store is lost: well
 	// below the 2 s that a takeover takes.
 	askInterval = 400 * time.Millisecond
@@ -108,10 +110,14 @@
 	go func() {
 		lease := int64(0)
 		for ctx.Err() == nil {
+			if lease != 0 && n.renewEntry(ctx, lease) {
+				lease = 0
+			}
 			if lease == 0 {
 				lease = n.enter(ctx)
-			} else if n.renewEntry(ctx, lease) {
-				lease = 0
+			}
+			if lease == 0 {
+				retry.Pause(ctx, entryRetry)
 				continue
 			}
 			retry.Pause(ctx, entryRenew)
@@ -141,7 +147,8 @@
 	return lease
 }
 
-// renewEntry renews the lease of this entry's key and tells whether it has ended.
+// renewEntry renews the lease of this entry's key and tells whether it has ended. After
+// any other error it goes on, and the next renewals come well before its end.
 func (n *Node) renewEntry(ctx context.Context, lease int64) (over bool) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -180,6 +187,7 @@
 	return ended
 }
 
+// probe reads a key; the store's reach records whether there was an answer.
 func (n *Node) probe(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
@@ -189,7 +197,7 @@
 }
 
 // ask asks a few entries for the owner, and the owner whether it serves, and takes the
-// answers over.
+// answers over. An entry that does not answer tells nothing.
 func (n *Node) ask(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
@@ -216,12 +224,22 @@
 
 // noteOwner records how an owner answered, unless another one is known by now.
 func (n *Node) noteOwner(asked ownerRecord, answered, serves bool) {
-	if owner, known := n.ownership.current(); known && owner == asked {
-		n.ownerReach.note(answered)
+	if n.noteReach(asked, answered) {
 		n.ownerServes.note(serves)
 	}
 }
 
+// noteReach records whether an owner answered, and tells whether it is still the one
+// that is known.
+func (n *Node) noteReach(asked ownerRecord, answered bool) (current bool) {
+	owner, known := n.ownership.current()
+	current = known && owner == asked
+	if current {
+		n.ownerReach.note(answered)
+	}
+	return current
+}
+
 // newOwner lets callers' requests try a new owner.
 func (n *Node) newOwner() {
 	n.ownerReach.note(true)
--- a/entry/node/front.go
+++ b/entry/node/front.go
@@ -208,7 +208,7 @@
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
 	state, known, isOwner, err := n.Peers.State(ctx, owner.Address, id)
-	n.ownerReach.note(err == nil)
+	n.noteReach(owner, err == nil)
 	if err == nil && !isOwner {
 		err = errNoOwner
 	}
@@ -253,7 +253,7 @@
 		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 		defer cancel()
 		state, known, owner, err = n.Peers.Cancel(ctx, record.Address, id)
-		n.ownerReach.note(err == nil)
+		n.noteReach(record, err == nil)
 	}
 	switch {
 	case err != nil:
@@ -300,7 +300,7 @@
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
 	count, isOwner, err := n.Peers.Pending(ctx, owner.Address, queue)
-	n.ownerReach.note(err == nil)
+	n.noteReach(owner, err == nil)
 	if err == nil && !isOwner {
 		err = errNoOwner
 	}
--- a/entry/node/node_test.go
+++ b/entry/node/node_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"sync/atomic"
 	"testing"
@@ -103,6 +104,47 @@
 	}
 }
 
+// early is a store whose changes are seen before the answer to the transaction.
+type early struct {
+	store.Store
+	seen func(t store.Transaction, revision int64)
+}
+
+// Commit carries out a transaction and shows it before it answers.
+func (e early) Commit(ctx context.Context, t store.Transaction) (revision int64, err error) {
+	revision, err = e.Store.Commit(ctx, t)
+	if err == nil {
+		e.seen(t, revision)
+	}
+	return revision, err
+}
+
+// Guards against a term that ends as it begins: the watch may show the claim before its
+// answer arrives. A later key that is seen first does end the term.
+func TestAClaimMayBeSeenBeforeItsAnswer(t *testing.T) {
+	for later, lost := range map[int64]bool{0: false, 1: true} {
+		o := &ownership{self: ownerRecord{Name: "a", Process: 1}, changed: make(chan struct{}, 1)}
+		o.store = early{Store: &standin.Store{}, seen: func(c store.Transaction, revision int64) {
+			revision += later
+			o.view(store.Item{Key: manager.OwnerKey, Value: c.Puts[0].Value, Revision: revision}, true, revision)
+		}}
+		term, err := o.claim(t.Context(), 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		select {
+		case <-term.lost:
+			if !lost {
+				t.Error("the term is lost although its own claim was seen")
+			}
+		default:
+			if lost {
+				t.Error("the term goes on although a later key was seen")
+			}
+		}
+	}
+}
+
 // Guards against a job that is told as accepted and never run: the answer to its
 // owner's write was lost, and the entry that the caller asked next found it stored
 // (seed 466908848283 of wmus-sched).
--- a/entry/node/ownership.go
+++ b/entry/node/ownership.go
@@ -243,7 +243,7 @@
 	}
 	o.mu.Lock()
 	o.held = t
-	if written > o.revision {
+	if written >= o.revision {
 		o.owner, o.revision, o.record = record, written, value
 	} else {
 		// A later key was seen before the answer to this claim.
