--- a/entry/node/entries_test.go
+++ b/entry/node/entries_test.go
@@ -146,12 +146,12 @@
 	}
 	var r reach
 	r.note(false)
-	if !r.mayTry(time.Hour) || r.mayTry(time.Hour) {
-		t.Error("a dependency that is down is to be tried once in a while")
+	if first, second := r.mayTry(time.Hour), r.mayTry(time.Hour); !first || second {
+		t.Errorf("a dependency that is down may be tried: %v and then %v, want once in a while", first, second)
 	}
 	r.note(true)
-	if !r.mayTry(time.Hour) || !r.mayTry(time.Hour) {
-		t.Error("a dependency that answers is to be tried always")
+	if first, second := r.mayTry(time.Hour), r.mayTry(time.Hour); !first || !second {
+		t.Errorf("a dependency that answers may be tried: %v and then %v, want always", first, second)
 	}
 }
 
