Replace a record only by the revision that the write was made from

A creation without an answer was sent again after the stored job had been adopted and completed, or cancelled, under the revision of that record, and replaced it by a new job.

Change: the revision that a record replaces is part of the record and goes with it through the scheduler and the pending write; a creation is conditioned on a key that does not exist. A known record that another writer has changed ends the term. Ended jobs are removed by revision. ownedRecord does the same for the keys of the owner: waves, endpoints, and recent orders, which had no condition on their own revision, so that a write executed late could undo a later one. Marks are removed by revision, so that a late removal leaves a renewed cancellation.

Also: a cancellation that meets a pending creation is applied when the job is added, and one that the load found without its job when the job is adopted, before a task can start. An order is not sent once the ownership is unconfirmed, as the process may have been suspended after it was planned. Stored records with indexes that their job does not have are rejected instead of ending the process.

--- a/coordination/job/job.go
+++ b/coordination/job/job.go
@@ -122,9 +122,10 @@
 			}
 		}
 		tasks += s.Count
-	}
-	if tasks*j.Occurrences() > maxTasksPerJob {
-		return errors.Errorf("job: %d tasks, above %d", tasks*j.Occurrences(), maxTasksPerJob)
+		// Checked for each step, so that the sum cannot overflow.
+		if tasks > maxTasksPerJob || s.Count > maxTasksPerJob || j.Repeat > maxTasksPerJob || tasks*j.Occurrences() > maxTasksPerJob {
+			return errors.Errorf("job: %d tasks in %d occurrences, above %d", tasks, j.Occurrences(), maxTasksPerJob)
+		}
 	}
 	if j.Repeat < 0 || j.IntervalMillis < 0 {
 		return errors.New("job: negative number of occurrences or interval")
--- a/coordination/job/record.go
+++ b/coordination/job/record.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 
+	"github.com/go-faster/errors"
+
 	"github.com/azurepoint/azurepoint/coordination/fault"
 )
 
@@ -32,6 +34,9 @@
 	Progress []Progress `json:"progress,omitempty"`
 	// EndedAt is the time at which the state became final, in Unix milliseconds.
 	EndedAt int64 `json:"endedAt,omitempty"`
+	// Revision is the store's revision of the record that this one was read from or
+	// replaces; 0 means that the store has none.
+	Revision int64 `json:"-"`
 }
 
 // Progress holds the done tasks and the failed runs of one step.
@@ -58,9 +63,55 @@
 	return value, err
 }
 
-// Decode parses a stored record.
-func Decode(value []byte) (r Record, err error) {
+// Decode parses the stored record of a revision and rejects one that names steps or
+// tasks which the job does not have.
+func Decode(value []byte, revision int64) (r Record, err error) {
 	defer fault.Annotate(&err, "job: decode record")
-	err = json.Unmarshal(value, &r)
-	return r, err
+	if err = json.Unmarshal(value, &r); err != nil {
+		return Record{}, err
+	}
+	if err = r.validate(); err != nil {
+		return Record{}, err
+	}
+	r.Revision = revision
+	return r, nil
+}
+
+// validate returns an error if the state is unknown or if an index is out of range.
+// Steps are left out of the records of ended jobs.
+func (r *Record) validate() error {
+	if r.State != Queued && r.State != Running && !r.State.Terminal() {
+		return errors.Errorf("state %q is unknown", r.State)
+	}
+	if len(r.Steps) == 0 && r.State.Terminal() {
+		return nil
+	}
+	if err := r.Job.Validate(); err != nil {
+		return err
+	}
+	for _, p := range r.Progress {
+		if err := p.validate(&r.Job); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// validate returns an error if an index is not one of the job.
+func (p *Progress) validate(j *Job) error {
+	if p.Occurrence < 0 || p.Occurrence >= j.Occurrences() || p.Step < 0 || p.Step >= len(j.Steps) {
+		return errors.Errorf("progress of step %d in occurrence %d, which the job does not have", p.Step, p.Occurrence)
+	}
+	tasks := j.Steps[p.Step].Count
+	for _, i := range p.Done {
+		if i < 0 || i >= tasks {
+			return errors.Errorf("step %d has %d tasks, and task %d is said to be done", p.Step, tasks, i)
+		}
+	}
+	for i := range p.Failures {
+		if i < 0 || i >= tasks {
+			return errors.Errorf("step %d has %d tasks, and task %d is said to have failed", p.Step, tasks, i)
+		}
+	}
+	return nil
 }
--- a/coordination/schedule/bench_test.go
+++ b/coordination/schedule/bench_test.go
@@ -66,7 +66,7 @@
 			ended++
 		}
 		for _, w := range s.Writes(now, time.Second, 15) {
-			s.ConfirmWrite(w.Record.ID, w.Version, w.Record.State)
+			s.ConfirmWrite(w, 1)
 		}
 	}
 }
--- a/coordination/schedule/burst_test.go
+++ b/coordination/schedule/burst_test.go
@@ -144,7 +144,7 @@
 			sim.execute(o)
 		}
 		for _, w := range sim.s.Writes(sim.now, time.Second, 1000) {
-			sim.s.ConfirmWrite(w.Record.ID, w.Version, w.Record.State)
+			sim.s.ConfirmWrite(w, 1)
 			if w.Record.State == job.Completed && sim.jobs[w.Record.ID].completedAt.IsZero() {
 				sim.jobs[w.Record.ID].completedAt = sim.now
 			}
--- a/coordination/schedule/fixture_test.go
+++ b/coordination/schedule/fixture_test.go
@@ -107,7 +107,7 @@
 func (f *fixture) confirmWrites() (writes []Write) {
 	writes = f.s.Writes(f.now, 0, 100)
 	for _, v := range writes {
-		f.s.ConfirmWrite(v.Record.ID, v.Version, v.Record.State)
+		f.s.ConfirmWrite(v, 1)
 	}
 	return writes
 }
--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -94,7 +94,7 @@
 }
 
 // LoadJob adds a stored job that an earlier owner accepted. AddJob is for jobs that this
-// owner accepted.
+// owner accepted. Both ignore a job that is known, whatever the record says of it.
 func (s *Scheduler) LoadJob(r job.Record, now time.Time) {
 	s.addJob(r, now, true)
 }
@@ -160,15 +160,18 @@
 // no such job.
 func (s *Scheduler) CancelJob(id string, now time.Time) (known bool) {
 	j, known := s.jobs[id]
-	if known && !j.state.Terminal() {
+	if known {
 		s.finishJob(j, job.Cancelled, now)
 	}
 	return known
 }
 
-// finishJob sets the final state of a job and requests the stop of its remaining
-// runs.
+// finishJob sets the final state of a job and requests the stop of its remaining runs. A
+// job that has a final state keeps it.
 func (s *Scheduler) finishJob(j *jobState, state job.State, now time.Time) {
+	if j.state.Terminal() {
+		return
+	}
 	j.state = state
 	j.endedAt = now.UnixMilli()
 	s.markDirty(j, now, true)
@@ -197,15 +200,12 @@
 
 // finishIfComplete completes a job if all its tasks are done.
 func (s *Scheduler) finishIfComplete(j *jobState, now time.Time) {
-	if j.state.Terminal() {
-		return
-	}
 	if j.complete() {
 		s.finishJob(j, job.Completed, now)
 	}
 }
 
-// Write is a job record that has to be stored.
+// Write is a job record that has to be stored in place of its revision.
 type Write struct {
 	Record  job.Record
 	Version int
@@ -250,20 +250,20 @@
 	return false
 }
 
-// ConfirmWrite records that a version of a job record is in the store.
-func (s *Scheduler) ConfirmWrite(id string, version int, state job.State) {
-	j, known := s.jobs[id]
+// ConfirmWrite records that a write was stored as a revision.
+func (s *Scheduler) ConfirmWrite(w Write, revision int64) {
+	j, known := s.jobs[w.Record.ID]
 	if !known {
 		return
 	}
 	j.writing = false
-	j.storedVersion = max(j.storedVersion, version)
-	j.storedState = state
+	j.storedVersion = max(j.storedVersion, w.Version)
+	j.storedState, j.storedRevision = w.Record.State, revision
 	if j.storedVersion == j.version {
-		delete(s.dirty, id)
+		delete(s.dirty, j.ID)
 		j.urgent = false
 	}
-	if state.Terminal() && !j.hasRuns() && state != job.Cancelled {
+	if j.storedState.Terminal() && !j.hasRuns() && j.storedState != job.Cancelled {
 		j.Steps, j.Spec, j.occurrences = nil, "", nil
 	}
 	for _, e := range s.endpoints {
@@ -278,18 +278,23 @@
 	}
 }
 
-// RemoveEndedJobs removes up to limit jobs that ended before a time and returns their
-// identifiers.
-func (s *Scheduler) RemoveEndedJobs(before time.Time, limit int) (ids []string) {
+// StoredJob identifies a job and the stored revision of its record.
+type StoredJob struct {
+	ID       string
+	Revision int64
+}
+
+// RemoveEndedJobs removes up to limit jobs that ended before a time and returns them.
+func (s *Scheduler) RemoveEndedJobs(before time.Time, limit int) (removed []StoredJob) {
 	for id, j := range s.jobs {
-		if len(ids) < limit && j.storedState.Terminal() && !j.hasRuns() && time.UnixMilli(j.endedAt).Before(before) {
-			ids = append(ids, id)
+		if len(removed) < limit && j.storedState.Terminal() && !j.hasRuns() && time.UnixMilli(j.endedAt).Before(before) {
+			removed = append(removed, StoredJob{ID: id, Revision: j.storedRevision})
 		}
 	}
-	for _, id := range ids {
-		delete(s.jobs, id)
+	for _, r := range removed {
+		delete(s.jobs, r.ID)
 	}
-	return ids
+	return removed
 }
 
 // SetEndpoints replaces the listed endpoints. Endpoints that are no longer listed are
--- a/coordination/schedule/task.go
+++ b/coordination/schedule/task.go
@@ -139,11 +139,13 @@
 	// store.
 	version       int
 	storedVersion int
-	// storedState is the state in the store, which is reported to callers.
-	storedState job.State
-	writing     bool
-	dirtySince  time.Time
-	urgent      bool
+	// storedState is the state in the store, which is reported to callers, and
+	// storedRevision the revision of the record there.
+	storedState    job.State
+	storedRevision int64
+	writing        bool
+	dirtySince     time.Time
+	urgent         bool
 
 	acceptedAt time.Time
 	// remainingWork is the expected work of the tasks that are not done, in
@@ -155,7 +157,7 @@
 }
 
 func newJobState(r job.Record, now time.Time) *jobState {
-	j := &jobState{Job: r.Job, state: r.State, storedState: r.State, acceptedAt: time.UnixMilli(r.AcceptedAt), endedAt: r.EndedAt}
+	j := &jobState{Job: r.Job, state: r.State, storedState: r.State, storedRevision: r.Revision, acceptedAt: time.UnixMilli(r.AcceptedAt), endedAt: r.EndedAt}
 	if d := now.Sub(j.acceptedAt); d < 0 || d > maxAcceptedAge {
 		j.acceptedAt = now
 	}
@@ -226,7 +228,7 @@
 
 // record returns the record of the job in its current state.
 func (j *jobState) record() job.Record {
-	r := job.Record{Job: j.Job, State: j.state, EndedAt: j.endedAt}
+	r := job.Record{Job: j.Job, State: j.state, EndedAt: j.endedAt, Revision: j.storedRevision}
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			if p := s.progressRecord(o.index); len(p.Done) > 0 || len(p.Failures) > 0 {
--- a/entry/event/event.go
+++ b/entry/event/event.go
@@ -58,6 +58,7 @@
 	JobAdopted         = Event{Number: 8306, Level: log.InfoLevel, Text: "job stored by another entry adopted"}
 	JobStateUnreadable = Event{Number: 8307, Level: log.WarnLevel, Text: "job state cannot be read"}
 	RecordFailed       = Event{Number: 8308, Level: log.WarnLevel, Text: "records were not stored; trying again"}
+	RecordConflict     = Event{Number: 8310, Level: log.ErrorLevel, Text: "record changed by another writer; the term ends and the jobs are read again"}
 	RecordInvalid      = Event{Number: 8309, Level: log.ErrorLevel, Text: "stored record cannot be read"}
 )
 
--- a/entry/manager/cleanup.go
+++ b/entry/manager/cleanup.go
@@ -31,21 +31,21 @@
 // the next owner loads and removes them.
 func (m *Manager) removeOldRecords(ctx context.Context, now time.Time) (more bool) {
 	m.mu.Lock()
-	ids := m.scheduler.RemoveEndedJobs(now.Add(-m.Settings.StateRetention-cleanupMargin), store.MaxTransactionOps-1)
+	ended := m.scheduler.RemoveEndedJobs(now.Add(-m.Settings.StateRetention-cleanupMargin), writesPerCommit)
 	m.mu.Unlock()
-	if len(ids) == 0 {
+	if len(ended) == 0 {
 		return false
 	}
 	t := store.Transaction{Conditions: []store.Condition{m.Term.Owner}}
-	for _, id := range ids {
-		t.Removes = append(t.Removes, JobKey(id))
+	for _, e := range ended {
+		t.Conditions = append(t.Conditions, store.Condition{Key: JobKey(e.ID), Revision: e.Revision})
+		t.Removes = append(t.Removes, JobKey(e.ID))
 	}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	if _, err := m.Store.Commit(ctx, t); err != nil {
-		event.RecordFailed.Log(log.Fields{"action": "forget", "records": len(ids), "error": err.Error()})
+		event.RecordFailed.Log(log.Fields{"action": "forget", "records": len(ended), "error": err.Error()})
 		return false
 	}
-	m.recordWriter.dropRevisions(ids)
 	return true
 }
--- a/entry/manager/list.go
+++ b/entry/manager/list.go
@@ -11,7 +11,6 @@
 	"github.com/azurepoint/azurepoint/coordination/retry"
 	"github.com/azurepoint/azurepoint/coordination/schedule"
 	"github.com/azurepoint/azurepoint/entry/event"
-	"github.com/azurepoint/azurepoint/entry/store"
 )
 
 // updateEndpoints applies a new endpoint list. Known endpoints are updated at once;
@@ -146,44 +145,18 @@
 	}
 }
 
-// errEndpointsNotStored means that the endpoints key held another value, so the
-// record has to be written again.
-var errEndpointsNotStored = errors.New("manager: endpoints are not stored")
-
+// storeEndpoints stores the endpoints on which tasks may run, and passes them to the
+// scheduler.
 func (m *Manager) storeEndpoints(ctx context.Context, known []schedule.Endpoint) (err error) {
 	value, err := json.Marshal(known)
 	if err != nil {
 		return errors.Wrap(err, "encode endpoints")
 	}
-	m.mu.Lock()
-	revision := m.endpointsRevision
-	m.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
-	defer cancel()
-	committed, err := m.Store.Commit(ctx, store.Transaction{
-		Conditions: []store.Condition{m.Term.Owner, {Key: endpointsKey, Revision: revision}},
-		Puts:       []store.Put{{Key: endpointsKey, Value: value}},
-	})
-	stored, found := store.Item{}, false
-	var conflict *store.ConflictError
-	switch {
-	case errors.As(err, &conflict) && conflict.Current[m.Term.Owner.Key].Revision != m.Term.Owner.Revision:
-		m.endTerm()
+	if err = m.saveOwned(ctx, &m.endpointList, value); err != nil {
 		return err
-	case errors.As(err, &conflict):
-		stored = conflict.Current[endpointsKey]
-		found = string(stored.Value) == string(value)
-	case err == nil:
-		stored, found = store.Item{Revision: committed}, true
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if stored.Revision > 0 {
-		m.endpointsRevision = stored.Revision
-	}
-	if !found {
-		return errEndpointsNotStored
-	}
 	clear(m.recorded)
 	for _, e := range known {
 		m.recorded[e.ID] = e
--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -54,10 +54,13 @@
 	pollers      map[string]*poller
 	// recorded holds the endpoints that are stored under endpointsKey; latestList is
 	// the last list from the Directory.
-	recorded          map[string]schedule.Endpoint
-	endpointsRevision int64
-	latestList        []schedule.Endpoint
-	pollersDue        bool
+	recorded     map[string]schedule.Endpoint
+	endpointList ownedRecord
+	latestList   []schedule.Endpoint
+	pollersDue   bool
+	// cancelledEarly holds the jobs that were cancelled without the owner before the jobs
+	// were loaded and that were not among them.
+	cancelledEarly map[string]bool
 	// unlisted holds since when known endpoints are missing from the list.
 	unlisted map[string]time.Time
 	waiters  map[string][]chan struct{}
@@ -67,7 +70,9 @@
 	waves        map[int64]*waveProgress
 	orders       *recentOrders
 
-	lostOnce    sync.Once
+	lostOnce sync.Once
+	// over is closed when the manager has ended.
+	over        chan struct{}
 	wake        chan struct{}
 	listChanged chan struct{}
 	// orderResults receives the results of the orders in flight.
@@ -77,7 +82,9 @@
 
 // Init prepares the manager; it must be called before every other method.
 func (m *Manager) Init() {
-	m.orders = &recentOrders{owner: m.Term.Owner, handoverTime: m.Settings.OrderLease + handoverMargin, ordered: make(map[string]time.Time)}
+	m.endpointList = ownedRecord{key: endpointsKey}
+	m.orders = &recentOrders{record: ownedRecord{key: recentKey}, owner: m.Term.Owner, handoverTime: m.Settings.OrderLease + handoverMargin, ordered: make(map[string]time.Time)}
+	m.over = make(chan struct{})
 	m.wavesChanged = make(chan struct{}, 1)
 	m.waves = make(map[int64]*waveProgress)
 }
@@ -96,10 +103,14 @@
 	m.recordWriter = &recordWriter{
 		store: m.Store, owner: m.Term.Owner, due: m.dueWrites, stored: m.recordStored, failed: m.recordFailed,
 		created: m.jobCreated, exists: m.adoptRecord, lost: m.endTerm,
-		creations: make(map[string]*creation), revisions: make(map[string]int64), wake: make(chan struct{}, 1),
+		creations: make(map[string]*creation), wake: make(chan struct{}, 1),
 	}
 	ended := make(chan error, 1)
-	go func() { ended <- m.run(ctx) }()
+	go func() {
+		err := m.run(ctx)
+		close(m.over)
+		ended <- err
+	}()
 	return ended
 }
 
@@ -161,7 +172,7 @@
 	if err = m.orders.load(ctx, m.Store); err != nil {
 		return err
 	}
-	known, found, err := m.Store.Get(ctx, endpointsKey)
+	known, found, err := m.endpointList.load(ctx, m.Store)
 	if err != nil {
 		return err
 	}
@@ -169,8 +180,7 @@
 	defer m.mu.Unlock()
 	now := time.Now()
 	for _, i := range items {
-		m.recordWriter.revisions[i.Key] = i.Revision
-		r, err := job.Decode(i.Value)
+		r, err := job.Decode(i.Value, i.Revision)
 		if err != nil {
 			event.RecordInvalid.Log(log.Fields{"key": i.Key, "error": err.Error()})
 			continue
@@ -179,13 +189,16 @@
 	}
 	// A job that was cancelled while there was no owner must not start before this
 	// entry's watch reports the cancel mark.
+	m.cancelledEarly = make(map[string]bool)
 	for _, i := range cancelled {
-		m.scheduler.CancelJob(strings.TrimPrefix(i.Key, CancelPrefix), now)
+		id := strings.TrimPrefix(i.Key, CancelPrefix)
+		if !m.scheduler.CancelJob(id, now) {
+			m.cancelledEarly[id] = true
+		}
 	}
 	if found {
-		m.endpointsRevision = known.Revision
 		var endpoints []schedule.Endpoint
-		if err = json.Unmarshal(known.Value, &endpoints); err != nil {
+		if err = json.Unmarshal(known, &endpoints); err != nil {
 			event.RecordInvalid.Log(log.Fields{"key": endpointsKey, "error": err.Error()})
 		}
 		for _, e := range endpoints {
@@ -264,61 +277,74 @@
 			m.scheduler.FailWrite(w.Record.ID)
 			continue
 		}
-		writes = append(writes, &recordWrite{id: w.Record.ID, value: value, state: w.Record.State, version: w.Version})
+		writes = append(writes, &recordWrite{Write: w, value: value})
 	}
 	return writes
 }
 
-func (m *Manager) recordStored(w *recordWrite) {
+func (m *Manager) recordStored(w schedule.Write, revision int64) {
+	id, state := w.Record.ID, w.Record.State
 	m.mu.Lock()
-	m.scheduler.ConfirmWrite(w.id, w.version, w.state)
-	waiters := m.waiters[w.id]
-	if w.state.Terminal() {
-		delete(m.waiters, w.id)
+	m.scheduler.ConfirmWrite(w, revision)
+	waiters := m.waiters[id]
+	if state.Terminal() {
+		delete(m.waiters, id)
 	}
 	m.mu.Unlock()
-	if w.state.Terminal() {
-		meter.Count("jobs." + string(w.state))
-		event.JobEnded.Log(log.Fields{"job": w.id, "state": string(w.state), "term": m.Term.Number})
+	if state.Terminal() {
+		meter.Count("jobs." + string(state))
+		event.JobEnded.Log(log.Fields{"job": id, "state": string(state), "term": m.Term.Number})
 		for _, c := range waiters {
 			close(c)
 		}
 	}
 }
 
-func (m *Manager) recordFailed(w *recordWrite) {
+func (m *Manager) recordFailed(w schedule.Write) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.scheduler.FailWrite(w.id)
+	m.scheduler.FailWrite(w.Record.ID)
 }
 
-func (m *Manager) jobCreated(r job.Record) {
-	m.mu.Lock()
-	m.scheduler.AddJob(r, time.Now())
-	m.mu.Unlock()
+func (m *Manager) jobCreated(r job.Record, cancelled bool) {
+	m.addJob(r, cancelled)
 	event.JobAccepted.Log(log.Fields{"job": r.ID, "queue": r.Queue, "pool": r.Pool, "term": m.Term.Number})
 	m.trigger()
 }
 
-// adoptRecord passes a job that another entry has stored to the scheduler.
-func (m *Manager) adoptRecord(item store.Item) {
-	r, err := job.Decode(item.Value)
+// addJob passes a stored job to the scheduler, and its cancellation before a task can
+// start. It reports whether the job was new.
+func (m *Manager) addJob(r job.Record, cancelled bool) (added bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	added = !m.scheduler.HasJob(r.ID)
+	m.scheduler.AddJob(r, now)
+	if cancelled || m.cancelledEarly[r.ID] {
+		delete(m.cancelledEarly, r.ID)
+		m.scheduler.CancelJob(r.ID, now)
+	}
+	return added
+}
+
+// adoptRecord passes a job that another entry has stored to the scheduler, and reports
+// whether the record is valid.
+func (m *Manager) adoptRecord(item store.Item, cancelled bool) (valid bool) {
+	r, err := job.Decode(item.Value, item.Revision)
 	if err != nil {
 		event.RecordInvalid.Log(log.Fields{"key": item.Key, "error": err.Error()})
-		return
+		return false
 	}
-	m.mu.Lock()
-	known := m.scheduler.HasJob(r.ID)
-	m.scheduler.AddJob(r, time.Now())
-	m.mu.Unlock()
-	if !known {
+	if m.addJob(r, cancelled) {
 		event.JobAdopted.Log(log.Fields{"job": r.ID, "queue": r.Queue, "pool": r.Pool, "term": m.Term.Number})
 		m.trigger()
 	}
+	return true
 }
 
-// Adopt takes over a job that another entry has stored without the owner.
-func (m *Manager) Adopt(ctx context.Context, id string) (err error) {
+// Adopt takes over a job that another entry has stored without the owner. It starts no
+// task of a job that was cancelled.
+func (m *Manager) Adopt(ctx context.Context, id string, cancelled bool) (err error) {
 	defer fault.Annotate(&err, "manager: adopt job")
 	m.mu.Lock()
 	known := !m.loaded || m.scheduler.HasJob(id)
@@ -332,8 +358,7 @@
 	if err != nil || !found {
 		return err
 	}
-	m.recordWriter.adoptRevision(item)
-	m.adoptRecord(item)
+	m.adoptRecord(item, cancelled)
 	return nil
 }
 
--- a/entry/manager/recentorders.go
+++ b/entry/manager/recentorders.go
@@ -21,7 +21,8 @@
 // some time between orders of different holders for the same instance, so the names
 // are stored before the orders are sent.
 type recentOrders struct {
-	owner store.Condition
+	record ownedRecord
+	owner  store.Condition
 	// handoverTime is how long after an order another holder has to wait before it
 	// may send one.
 	handoverTime time.Duration
@@ -37,13 +38,13 @@
 // load reads the instances that the previous owner ordered. Its last order may have
 // been sent just now, so the handover time starts here.
 func (r *recentOrders) load(ctx context.Context, s store.Store) (err error) {
-	item, found, err := s.Get(ctx, recentKey)
+	value, found, err := r.record.load(ctx, s)
 	if err != nil {
 		return err
 	}
 	var names []string
 	if found {
-		if err = json.Unmarshal(item.Value, &names); err != nil {
+		if err = json.Unmarshal(value, &names); err != nil {
 			event.RecordInvalid.Log(log.Fields{"key": recentKey, "error": err.Error()})
 		}
 	}
@@ -83,13 +84,7 @@
 	if err != nil {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
-	defer cancel()
-	// Only the owner writes the key, so the condition on the owner's key suffices.
-	_, err = s.Commit(ctx, store.Transaction{
-		Conditions: []store.Condition{r.owner}, Puts: []store.Put{{Key: recentKey, Value: value}},
-	})
-	if err != nil {
+	if err = r.record.save(ctx, s, r.owner, value); err != nil {
 		event.RecordFailed.Log(log.Fields{"key": recentKey, "error": err.Error()})
 	}
 	return err == nil
--- a/entry/manager/recordwriter.go
+++ b/entry/manager/recordwriter.go
@@ -11,6 +11,7 @@
 
 	"github.com/azurepoint/azurepoint/coordination/job"
 	"github.com/azurepoint/azurepoint/coordination/retry"
+	"github.com/azurepoint/azurepoint/coordination/schedule"
 	"github.com/azurepoint/azurepoint/entry/event"
 	"github.com/azurepoint/azurepoint/entry/meter"
 	"github.com/azurepoint/azurepoint/entry/store"
@@ -62,26 +63,29 @@
 }
 
 // recordWrite is a pending write of one record. Its value must not change until it is
-// known whether it was stored.
+// known whether it was stored, and it replaces no other revision than the one that the
+// record names: 0, a key that does not exist, for a new job.
 type recordWrite struct {
-	id      string
-	value   []byte
-	state   job.State
-	version int
+	schedule.Write
+	value []byte
 	// creation is set for a new job.
 	creation *creation
 	// uncertain is set once a transaction with this write got no answer.
 	uncertain bool
 }
 
+// key returns the key of the record.
+func (w *recordWrite) key() string { return JobKey(w.Record.ID) }
+
 // creation is a new job whose submitters wait for the outcome.
 type creation struct {
-	record job.Record
 	// refuseAt is when a job that is certainly not stored gets the outcome Refused;
 	// until is when a job that may be stored gets the outcome Unsettled.
 	refuseAt, until time.Time
-	outcome         Outcome
-	done            chan struct{}
+	// cancelled is set if the job was cancelled while its submitters wait.
+	cancelled bool
+	outcome   Outcome
+	done      chan struct{}
 }
 
 // recordWriter writes the owner's records in batches, under the condition that the
@@ -92,23 +96,19 @@
 	// due returns the records of known jobs that have to be written.
 	due func(limit int) []*recordWrite
 	// stored and failed are called with the result of a write of a known job.
-	stored func(w *recordWrite)
-	failed func(w *recordWrite)
-	// created is called for a new job that was stored, exists for one that was
-	// already in the store.
-	created func(r job.Record)
-	exists  func(item store.Item)
+	stored func(w schedule.Write, revision int64)
+	failed func(w schedule.Write)
+	// created is called for a new job that was stored. exists is called for one that was
+	// already in the store and reports whether it is a job.
+	created func(r job.Record, cancelled bool)
+	exists  func(item store.Item, cancelled bool) (valid bool)
 	lost    func()
 
 	mu        sync.Mutex
 	creations map[string]*creation
 	queue     []*recordWrite
-	// adopted are records of other entries whose revisions are merged into revisions
-	// before the next batch.
-	adopted []store.Item
 
-	revisions map[string]int64
-	wake      chan struct{}
+	wake chan struct{}
 }
 
 // trigger wakes commitLoop.
@@ -130,13 +130,31 @@
 	if err != nil {
 		return nil, err
 	}
-	c = &creation{record: r, refuseAt: time.Now().Add(refuseAfter), until: until, done: make(chan struct{})}
+	c = &creation{refuseAt: time.Now().Add(refuseAfter), until: until, done: make(chan struct{})}
 	rw.creations[r.ID] = c
-	rw.queue = append(rw.queue, &recordWrite{id: r.ID, value: value, state: r.State, creation: c})
+	rw.queue = append(rw.queue, &recordWrite{Write: schedule.Write{Record: r}, value: value, creation: c})
 	rw.trigger()
 	return c, nil
 }
 
+// cancelCreation makes a pending creation add a cancelled job, and returns it.
+func (rw *recordWriter) cancelCreation(id string) (c *creation, pending bool) {
+	rw.mu.Lock()
+	defer rw.mu.Unlock()
+	c, pending = rw.creations[id]
+	if pending {
+		c.cancelled = true
+	}
+	return c, pending
+}
+
+// isCancelled reports whether a job was cancelled before its creation had an outcome.
+func (rw *recordWriter) isCancelled(c *creation) bool {
+	rw.mu.Lock()
+	defer rw.mu.Unlock()
+	return c.cancelled
+}
+
 func (rw *recordWriter) run(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
 	go func() {
@@ -215,19 +233,6 @@
 	}
 }
 
-// revision returns the known revision of a record.
-func (rw *recordWriter) revision(key string) int64 {
-	rw.mu.Lock()
-	defer rw.mu.Unlock()
-	return rw.revisions[key]
-}
-
-func (rw *recordWriter) setRevision(key string, revision int64) {
-	rw.mu.Lock()
-	defer rw.mu.Unlock()
-	rw.revisions[key] = revision
-}
-
 // fillBatch adds pending writes to a batch; new jobs and final states come first. It
 // removes new jobs whose submitters no longer wait.
 func (rw *recordWriter) fillBatch(batch []*recordWrite) []*recordWrite {
@@ -235,10 +240,6 @@
 	n := max(0, min(writesPerCommit-len(batch), len(rw.queue)))
 	batch = append(batch, rw.queue[:n]...)
 	rw.queue = rw.queue[n:]
-	for _, i := range rw.adopted {
-		rw.revisions[i.Key] = max(rw.revisions[i.Key], i.Revision)
-	}
-	rw.adopted = nil
 	rw.mu.Unlock()
 	if spare := writesPerCommit - len(batch); spare > 0 {
 		batch = append(batch, rw.due(spare)...)
@@ -267,9 +268,8 @@
 func (rw *recordWriter) commit(ctx context.Context, batch []*recordWrite) (remaining []*recordWrite) {
 	t := store.Transaction{Conditions: []store.Condition{rw.owner}}
 	for _, w := range batch {
-		key := JobKey(w.id)
-		t.Conditions = append(t.Conditions, store.Condition{Key: key, Revision: rw.revision(key)})
-		t.Puts = append(t.Puts, store.Put{Key: key, Value: w.value})
+		t.Conditions = append(t.Conditions, store.Condition{Key: w.key(), Revision: w.Record.Revision})
+		t.Puts = append(t.Puts, store.Put{Key: w.key(), Value: w.value})
 	}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
@@ -304,33 +304,35 @@
 		return nil
 	}
 	for _, w := range batch {
-		key := JobKey(w.id)
-		item := current[key]
+		item := current[w.key()]
 		switch {
-		case item.Revision == rw.revision(key):
+		case item.Revision == w.Record.Revision:
 			remaining = append(remaining, w)
 		case bytes.Equal(item.Value, w.value):
 			rw.markStored(w, item.Revision)
-		case w.creation != nil:
-			rw.setRevision(key, item.Revision)
-			rw.exists(item)
+		case w.creation != nil && rw.exists(item, rw.isCancelled(w.creation)):
 			rw.finishCreation(w, Accepted)
+		case w.creation != nil:
+			rw.finishCreation(w, Unsettled)
 		default:
-			// The answer to a write of an earlier version of this record was lost.
-			rw.setRevision(key, item.Revision)
-			remaining = append(remaining, w)
+			// Only the owner replaces records, and a record has one write at a time. The
+			// next term reads what holds.
+			event.RecordConflict.Log(log.Fields{"job": w.Record.ID, "replaces": w.Record.Revision, "found": item.Revision})
+			rw.giveUp(w)
+			rw.lost()
 		}
 	}
 	return remaining
 }
 
 func (rw *recordWriter) markStored(w *recordWrite, revision int64) {
-	rw.setRevision(JobKey(w.id), revision)
 	if w.creation == nil {
-		rw.stored(w)
+		rw.stored(w.Write, revision)
 		return
 	}
-	rw.created(w.creation.record)
+	r := w.Record
+	r.Revision = revision
+	rw.created(r, rw.isCancelled(w.creation))
 	rw.finishCreation(w, Accepted)
 }
 
@@ -338,7 +340,7 @@
 func (rw *recordWriter) giveUp(w *recordWrite) {
 	switch {
 	case w.creation == nil:
-		rw.failed(w)
+		rw.failed(w.Write)
 	case w.uncertain:
 		rw.finishCreation(w, Unsettled)
 	default:
@@ -348,7 +350,7 @@
 
 func (rw *recordWriter) finishCreation(w *recordWrite, outcome Outcome) {
 	rw.mu.Lock()
-	delete(rw.creations, w.id)
+	delete(rw.creations, w.Record.ID)
 	rw.mu.Unlock()
 	w.creation.outcome = outcome
 	close(w.creation.done)
@@ -365,19 +367,3 @@
 	}
 	rw.queue = nil
 }
-
-// adoptRevision records the revision of a record that another entry has written.
-func (rw *recordWriter) adoptRevision(item store.Item) {
-	rw.mu.Lock()
-	defer rw.mu.Unlock()
-	rw.adopted = append(rw.adopted, item)
-}
-
-// dropRevisions drops the revisions of records that were removed.
-func (rw *recordWriter) dropRevisions(ids []string) {
-	rw.mu.Lock()
-	defer rw.mu.Unlock()
-	for _, id := range ids {
-		delete(rw.revisions, JobKey(id))
-	}
-}
--- a/entry/manager/send.go
+++ b/entry/manager/send.go
@@ -20,6 +20,9 @@
 	err    error
 }
 
+// errUnconfirmed means that an order was not sent because the ownership is unconfirmed.
+var errUnconfirmed = errors.New("manager: the ownership cannot be confirmed")
+
 // sendOrder sends an order to its endpoint and delivers the result on m.orderResults.
 func (m *Manager) sendOrder(ctx context.Context, o schedule.Order) {
 	m.mu.Lock()
@@ -41,10 +44,14 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
-		a := orderResult{order: o}
-		sent := time.Now()
-		a.answer, a.err = m.callEndpoint(ctx, p, target, o)
-		meter.RecordSince("orders."+o.Action.String(), sent)
+		a := orderResult{order: o, answer: schedule.NotExecuted, err: errUnconfirmed}
+		// The process may have been suspended since the order was planned. Another owner
+		// may count on the end of this one's lease.
+		if m.Term.Confirmed() {
+			sent := time.Now()
+			a.answer, a.err = m.callEndpoint(ctx, p, target, o)
+			meter.RecordSince("orders."+o.Action.String(), sent)
+		}
 		m.orderResults <- a
 	}()
 }
--- a/entry/manager/submit.go
+++ b/entry/manager/submit.go
@@ -55,6 +55,8 @@
 		return Reply{Outcome: c.outcome, RetryAfter: refusedRetryDelay, Reason: "the store does not take the job"}
 	case <-ctx.Done():
 		return Reply{Outcome: Unsettled, Reason: "the caller's deadline"}
+	case <-m.over:
+		return Reply{Outcome: Unsettled, Reason: "the term has ended"}
 	}
 }
 
@@ -78,7 +80,7 @@
 }
 
 // Cancel cancels a job and returns its stored state once the cancellation is stored
-// or the context ends; owner is false until the jobs are loaded.
+// or the context ends; owner is false until the jobs are loaded, and if the term ends.
 func (m *Manager) Cancel(ctx context.Context, id string) (state job.State, known, owner bool) {
 	m.mu.Lock()
 	if !m.loaded {
@@ -87,7 +89,11 @@
 	}
 	known = m.scheduler.CancelJob(id, time.Now())
 	state, _ = m.scheduler.JobState(id)
-	if !known || state.Terminal() {
+	if !known {
+		m.mu.Unlock()
+		return m.cancelNewJob(ctx, id)
+	}
+	if state.Terminal() {
 		m.mu.Unlock()
 		return state, known, true
 	}
@@ -100,11 +106,33 @@
 	case <-stored:
 		event.JobCancelled.Log(log.Fields{"job": id, "term": m.Term.Number})
 	case <-ctx.Done():
+	case <-m.over:
+		return "", false, false
 	}
 	state, known, owner = m.State(id)
 	return state, known, owner
 }
 
+// cancelNewJob cancels a job whose creation is pending, as Cancel does. A creation without
+// an answer may be stored after the caller has been told that there is no such job.
+func (m *Manager) cancelNewJob(ctx context.Context, id string) (state job.State, known, owner bool) {
+	c, pending := m.recordWriter.cancelCreation(id)
+	if !pending {
+		return "", false, true
+	}
+	select {
+	case <-c.done:
+	case <-ctx.Done():
+		return job.Queued, true, true
+	case <-m.over:
+		return "", false, false
+	}
+	if c.outcome != Accepted {
+		return "", false, c.outcome == Refused
+	}
+	return m.Cancel(ctx, id)
+}
+
 // Loaded reports whether the jobs of the previous owner are loaded.
 func (m *Manager) Loaded() bool {
 	m.mu.Lock()
--- a/entry/manager/waves.go
+++ b/entry/manager/waves.go
@@ -13,7 +13,6 @@
 	"github.com/azurepoint/azurepoint/coordination/retry"
 	"github.com/azurepoint/azurepoint/coordination/schedule"
 	"github.com/azurepoint/azurepoint/entry/event"
-	"github.com/azurepoint/azurepoint/entry/store"
 )
 
 // Wave is a planned maintenance of instances as declared by operators.
@@ -66,7 +65,7 @@
 type waveProgress struct {
 	wave     schedule.Wave
 	record   waveRecord
-	revision int64
+	stored   ownedRecord
 	loaded   bool
 	reported WaveState
 }
@@ -140,7 +139,7 @@
 	if p := m.waves[d.Number]; p != nil {
 		return p
 	}
-	p := &waveProgress{wave: schedule.Wave{Number: d.Number, MaxDown: d.AtMost, Deadline: d.Until, MaintenanceTime: m.Settings.MaintenanceTime}}
+	p := &waveProgress{stored: ownedRecord{key: waveKey(d.Number)}, wave: schedule.Wave{Number: d.Number, MaxDown: d.AtMost, Deadline: d.Until, MaintenanceTime: m.Settings.MaintenanceTime}}
 	for _, name := range d.Instances {
 		p.wave.Instances = append(p.wave.Instances, &schedule.WaveInstance{Name: name})
 	}
@@ -229,15 +228,17 @@
 func (m *Manager) loadWave(ctx context.Context, p *waveProgress) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	item, found, err := m.Store.Get(ctx, waveKey(p.wave.Number))
+	value, found, err := p.stored.load(ctx, m.Store)
 	if err != nil {
 		return err
 	}
 	if found {
-		if err = json.Unmarshal(item.Value, &p.record); err != nil {
-			return err
+		if err = json.Unmarshal(value, &p.record); err != nil {
+			// The orders are repeated: the platform answers done for those that it has
+			// carried out.
+			event.RecordInvalid.Log(log.Fields{"key": p.stored.key, "error": err.Error()})
+			p.record = waveRecord{}
 		}
-		p.revision = item.Revision
 	}
 	if p.record.Ordered == nil {
 		p.record.Ordered = make(map[string]bool)
@@ -268,25 +269,14 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
-	defer cancel()
-	key := waveKey(p.wave.Number)
-	revision, err := m.Store.Commit(ctx, store.Transaction{
-		Conditions: []store.Condition{m.Term.Owner, {Key: key, Revision: p.revision}},
-		Puts:       []store.Put{{Key: key, Value: value}},
-	})
-	var conflict *store.ConflictError
-	if errors.As(err, &conflict) {
-		if conflict.Current[m.Term.Owner.Key].Revision != m.Term.Owner.Revision {
-			m.endTerm()
-		}
-		p.revision = conflict.Current[key].Revision
-		if slices.Equal(conflict.Current[key].Value, value) {
-			return nil
-		}
-	}
-	if err == nil {
-		p.revision = revision
+	return m.saveOwned(ctx, &p.stored, value)
+}
+
+// saveOwned saves a record of the owner and ends the term if another owner has taken over.
+func (m *Manager) saveOwned(ctx context.Context, r *ownedRecord, value []byte) (err error) {
+	err = r.save(ctx, m.Store, m.Term.Owner, value)
+	if errors.Is(err, errTermOver) {
+		m.endTerm()
 	}
 	return err
 }
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -53,9 +53,9 @@
 	mu            sync.Mutex
 	activeManager *manager.Manager
 	// inbox and cancels hold the jobs that entries stored or cancelled without the
-	// owner.
-	inbox   map[string]bool
-	cancels map[string]bool
+	// owner, with the revisions of their marks.
+	inbox   map[string]int64
+	cancels map[string]int64
 	waves   map[int64]manager.Wave
 	// pendingCounts holds the last result of Pending by queue.
 	pendingCounts map[string]cachedCount
@@ -70,8 +70,8 @@
 		store: n.Store, self: ownerRecord{Name: n.Name, Address: n.Address, Process: n.Process}, changed: make(chan struct{}, 1),
 	}
 	n.entries.reset()
-	n.inbox = make(map[string]bool)
-	n.cancels = make(map[string]bool)
+	n.inbox = make(map[string]int64)
+	n.cancels = make(map[string]int64)
 	n.waves = make(map[int64]manager.Wave)
 	n.pendingCounts = make(map[string]cachedCount)
 	n.controlChanged = make(chan struct{}, 1)
@@ -191,43 +191,47 @@
 	if len(inbox)+len(cancels) == 0 || !m.Loaded() {
 		return
 	}
-	var handled []string
-	for _, id := range inbox {
-		if err := m.Adopt(ctx, id); err == nil {
-			handled = append(handled, manager.InboxPrefix+id)
+	var handled []store.Condition
+	for id, revision := range inbox {
+		_, cancelled := cancels[id]
+		if err := m.Adopt(ctx, id, cancelled); err == nil {
+			handled = append(handled, store.Condition{Key: manager.InboxPrefix + id, Revision: revision})
 		}
 	}
-	for _, id := range cancels {
-		if err := m.Adopt(ctx, id); err != nil {
+	for id, revision := range cancels {
+		if err := m.Adopt(ctx, id, true); err != nil {
 			continue
 		}
 		cancelCtx, cancel := context.WithTimeout(ctx, adoptInterval)
 		if state, known, owner := m.Cancel(cancelCtx, id); owner && (!known || state.Terminal()) {
-			handled = append(handled, manager.CancelPrefix+id)
+			handled = append(handled, store.Condition{Key: manager.CancelPrefix + id, Revision: revision})
 		}
 		cancel()
 	}
-	const batchSize = store.MaxTransactionOps
-	for len(handled) > 0 && ctx.Err() == nil {
-		batch := handled[:min(batchSize, len(handled))]
-		handled = handled[len(batch):]
-		if err := n.commit(ctx, store.Transaction{Removes: batch}); err != nil {
+	n.removeMarks(ctx, handled)
+}
+
+// removeMarks removes handled marks. A mark that was renewed since stays, even if the
+// removal is executed late.
+func (n *Node) removeMarks(ctx context.Context, handled []store.Condition) {
+	const batchSize = store.MaxTransactionOps / 2 // each takes a condition and a removal
+	for batch := range slices.Chunk(handled, batchSize) {
+		t := store.Transaction{Conditions: batch}
+		for _, c := range batch {
+			t.Removes = append(t.Removes, c.Key)
+		}
+		if err := n.commit(ctx, t); err != nil {
 			event.RecordFailed.Log(log.Fields{"action": "remove marks", "error": err.Error()})
 			return
 		}
 	}
 }
 
-func (n *Node) markedJobs() (inbox, cancels []string) {
+// markedJobs returns the jobs with marks and the revisions of the marks.
+func (n *Node) markedJobs() (inbox, cancels map[string]int64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for id := range n.inbox {
-		inbox = append(inbox, id)
-	}
-	for id := range n.cancels {
-		cancels = append(cancels, id)
-	}
-	return inbox, cancels
+	return maps.Clone(n.inbox), maps.Clone(n.cancels)
 }
 
 // SetManagerSettings sets the settings of the next manager, which is created with the
@@ -291,7 +295,7 @@
 			continue
 		}
 		if !n.entries.applyChange(store.Change{Item: i}) {
-			n.applyMark(i.Key, true)
+			n.applyMark(store.Change{Item: i})
 		}
 	}
 	if n.ownership.applyStored(owner, found, asOf) {
@@ -308,23 +312,23 @@
 			continue
 		}
 		if !n.entries.applyChange(c) {
-			n.applyMark(c.Key, !c.Removed)
+			n.applyMark(c)
 		}
 	}
 }
 
 // applyMark adds or removes an inbox or cancel mark of a job and wakes serveControl.
-func (n *Node) applyMark(key string, present bool) {
+func (n *Node) applyMark(c store.Change) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for prefix, marked := range map[string]map[string]bool{manager.InboxPrefix: n.inbox, manager.CancelPrefix: n.cancels} {
-		id, found := strings.CutPrefix(key, prefix)
+	for prefix, marked := range map[string]map[string]int64{manager.InboxPrefix: n.inbox, manager.CancelPrefix: n.cancels} {
+		id, found := strings.CutPrefix(c.Key, prefix)
 		switch {
 		case !found:
-		case present:
-			marked[id] = true
-		default:
+		case c.Removed:
 			delete(marked, id)
+		default:
+			marked[id] = c.Revision
 		}
 	}
 	select {
--- a/entry/node/requests.go
+++ b/entry/node/requests.go
@@ -192,7 +192,7 @@
 	if !found {
 		return "", false, nil
 	}
-	r, err := job.Decode(item.Value)
+	r, err := job.Decode(item.Value, item.Revision)
 	return r.State, err == nil, err
 }
 
--- a/entry/standin/endpoint.go
+++ b/entry/standin/endpoint.go
@@ -22,10 +22,21 @@
 	mu        sync.Mutex
 	fault     func(call, endpoint string) Fault
 	endpoints map[string]*fakeEndpoint
+	// starts are all runs that were started, and acknowledged the tasks that were done and
+	// whose end was acknowledged.
+	starts       []StartedRun
+	acknowledged map[string]bool
 	// violations are broken invariants that the endpoints have observed.
 	violations []string
 }
 
+// StartedRun is the start of a run on an endpoint.
+type StartedRun struct {
+	Task, Endpoint string
+	Run            int
+	At             time.Time
+}
+
 type fakeEndpoint struct {
 	startedAt  time.Time
 	fence      int64
@@ -33,6 +44,7 @@
 	runs       map[string]*fakeRun
 	highestRun map[string]int
 	ended      []schedule.EndedRun
+	doneAt     map[string]time.Time
 	lastEnd    int64
 	changed    chan struct{}
 }
@@ -51,7 +63,7 @@
 	f := e.endpoints[id]
 	if f == nil {
 		f = &fakeEndpoint{
-			startedAt: time.Now(), runs: make(map[string]*fakeRun), highestRun: make(map[string]int), changed: make(chan struct{}),
+			startedAt: time.Now(), runs: make(map[string]*fakeRun), highestRun: make(map[string]int), doneAt: make(map[string]time.Time), changed: make(chan struct{}),
 		}
 		e.endpoints[id] = f
 	}
@@ -82,6 +94,9 @@
 func (f *fakeEndpoint) endRun(task string, how schedule.EndReason) {
 	r := f.runs[task]
 	delete(f.runs, task)
+	if how == schedule.EndDone {
+		f.doneAt[task] = time.Now()
+	}
 	f.lastEnd++
 	f.ended = append(f.ended, schedule.EndedRun{Number: f.lastEnd, Task: task, Run: r.run, Reason: how})
 	close(f.changed)
@@ -161,6 +176,9 @@
 			e.violations = append(e.violations, c.Task+" starts on "+t.ID+" while it runs on "+other)
 		}
 	}
+	if e.acknowledged[c.Task] {
+		e.violations = append(e.violations, c.Task+" starts on "+t.ID+" after it was done and its end was acknowledged")
+	}
 	millis, longRunning := 0, c.Spec == "lasts"
 	if !longRunning {
 		if millis, err = strconv.Atoi(strings.TrimSpace(c.Spec)); err != nil {
@@ -168,6 +186,7 @@
 		}
 	}
 	f.highestRun[c.Task] = c.Run
+	e.starts = append(e.starts, StartedRun{Task: c.Task, Endpoint: t.ID, Run: c.Run, At: time.Now()})
 	took := time.Duration(max(millis, -millis)) * time.Millisecond
 	f.runs[c.Task] = &fakeRun{run: c.Run, endsAt: time.Now().Add(took), fails: millis < 0, longRunning: longRunning}
 	return schedule.Accepted, nil
@@ -221,7 +240,12 @@
 		}
 		f.fence = c.Fence
 		f.leaseUntil = max(f.leaseUntil, c.Until)
-		f.ended = slices.DeleteFunc(f.ended, func(n schedule.EndedRun) bool { return n.Number <= c.Acknowledge })
+		f.ended = slices.DeleteFunc(f.ended, func(n schedule.EndedRun) bool {
+			if n.Number <= c.Acknowledge && n.Reason == schedule.EndDone {
+				e.acknowledgeDone(f, n.Task)
+			}
+			return n.Number <= c.Acknowledge
+		})
 		look = f.status()
 		e.mu.Unlock()
 		if len(look.Ended) > 0 || !time.Now().Before(until) || ctx.Err() != nil {
@@ -231,6 +255,26 @@
 	}
 }
 
+// acknowledgeDone records that the end of a done task was acknowledged.
+func (e *Endpoints) acknowledgeDone(f *fakeEndpoint, task string) {
+	if e.acknowledged == nil {
+		e.acknowledged = make(map[string]bool)
+	}
+	e.acknowledged[task] = true
+	for _, s := range e.starts {
+		if s.Task == task && s.At.After(f.doneAt[task]) {
+			e.violations = append(e.violations, task+" was started on "+s.Endpoint+" after it was done")
+		}
+	}
+}
+
+// Starts returns all runs that were started.
+func (e *Endpoints) Starts() []StartedRun {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.starts)
+}
+
 func (f *fakeEndpoint) status() (look manager.PollReply) {
 	look.Clock = f.clock()
 	look.Incarnation = f.startedAt.UnixMilli()
