--- /dev/null
+++ b/coordination/schedule/fuzz_test.go
@@ -0,0 +1,41 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"github.com/azurepoint/azurepoint/coordination/job"
+)
+
+// FuzzStoredRecord guards against a stored record that ends the process: whatever Decode
+// accepts has to be loaded, planned, reported on and stored without a panic.
+func FuzzStoredRecord(f *testing.F) {
+	for _, seed := range []string{
+		`{"id":"j","pool":"p","steps":[{"count":2,"cpu":1000},{"count":1,"after":[0]}],"state":"queued"}`,
+		`{"id":"j","pool":"p","steps":[{"count":2,"gang":true}],"state":"running","progress":[{"step":0,"done":[1]}]}`,
+		`{"id":"j","pool":"p","steps":[{"count":1}],"state":"running","progress":[{"step":-1,"done":[-1],"failures":{"-1":[3]}}]}`,
+		`{"id":"j","pool":"p","repeat":-3,"steps":[{"count":1}],"state":"queued"}`,
+		`{"id":"j","pool":"p","state":"completed"}`,
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, value []byte) {
+		r, err := job.Decode(value, 1)
+		if err != nil {
+			return
+		}
+		fixture := newFixture(t, "e0", "e1")
+		fixture.s.LoadJob(r, fixture.now)
+		for range 3 {
+			fixture.now = fixture.now.Add(time.Second)
+			fixture.s.Plan(fixture.now, fixture.now)
+			for _, w := range fixture.s.Writes(fixture.now, 0, 10) {
+				if _, err := w.Record.Encode(); err != nil {
+					t.Fatal(err)
+				}
+				fixture.s.ConfirmWrite(w, 2)
+			}
+		}
+		fixture.s.CancelJob(r.ID, fixture.now)
+	})
+}
--- a/entry/node/creation_test.go
+++ b/entry/node/creation_test.go
@@ -9,6 +9,7 @@
 	"github.com/azurepoint/azurepoint/coordination/job"
 	"github.com/azurepoint/azurepoint/entry/manager"
 	"github.com/azurepoint/azurepoint/entry/standin"
+	"github.com/azurepoint/azurepoint/entry/store"
 )
 
 // loseFirstCommitAnswer makes the store lose the answer of the next transaction.
@@ -145,3 +146,28 @@
 		t.Error("the cancellation waits for a term that has ended")
 	}
 }
+
+// Guards against a cancellation that was acknowledged and never applied: the removal of an
+// earlier mark of the same job was executed after the mark had been written again.
+func TestLateRemovalKeepsRenewedMark(t *testing.T) {
+	f := newFleet(t)
+	n := &Node{Store: f.store}
+	key := manager.CancelPrefix + id
+	mark := func() (revision int64) {
+		revision, err := f.store.Commit(t.Context(), store.Transaction{Puts: []store.Put{{Key: key}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return revision
+	}
+	handled := []store.Condition{{Key: key, Revision: mark()}}
+	renewed := mark()
+	n.removeMarks(t.Context(), handled)
+	if item, found, err := f.store.Get(t.Context(), key); err != nil || !found || item.Revision != renewed {
+		t.Errorf("found %v, revision %d, want %d: %v", found, item.Revision, renewed, err)
+	}
+	n.removeMarks(t.Context(), []store.Condition{{Key: key, Revision: renewed}})
+	if _, found, err := f.store.Get(t.Context(), key); err != nil || found {
+		t.Errorf("found %v after its removal: %v", found, err)
+	}
+}
