Do not hold the lock of the recent orders during their write

The manager asks for blocked instances under its own lock, so that a slow write of the recent orders by the waves stopped the owner until the store answered or the call timed out after 1 s. TestBlockedDoesNotWaitForAWrite.

--- a/entry/manager/fake_test.go
+++ b/entry/manager/fake_test.go
@@ -16,6 +16,8 @@
 	// delayed instead, for the test to execute.
 	loseAnswer, delay bool
 	delayed           []store.Transaction
+	// onCommit, if set, is called during each transaction.
+	onCommit func()
 }
 
 // Get returns the item of a key.
@@ -26,6 +28,9 @@
 
 // Commit applies a transaction, unless its answer is lost or it is delayed.
 func (s *fakeStore) Commit(_ context.Context, t store.Transaction) (revision int64, err error) {
+	if s.onCommit != nil {
+		s.onCommit()
+	}
 	if s.delay {
 		s.delay = false
 		s.delayed = append(s.delayed, t)
--- a/entry/manager/ownedrecord_test.go
+++ b/entry/manager/ownedrecord_test.go
@@ -95,3 +95,22 @@
 		}
 	}
 }
+
+// Guards against a slow write of the recent orders that stops the owner: the manager holds
+// its lock while it asks which instances are blocked.
+func TestBlockedDoesNotWaitForAWrite(t *testing.T) {
+	s, owner := claimedStore(t)
+	r := &recentOrders{record: ownedRecord{key: recentKey}, owner: owner, handoverTime: time.Hour, ordered: make(map[string]time.Time)}
+	asked := make(chan bool, 1)
+	s.onCommit = func() {
+		go func() { asked <- r.blocked("i1") }()
+		select {
+		case <-asked:
+		case <-time.After(time.Second):
+			t.Error("blocked waits for the write")
+		}
+	}
+	if !r.storeNames(t.Context(), s, []string{"i1"}) {
+		t.Error("not stored")
+	}
+}
--- a/entry/manager/recentorders.go
+++ b/entry/manager/recentorders.go
@@ -21,12 +21,17 @@
 // some time between orders of different holders for the same instance, so the names
 // are stored before the orders are sent.
 type recentOrders struct {
-	record ownedRecord
-	owner  store.Condition
+	owner store.Condition
 	// handoverTime is how long after an order another holder has to wait before it
 	// may send one.
 	handoverTime time.Duration
 
+	// saving is held during a write, so that writes follow each other; it guards record.
+	saving sync.Mutex
+	record ownedRecord
+
+	// mu guards the fields below. It is not held during a write, because the manager's
+	// lock is held while it is taken.
 	mu sync.Mutex
 	// inherited are the instances that the previous owner ordered; they are blocked
 	// until handoverAt.
@@ -69,6 +74,20 @@
 // storeNames stores the names of instances before orders are sent for them, and reports
 // whether that succeeded.
 func (r *recentOrders) storeNames(ctx context.Context, s store.Store, instances []string) (stored bool) {
+	r.saving.Lock()
+	defer r.saving.Unlock()
+	value, err := json.Marshal(r.addNames(instances))
+	if err != nil {
+		return false
+	}
+	if err = r.record.save(ctx, s, r.owner, value); err != nil {
+		event.RecordFailed.Log(log.Fields{"key": recentKey, "error": err.Error()})
+	}
+	return err == nil
+}
+
+// addNames adds instances that are to be ordered now, and returns all names to store.
+func (r *recentOrders) addNames(instances []string) (names []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
@@ -76,16 +95,9 @@
 	for _, i := range instances {
 		r.ordered[i] = now
 	}
-	names := slices.Sorted(maps.Keys(r.ordered))
+	names = slices.Sorted(maps.Keys(r.ordered))
 	if now.Before(r.handoverAt) {
 		names = append(names, slices.Sorted(maps.Keys(r.inherited))...)
 	}
-	value, err := json.Marshal(names)
-	if err != nil {
-		return false
-	}
-	if err = r.record.save(ctx, s, r.owner, value); err != nil {
-		event.RecordFailed.Log(log.Fields{"key": recentKey, "error": err.Error()})
-	}
-	return err == nil
+	return names
 }
