Apply and store changes of the endpoint list, not the whole list

Cause: each change of the list rebuilt the scheduler's endpoints, sorted all of them several times and wrote all of them to the store in one value of 250 KB.

Change: the directory passes changes on; the scheduler updates the endpoints concerned and sorts only their pools; the endpoints are stored in 32 groups by a hash of the identifier, of which a change writes one. A record of a previous release is read and replaced. Confirming a write visits only the endpoints with unstored ends.

--- a/coordination/schedule/endpoint.go
+++ b/coordination/schedule/endpoint.go
@@ -183,13 +183,15 @@
 
 // advanceLastStoredEnd moves lastStoredEnd over all ends whose effect is stored, in
 // order.
-func (e *endpoint) advanceLastStoredEnd() {
+func (s *Scheduler) advanceLastStoredEnd(e *endpoint) {
 	for len(e.unstoredEnds) > 0 {
 		first := e.unstoredEnds[0]
 		if first.job != nil && first.job.storedVersion < first.version {
+			s.unstoredEndpoints[e] = true
 			return
 		}
 		e.lastStoredEnd = first.number
 		e.unstoredEnds = e.unstoredEnds[1:]
 	}
+	delete(s.unstoredEndpoints, e)
 }
--- /dev/null
+++ b/coordination/schedule/endpointset.go
@@ -0,0 +1,181 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// SetEndpoints replaces the listed endpoints. Endpoints that are no longer listed are
+// kept until their leases have expired.
+func (s *Scheduler) SetEndpoints(listed []Endpoint, now time.Time) {
+	s.UpdateEndpoints(listed, now)
+	present := make(map[string]bool, len(listed))
+	for _, l := range listed {
+		present[l.ID] = true
+	}
+	for id := range s.endpoints {
+		if !present[id] {
+			s.UnlistEndpoint(id)
+		}
+	}
+}
+
+// UpdateEndpoints adds or updates listed endpoints.
+func (s *Scheduler) UpdateEndpoints(listed []Endpoint, now time.Time) {
+	for _, l := range listed {
+		s.AddInheritedEndpoint(l, now)
+		e := s.endpoints[l.ID]
+		if e.Pool != l.Pool {
+			delete(s.endpointsByPool, e.Pool)
+			delete(s.endpointsByPool, l.Pool)
+		}
+		e.Endpoint = l
+		e.listed = true
+	}
+}
+
+// UnlistEndpoint records that an endpoint is no longer listed. It is kept until its lease
+// has expired.
+func (s *Scheduler) UnlistEndpoint(id string) {
+	if e, known := s.endpoints[id]; known {
+		e.listed = false
+	}
+}
+
+// AddSettledEndpoint is AddInheritedEndpoint for an endpoint that has been in its pool
+// long enough to be moved at once.
+func (s *Scheduler) AddSettledEndpoint(l Endpoint, now time.Time) {
+	s.AddInheritedEndpoint(l, now)
+	s.endpoints[l.ID].joinedAt = time.Time{}
+}
+
+// AddInheritedEndpoint adds an endpoint on which an earlier owner may have started tasks.
+func (s *Scheduler) AddInheritedEndpoint(l Endpoint, now time.Time) {
+	s.init()
+	if s.endpoints[l.ID] == nil {
+		delete(s.endpointsByPool, l.Pool)
+		s.endpoints[l.ID] = &endpoint{
+			Endpoint: l, runs: make(map[string]*run), unknownRuns: make(map[string]unknownRun),
+			leaseUntil: now.Add(s.Settings.InheritedLease), joinedAt: now,
+		}
+	}
+}
+
+// AddNewEndpoint adds an endpoint on which no owner can have started a task yet.
+func (s *Scheduler) AddNewEndpoint(l Endpoint, now time.Time) {
+	s.AddInheritedEndpoint(l, now)
+	if e := s.endpoints[l.ID]; !e.contacted {
+		e.leaseUntil = now
+	}
+}
+
+// EndpointStatus is the state of an endpoint as the scheduler reports it to its callers.
+type EndpointStatus struct {
+	Endpoint
+	Listed, Contacted, Unresponsive bool
+	// HasUncertainRun is set if the next poll has to show whether a run whose start got no
+	// answer is active.
+	HasUncertainRun bool
+	// HasWarmingTask is set if a long-running task is starting up.
+	HasWarmingTask bool
+	// LastStoredEnd is the number of the last end whose effect is stored, together
+	// with the effects of all ends before it.
+	LastStoredEnd int64
+	Runs          int
+	LeaseUntil    time.Time
+}
+
+// EndpointStatuses returns the status of all known endpoints, sorted by identifier.
+func (s *Scheduler) EndpointStatuses() (all []EndpointStatus) {
+	for _, id := range sortedKeys(s.endpoints) {
+		all = append(all, s.endpoints[id].status())
+	}
+	return all
+}
+
+// EndpointStatus returns the status of an endpoint.
+func (s *Scheduler) EndpointStatus(id string) (status EndpointStatus, known bool) {
+	e, known := s.endpoints[id]
+	if !known {
+		return EndpointStatus{}, false
+	}
+	return e.status(), true
+}
+
+func (e *endpoint) status() EndpointStatus {
+	return EndpointStatus{
+		Endpoint: e.Endpoint, Listed: e.listed, Contacted: e.contacted, Unresponsive: e.unresponsive(), HasUncertainRun: e.hasUncertainRun(), HasWarmingTask: e.hasWarmingTask(),
+		LastStoredEnd: e.lastStoredEnd, Runs: len(e.runs) + len(e.unknownRuns), LeaseUntil: e.leaseUntil,
+	}
+}
+
+// ExtendLease extends the recorded lease of an endpoint. It has to be called before the
+// renewal is sent, because the renewal may arrive even if its answer does not.
+func (s *Scheduler) ExtendLease(id string, now time.Time) {
+	if e, known := s.endpoints[id]; known {
+		e.leaseUntil = latest(e.leaseUntil, now.Add(s.localDuration(s.Settings.Lease)))
+	}
+}
+
+// localDuration returns the longest local duration that may correspond to a duration
+// on the clock of an endpoint.
+func (s *Scheduler) localDuration(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * s.Settings.MaxClockRatio)
+}
+
+// RecordUnanswered records that a call to an endpoint got no answer.
+func (s *Scheduler) RecordUnanswered(id string, now time.Time) {
+	if e, known := s.endpoints[id]; known && !e.unresponsive() {
+		e.unresponsiveSince = now
+	}
+}
+
+// RecordTermination records that an endpoint has terminated for certain and runs nothing any
+// more.
+func (s *Scheduler) RecordTermination(id string, now time.Time) {
+	if e, known := s.endpoints[id]; known {
+		s.endLostRuns(e, now)
+		if !e.listed {
+			s.removeEndpoint(e)
+		}
+	}
+}
+
+func (s *Scheduler) removeEndpoint(e *endpoint) {
+	delete(s.endpoints, e.ID)
+	delete(s.endpointsByPool, e.Pool)
+	delete(s.unstoredEndpoints, e)
+}
+
+// ExpireLeases ends the runs of endpoints whose leases have expired, and removes expired
+// endpoints that are no longer listed.
+func (s *Scheduler) ExpireLeases(now time.Time) {
+	for _, e := range s.endpoints {
+		if now.Before(e.leaseUntil) || (e.contacted && !e.unresponsive() && e.listed) {
+			continue
+		}
+		if e.unresponsive() || !e.contacted || !e.listed {
+			s.endLostRuns(e, now)
+		}
+		if !e.listed {
+			s.removeEndpoint(e)
+		}
+	}
+}
+
+// poolEndpoints returns the endpoints of a pool, sorted by identifier.
+func (s *Scheduler) poolEndpoints(pool string) (endpoints []*endpoint) {
+	endpoints, cached := s.endpointsByPool[pool]
+	if cached || len(s.endpoints) == 0 {
+		return endpoints
+	}
+	for _, e := range s.endpoints {
+		if e.Pool == pool {
+			endpoints = append(endpoints, e)
+		}
+	}
+	slices.SortFunc(endpoints, func(a, b *endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	s.endpointsByPool[pool] = endpoints
+	return endpoints
+}
--- a/coordination/schedule/report.go
+++ b/coordination/schedule/report.go
@@ -110,7 +110,7 @@
 		}
 		s.applyUnlistedRun(run, r)
 	}
-	e.advanceLastStoredEnd()
+	s.advanceLastStoredEnd(e)
 }
 
 // applyEnd applies the end of a run on an endpoint.
--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -49,11 +49,13 @@
 	// firstBalancedAt is the time of the first call of PlanMoves; firstArrivalAt is
 	// the time at which the first job that is not long-running arrived.
 	firstBalancedAt, firstArrivalAt time.Time
-	// endpointsByPool caches the endpoints of each pool, sorted by identifier. It is
-	// nil after the set of endpoints or their pools changed.
+	// endpointsByPool caches the endpoints of each pool, sorted by identifier. A pool is
+	// removed when its set of endpoints changes.
 	endpointsByPool map[string][]*endpoint
 	// pendingStops holds the runs that may need an order to stop.
 	pendingStops map[*run]bool
+	// unstoredEndpoints holds the endpoints with ends whose effects are not stored.
+	unstoredEndpoints map[*endpoint]bool
 	// Counts holds the totals for metrics.
 	Counts Counts
 	// OnRunEnd, if set, is called for each run that ends, for logs and metrics.
@@ -91,6 +93,8 @@
 	s.rankings = make(map[string]*jobRanking)
 	s.reservedInstances = make(map[string]bool)
 	s.pendingStops = make(map[*run]bool)
+	s.endpointsByPool = make(map[string][]*endpoint)
+	s.unstoredEndpoints = make(map[*endpoint]bool)
 }
 
 // LoadJob adds a stored job that an earlier owner accepted. AddJob is for jobs that this
@@ -266,8 +270,8 @@
 	if j.storedState.Terminal() && !j.hasRuns() && j.storedState != job.Cancelled {
 		j.Steps, j.Spec, j.occurrences = nil, "", nil
 	}
-	for _, e := range s.endpoints {
-		e.advanceLastStoredEnd()
+	for e := range s.unstoredEndpoints {
+		s.advanceLastStoredEnd(e)
 	}
 }
 
@@ -297,155 +301,6 @@
 	return removed
 }
 
-// SetEndpoints replaces the listed endpoints. Endpoints that are no longer listed are
-// kept until their leases have expired.
-func (s *Scheduler) SetEndpoints(listed []Endpoint, now time.Time) {
-	s.init()
-	present := make(map[string]bool, len(listed))
-	for _, l := range listed {
-		present[l.ID] = true
-		s.AddInheritedEndpoint(l, now)
-		e := s.endpoints[l.ID]
-		e.Endpoint = l
-		e.listed = true
-	}
-	s.endpointsByPool = nil
-	for id, e := range s.endpoints {
-		if !present[id] {
-			e.listed = false
-		}
-	}
-}
-
-// AddSettledEndpoint is AddInheritedEndpoint for an endpoint that has been in its pool
-// long enough to be moved at once.
-func (s *Scheduler) AddSettledEndpoint(l Endpoint, now time.Time) {
-	s.AddInheritedEndpoint(l, now)
-	s.endpoints[l.ID].joinedAt = time.Time{}
-}
-
-// AddInheritedEndpoint adds an endpoint on which an earlier owner may have started tasks.
-func (s *Scheduler) AddInheritedEndpoint(l Endpoint, now time.Time) {
-	s.init()
-	if s.endpoints[l.ID] == nil {
-		s.endpointsByPool = nil
-		s.endpoints[l.ID] = &endpoint{
-			Endpoint: l, runs: make(map[string]*run), unknownRuns: make(map[string]unknownRun),
-			leaseUntil: now.Add(s.Settings.InheritedLease), joinedAt: now,
-		}
-	}
-}
-
-// AddNewEndpoint adds an endpoint on which no owner can have started a task yet.
-func (s *Scheduler) AddNewEndpoint(l Endpoint, now time.Time) {
-	s.AddInheritedEndpoint(l, now)
-	if e := s.endpoints[l.ID]; !e.contacted {
-		e.leaseUntil = now
-	}
-}
-
-// EndpointStatus is the state of an endpoint as the scheduler reports it to its callers.
-type EndpointStatus struct {
-	Endpoint
-	Listed, Contacted, Unresponsive bool
-	// HasUncertainRun is set if the next poll has to show whether a run whose start got no
-	// answer is active.
-	HasUncertainRun bool
-	// HasWarmingTask is set if a long-running task is starting up.
-	HasWarmingTask bool
-	// LastStoredEnd is the number of the last end whose effect is stored, together
-	// with the effects of all ends before it.
-	LastStoredEnd int64
-	Runs          int
-	LeaseUntil    time.Time
-}
-
-// EndpointStatuses returns the status of all known endpoints, sorted by identifier.
-func (s *Scheduler) EndpointStatuses() (all []EndpointStatus) {
-	for _, id := range sortedKeys(s.endpoints) {
-		all = append(all, s.endpoints[id].status())
-	}
-	return all
-}
-
-// EndpointStatus returns the status of an endpoint.
-func (s *Scheduler) EndpointStatus(id string) (status EndpointStatus, known bool) {
-	e, known := s.endpoints[id]
-	if !known {
-		return EndpointStatus{}, false
-	}
-	return e.status(), true
-}
-
-func (e *endpoint) status() EndpointStatus {
-	return EndpointStatus{
-		Endpoint: e.Endpoint, Listed: e.listed, Contacted: e.contacted, Unresponsive: e.unresponsive(), HasUncertainRun: e.hasUncertainRun(), HasWarmingTask: e.hasWarmingTask(),
-		LastStoredEnd: e.lastStoredEnd, Runs: len(e.runs) + len(e.unknownRuns), LeaseUntil: e.leaseUntil,
-	}
-}
-
-// ExtendLease extends the recorded lease of an endpoint. It has to be called before the
-// renewal is sent, because the renewal may arrive even if its answer does not.
-func (s *Scheduler) ExtendLease(id string, now time.Time) {
-	if e, known := s.endpoints[id]; known {
-		e.leaseUntil = latest(e.leaseUntil, now.Add(s.localDuration(s.Settings.Lease)))
-	}
-}
-
-// localDuration returns the longest local duration that may correspond to a duration
-// on the clock of an endpoint.
-func (s *Scheduler) localDuration(d time.Duration) time.Duration {
-	return time.Duration(float64(d) * s.Settings.MaxClockRatio)
-}
-
-// RecordUnanswered records that a call to an endpoint got no answer.
-func (s *Scheduler) RecordUnanswered(id string, now time.Time) {
-	if e, known := s.endpoints[id]; known && !e.unresponsive() {
-		e.unresponsiveSince = now
-	}
-}
-
-// RecordTermination records that an endpoint has terminated for certain and runs nothing any
-// more.
-func (s *Scheduler) RecordTermination(id string, now time.Time) {
-	if e, known := s.endpoints[id]; known {
-		s.endLostRuns(e, now)
-		if !e.listed {
-			delete(s.endpoints, id)
-			s.endpointsByPool = nil
-		}
-	}
-}
-
-// ExpireLeases ends the runs of endpoints whose leases have expired, and removes expired
-// endpoints that are no longer listed.
-func (s *Scheduler) ExpireLeases(now time.Time) {
-	for id, e := range s.endpoints {
-		if now.Before(e.leaseUntil) || (e.contacted && !e.unresponsive() && e.listed) {
-			continue
-		}
-		if e.unresponsive() || !e.contacted || !e.listed {
-			s.endLostRuns(e, now)
-		}
-		if !e.listed {
-			delete(s.endpoints, id)
-			s.endpointsByPool = nil
-		}
-	}
-}
-
-// poolEndpoints returns the endpoints of a pool, sorted by identifier.
-func (s *Scheduler) poolEndpoints(pool string) []*endpoint {
-	if s.endpointsByPool == nil {
-		s.endpointsByPool = make(map[string][]*endpoint)
-		for _, id := range sortedKeys(s.endpoints) {
-			e := s.endpoints[id]
-			s.endpointsByPool[e.Pool] = append(s.endpointsByPool[e.Pool], e)
-		}
-	}
-	return s.endpointsByPool[pool]
-}
-
 // requestStop marks a run for an order to stop.
 func (s *Scheduler) requestStop(r *run) {
 	r.stopRequested = true
--- /dev/null
+++ b/entry/manager/endpointrecords.go
@@ -0,0 +1,105 @@
+package manager
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+
+	"github.com/apex/log"
+	"github.com/go-faster/errors"
+
+	"github.com/azurepoint/azurepoint/coordination/fault"
+	"github.com/azurepoint/azurepoint/coordination/schedule"
+	"github.com/azurepoint/azurepoint/entry/event"
+	"github.com/azurepoint/azurepoint/entry/store"
+)
+
+// endpointGroups is in how many records the endpoints are stored. A new endpoint rewrites
+// one of them, 8 KB with a thousand endpoints, and all of them fit in three transactions.
+const endpointGroups = 32
+
+// endpointRecords are the stored endpoints, in groups by a hash of the identifier. The zero
+// value is ready to load.
+type endpointRecords struct {
+	groups [endpointGroups]ownedRecord
+	// previous is the record of a release that stored all endpoints in one, until they are
+	// stored in groups.
+	previous ownedRecord
+}
+
+// groupOf returns the group of an endpoint.
+func groupOf(id string) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	return int(h.Sum32() % endpointGroups)
+}
+
+// load returns the stored endpoints. A record that cannot be read is logged and left out.
+func (r *endpointRecords) load(ctx context.Context, s store.Store) (endpoints []schedule.Endpoint, err error) {
+	defer fault.Annotate(&err, "manager: load endpoints")
+	items, _, err := s.Range(ctx, endpointsPrefix)
+	if err != nil {
+		return nil, err
+	}
+	r.previous = ownedRecord{key: endpointsPrefix}
+	byKey := map[string]*ownedRecord{endpointsPrefix: &r.previous}
+	for i := range r.groups {
+		r.groups[i] = ownedRecord{key: fmt.Sprintf("%s/%02d", endpointsPrefix, i)}
+		byKey[r.groups[i].key] = &r.groups[i]
+	}
+	for _, i := range items {
+		if record := byKey[i.Key]; record != nil {
+			record.revision = i.Revision
+		}
+		var group []schedule.Endpoint
+		if err = json.Unmarshal(i.Value, &group); err != nil {
+			event.RecordInvalid.Log(log.Fields{"key": i.Key, "error": err.Error()})
+			continue
+		}
+		endpoints = append(endpoints, group...)
+	}
+	return endpoints, nil
+}
+
+// save stores groups of endpoints.
+func (r *endpointRecords) save(ctx context.Context, s store.Store, owner store.Condition, groups map[int][]schedule.Endpoint) (err error) {
+	var writes []ownedWrite
+	for i, endpoints := range groups {
+		value, err := json.Marshal(endpoints)
+		if err != nil {
+			return err
+		}
+		writes = append(writes, ownedWrite{ownedRecord: &r.groups[i], value: value})
+	}
+	for len(writes) > 0 {
+		n := min(maxOwnedWrites, len(writes))
+		if err = saveOwned(ctx, s, owner, writes[:n]); err != nil {
+			return err
+		}
+		writes = writes[n:]
+	}
+	return nil
+}
+
+// removePrevious removes the record of a previous release, whose endpoints are stored in
+// groups.
+func (r *endpointRecords) removePrevious(ctx context.Context, s store.Store, owner store.Condition) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	_, err = s.Commit(ctx, store.Transaction{
+		Conditions: []store.Condition{owner, {Key: r.previous.key, Revision: r.previous.revision}}, Removes: []string{r.previous.key},
+	})
+	var conflict *store.ConflictError
+	if errors.As(err, &conflict) {
+		if conflict.Current[owner.Key].Revision != owner.Revision {
+			return errTermOver
+		}
+		// An earlier removal was executed without an answer.
+		err = nil
+	}
+	if err == nil {
+		r.previous.revision = 0
+	}
+	return err
+}
--- a/entry/manager/endpoints.go
+++ b/entry/manager/endpoints.go
@@ -74,9 +74,17 @@
 	Poll(ctx context.Context, t Target, c PollCall) (look PollReply, err error)
 }
 
+// ListChange is a change of the list of endpoints.
+type ListChange struct {
+	// Listed are new or changed endpoints, and Unlisted the identifiers of those that are
+	// no longer listed.
+	Listed   []schedule.Endpoint
+	Unlisted []string
+}
+
 // Directory is the platform's list of endpoints.
 type Directory interface {
-	// Follow calls update with all listed endpoints after each change, until the
-	// context ends.
-	Follow(ctx context.Context, update func(listed []schedule.Endpoint)) <-chan error
+	// Follow calls reset with all listed endpoints, when it has read the whole list, and
+	// change with each change after that, until the context ends.
+	Follow(ctx context.Context, reset func(listed []schedule.Endpoint), change func(ListChange)) <-chan error
 }
--- a/entry/manager/fake_test.go
+++ b/entry/manager/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 
 	"github.com/azurepoint/azurepoint/coordination/schedule"
 	"github.com/azurepoint/azurepoint/entry/store"
@@ -26,6 +27,16 @@
 	return item, found, nil
 }
 
+// Range returns all items below a prefix.
+func (s *fakeStore) Range(_ context.Context, prefix string) (items []store.Item, revision int64, err error) {
+	for key, i := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			items = append(items, i)
+		}
+	}
+	return items, s.revision, nil
+}
+
 // Commit applies a transaction, unless its answer is lost or it is delayed.
 func (s *fakeStore) Commit(_ context.Context, t store.Transaction) (revision int64, err error) {
 	if s.onCommit != nil {
@@ -61,6 +72,9 @@
 	for _, p := range t.Puts {
 		s.items[p.Key] = store.Item{Key: p.Key, Value: p.Value, Revision: s.revision}
 	}
+	for _, key := range t.Removes {
+		delete(s.items, key)
+	}
 	return s.revision, nil
 }
 
--- a/entry/manager/keys.go
+++ b/entry/manager/keys.go
@@ -15,9 +15,10 @@
 	EntryPrefix = ControlPrefix + "entries/"
 	// TermKey counts the terms; its value is the fencing token of the latest owner.
 	TermKey = "azurepoint/term"
-	// endpointsKey holds the endpoints on which the owner may have started tasks.
-	endpointsKey = "azurepoint/endpoints"
-	jobPrefix    = "azurepoint/jobs/"
+	// endpointsPrefix is the prefix of the endpoints on which the owner may have started
+	// tasks, in groups. Earlier releases stored all of them under the prefix itself.
+	endpointsPrefix = "azurepoint/endpoints"
+	jobPrefix       = "azurepoint/jobs/"
 )
 
 // JobKey returns the key of a job's record.
--- a/entry/manager/list.go
+++ b/entry/manager/list.go
@@ -2,53 +2,79 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/go-faster/errors"
 
 	"github.com/azurepoint/azurepoint/coordination/retry"
 	"github.com/azurepoint/azurepoint/coordination/schedule"
 	"github.com/azurepoint/azurepoint/entry/event"
 )
 
-// updateEndpoints applies a new endpoint list. Known endpoints are updated at once;
-// new ones get tasks only after their identifiers are stored, so that the next owner
+// resetEndpoints applies the whole list of endpoints. Known endpoints are updated at
+// once; new ones get tasks only after their identifiers are stored, so that the next owner
 // can determine where tasks may run.
-func (m *Manager) updateEndpoints(listed []schedule.Endpoint) {
+func (m *Manager) resetEndpoints(listed []schedule.Endpoint) {
+	present := make(map[string]bool, len(listed))
+	for _, l := range listed {
+		present[l.ID] = true
+	}
+	c := ListChange{Listed: listed}
 	m.mu.Lock()
-	m.latestList = listed
-	m.applyEndpointList(listed)
-	m.mu.Unlock()
-	select {
-	case m.listChanged <- struct{}{}:
-	default:
+	for _, s := range m.scheduler.EndpointStatuses() {
+		if !present[s.ID] {
+			c.Unlisted = append(c.Unlisted, s.ID)
+		}
 	}
-	m.trigger()
+	m.listed = make(map[string]schedule.Endpoint, len(listed))
+	m.mu.Unlock()
+	m.applyListChange(c)
 }
 
-// applyEndpointList passes the listed endpoints that are already stored to the
-// scheduler, and records which known endpoints are no longer listed.
-func (m *Manager) applyEndpointList(listed []schedule.Endpoint) {
+// applyListChange applies a change of the list, as resetEndpoints does.
+func (m *Manager) applyListChange(c ListChange) {
+	m.mu.Lock()
 	now := time.Now()
-	recorded := make([]schedule.Endpoint, 0, len(listed))
-	present := make(map[string]bool, len(listed))
-	for _, l := range listed {
-		present[l.ID] = true
+	unrecorded := false
+	for _, l := range c.Listed {
+		m.listed[l.ID] = l
 		delete(m.unlisted, l.ID)
-		if _, known := m.recorded[l.ID]; known {
-			recorded = append(recorded, l)
+		if _, recorded := m.recorded[l.ID]; !recorded {
+			unrecorded = true
+			event.EndpointListed.Log(log.Fields{"endpoint": l.ID, "pool": l.Pool, "dataCentre": l.DataCentre, "rack": l.Rack, "address": l.Address})
+			continue
 		}
+		m.listEndpoint(l, now)
 	}
-	for _, s := range m.scheduler.EndpointStatuses() {
-		if _, known := m.unlisted[s.ID]; !known && !present[s.ID] {
-			m.unlisted[s.ID] = now
-			event.EndpointUnlisted.Log(log.Fields{"endpoint": s.ID, "pool": s.Pool, "runs": s.Runs})
+	for _, id := range c.Unlisted {
+		delete(m.listed, id)
+		m.unlistEndpoint(id, now)
+	}
+	m.mu.Unlock()
+	if unrecorded {
+		select {
+		case m.listChanged <- struct{}{}:
+		default:
 		}
 	}
-	m.scheduler.SetEndpoints(recorded, now)
-	m.pollersDue = true
+	m.trigger()
+}
+
+// listEndpoint passes a listed endpoint that is stored to the scheduler.
+func (m *Manager) listEndpoint(l schedule.Endpoint, now time.Time) {
+	m.scheduler.UpdateEndpoints([]schedule.Endpoint{l}, now)
+	m.pollersDue[l.ID] = true
+}
+
+// unlistEndpoint records since when a known endpoint is no longer listed.
+func (m *Manager) unlistEndpoint(id string, now time.Time) {
+	s, known := m.scheduler.EndpointStatus(id)
+	if _, unlisted := m.unlisted[id]; unlisted || !known {
+		return
+	}
+	m.unlisted[id] = now
+	event.EndpointUnlisted.Log(log.Fields{"endpoint": s.ID, "pool": s.Pool, "runs": s.Runs})
+	m.scheduler.UnlistEndpoint(id)
 }
 
 // pruneUnlisted drops endpoints from unlisted once the scheduler no longer knows
@@ -61,8 +87,7 @@
 	}
 }
 
-// runEndpointRecording stores the endpoints after each change of the list, until the
-// context ends.
+// runEndpointRecording stores new endpoints of the list until the context ends.
 func (m *Manager) runEndpointRecording(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
 	go func() {
@@ -78,43 +103,87 @@
 	return ended
 }
 
-// recordEndpoints stores the latest list if it has endpoints that are not stored, and
-// retries until it succeeds.
+// recordEndpoints stores the listed endpoints that are not stored, and retries until it
+// succeeds.
 func (m *Manager) recordEndpoints(ctx context.Context) {
 	for failures := 0; ctx.Err() == nil; failures++ {
-		known, changed := m.knownEndpoints()
-		if !changed {
+		groups := m.unrecordedGroups()
+		if len(groups) == 0 {
 			return
 		}
-		err := m.storeEndpoints(ctx, known)
+		err := m.storeEndpoints(ctx, groups)
 		if err == nil {
-			return
+			continue
 		}
-		event.RecordFailed.Log(log.Fields{"key": endpointsKey, "error": err.Error()})
+		event.RecordFailed.Log(log.Fields{"key": endpointsPrefix, "error": err.Error()})
 		retry.Sleep(ctx, min(minCommitRetryDelay<<min(failures, 6), maxCommitRetryDelay))
 	}
 }
 
-// knownEndpoints returns the endpoints on which tasks may run from now on, and
-// whether one of them is not stored.
-func (m *Manager) knownEndpoints() (known []schedule.Endpoint, changed bool) {
+// unrecordedGroups returns the groups with a listed endpoint that is not stored: their
+// listed endpoints, and the others on which tasks may still run.
+func (m *Manager) unrecordedGroups() (groups map[int][]schedule.Endpoint) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	present := make(map[string]bool)
-	for _, l := range m.latestList {
-		present[l.ID] = true
-		known = append(known, l)
-		if _, recorded := m.recorded[l.ID]; !recorded {
-			changed = true
-			event.EndpointListed.Log(log.Fields{"endpoint": l.ID, "pool": l.Pool, "dataCentre": l.DataCentre, "rack": l.Rack, "address": l.Address})
+	groups = make(map[int][]schedule.Endpoint)
+	for id := range m.listed {
+		if _, recorded := m.recorded[id]; !recorded {
+			groups[groupOf(id)] = nil
 		}
 	}
-	for _, s := range m.scheduler.EndpointStatuses() {
-		if !present[s.ID] {
-			known = append(known, s.Endpoint)
+	if m.endpointRecords.previous.revision > 0 {
+		for id := range m.recorded {
+			groups[groupOf(id)] = nil
 		}
 	}
-	return known, changed
+	if len(groups) == 0 {
+		return nil
+	}
+	for id, l := range m.listed {
+		if _, affected := groups[groupOf(id)]; affected {
+			groups[groupOf(id)] = append(groups[groupOf(id)], l)
+		}
+	}
+	for id, e := range m.recorded {
+		_, affected := groups[groupOf(id)]
+		if _, listed := m.listed[id]; !affected || listed {
+			continue
+		}
+		if _, known := m.scheduler.EndpointStatus(id); known {
+			groups[groupOf(id)] = append(groups[groupOf(id)], e)
+		}
+	}
+	return groups
+}
+
+// storeEndpoints stores groups of endpoints and passes the new ones to the scheduler.
+func (m *Manager) storeEndpoints(ctx context.Context, groups map[int][]schedule.Endpoint) (err error) {
+	if err = m.endTermIfOver(m.endpointRecords.save(ctx, m.Store, m.Term.Owner, groups)); err != nil {
+		return err
+	}
+	if m.endpointRecords.previous.revision > 0 {
+		if err = m.endTermIfOver(m.endpointRecords.removePrevious(ctx, m.Store, m.Term.Owner)); err != nil {
+			return err
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	for id := range m.recorded {
+		if _, written := groups[groupOf(id)]; written {
+			delete(m.recorded, id)
+		}
+	}
+	for _, endpoints := range groups {
+		for _, e := range endpoints {
+			m.recorded[e.ID] = e
+			if l, listed := m.listed[e.ID]; listed {
+				m.listEndpoint(l, now)
+			}
+		}
+	}
+	m.trigger()
+	return nil
 }
 
 // removeReplacedEndpoints removes endpoints of previous owners that have ended: the
@@ -128,40 +197,15 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	listed := make(map[string]string, len(m.latestList))
-	for _, l := range m.latestList {
-		listed[l.ID] = l.Instance
-	}
 	for _, s := range m.scheduler.EndpointStatuses() {
-		_, present := listed[s.ID]
+		_, present := m.listed[s.ID]
 		i, known := byName[s.Instance]
-		if s.Contacted || present || m.latestList == nil || !known || !i.Up || i.Endpoint == s.ID {
+		if s.Contacted || present || m.listed == nil || !known || !i.Up || i.Endpoint == s.ID {
 			continue
 		}
-		if i.Endpoint == "" && i.Pool == spare || i.Endpoint != "" && listed[i.Endpoint] == s.Instance {
+		if i.Endpoint == "" && i.Pool == spare || i.Endpoint != "" && m.listed[i.Endpoint].Instance == s.Instance {
 			event.EndpointReplaced.Log(log.Fields{"endpoint": s.ID, "pool": s.Pool, "instance": s.Instance, "by": i.Endpoint})
 			m.scheduler.RecordTermination(s.ID, time.Now())
 		}
 	}
 }
-
-// storeEndpoints stores the endpoints on which tasks may run, and passes them to the
-// scheduler.
-func (m *Manager) storeEndpoints(ctx context.Context, known []schedule.Endpoint) (err error) {
-	value, err := json.Marshal(known)
-	if err != nil {
-		return errors.Wrap(err, "encode endpoints")
-	}
-	if err = m.saveOwned(ctx, &m.endpointList, value); err != nil {
-		return err
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	clear(m.recorded)
-	for _, e := range known {
-		m.recorded[e.ID] = e
-	}
-	m.applyEndpointList(m.latestList)
-	m.trigger()
-	return nil
-}
--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"strings"
 	"sync"
 	"time"
@@ -52,12 +51,13 @@
 	loaded       bool
 	recordWriter *recordWriter
 	pollers      map[string]*poller
-	// recorded holds the endpoints that are stored under endpointsKey; latestList is
-	// the last list from the Directory.
-	recorded     map[string]schedule.Endpoint
-	endpointList ownedRecord
-	latestList   []schedule.Endpoint
-	pollersDue   bool
+	// recorded holds the endpoints that are stored, and listed those of the Directory,
+	// by identifier; listed is nil until the list is known.
+	recorded        map[string]schedule.Endpoint
+	listed          map[string]schedule.Endpoint
+	endpointRecords endpointRecords
+	// pollersDue holds the endpoints that may need a poller.
+	pollersDue map[string]bool
 	// cancelledEarly holds the jobs that were cancelled without the owner before the jobs
 	// were loaded and that were not among them.
 	cancelledEarly map[string]bool
@@ -82,7 +82,6 @@
 
 // Init prepares the manager; it must be called before every other method.
 func (m *Manager) Init() {
-	m.endpointList = ownedRecord{key: endpointsKey}
 	m.orders = &recentOrders{record: ownedRecord{key: recentKey}, owner: m.Term.Owner, handoverTime: m.Settings.OrderLease + handoverMargin, ordered: make(map[string]time.Time)}
 	m.over = make(chan struct{})
 	m.wavesChanged = make(chan struct{}, 1)
@@ -96,6 +95,7 @@
 	m.orderResults = make(chan orderResult)
 	m.pollers = make(map[string]*poller)
 	m.recorded = make(map[string]schedule.Endpoint)
+	m.pollersDue = make(map[string]bool)
 	m.unlisted = make(map[string]time.Time)
 	m.waiters = make(map[string][]chan struct{})
 	m.scheduler.Settings = m.Settings.schedulerSettings(int(m.Term.Number), m.Term.OwnerLease)
@@ -121,7 +121,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	components := []<-chan error{m.recordWriter.run(ctx), m.Directory.Follow(ctx, m.updateEndpoints), m.runWaves(ctx), m.runMoves(ctx), m.runEndpointRecording(ctx), m.runCleanup(ctx)}
+	components := []<-chan error{m.recordWriter.run(ctx), m.Directory.Follow(ctx, m.resetEndpoints, m.applyListChange), m.runWaves(ctx), m.runMoves(ctx), m.runEndpointRecording(ctx), m.runCleanup(ctx)}
 	m.runPlanner(ctx)
 	cancel()
 	for ; m.ordersInFlight > 0; m.ordersInFlight-- {
@@ -172,7 +172,7 @@
 	if err = m.orders.load(ctx, m.Store); err != nil {
 		return err
 	}
-	known, found, err := m.endpointList.load(ctx, m.Store)
+	known, err := m.endpointRecords.load(ctx, m.Store)
 	if err != nil {
 		return err
 	}
@@ -196,15 +196,10 @@
 			m.cancelledEarly[id] = true
 		}
 	}
-	if found {
-		var endpoints []schedule.Endpoint
-		if err = json.Unmarshal(known, &endpoints); err != nil {
-			event.RecordInvalid.Log(log.Fields{"key": endpointsKey, "error": err.Error()})
-		}
-		for _, e := range endpoints {
-			m.recorded[e.ID] = e
-			m.scheduler.AddSettledEndpoint(e, now)
-		}
+	for _, e := range known {
+		m.recorded[e.ID] = e
+		m.pollersDue[e.ID] = true
+		m.scheduler.AddSettledEndpoint(e, now)
 	}
 	m.loaded = true
 	event.OwnershipReady.Log(log.Fields{"term": m.Term.Number, "jobs": len(items), "endpoints": len(m.recorded)})
--- a/entry/manager/poll.go
+++ b/entry/manager/poll.go
@@ -32,20 +32,17 @@
 func (m *Manager) startPollers(ctx context.Context) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.pollersDue {
-		return
-	}
-	m.pollersDue = false
-	for _, s := range m.scheduler.EndpointStatuses() {
-		if m.pollers[s.ID] == nil {
-			p := &poller{manager: m, id: s.ID, done: make(chan error, 1)}
-			m.pollers[s.ID] = p
+	for id := range m.pollersDue {
+		if _, known := m.scheduler.EndpointStatus(id); known && m.pollers[id] == nil {
+			p := &poller{manager: m, id: id, done: make(chan error, 1)}
+			m.pollers[id] = p
 			go func() {
 				p.run(ctx)
 				p.done <- nil
 			}()
 		}
 	}
+	clear(m.pollersDue)
 }
 
 func (p *poller) run(ctx context.Context) {
@@ -210,5 +207,7 @@
 	if m.pollers[p.id] == p {
 		delete(m.pollers, p.id)
 		delete(m.unlisted, p.id)
+		// The endpoint may have been listed again after the poller missed it.
+		m.pollersDue[p.id] = true
 	}
 }
--- a/entry/manager/waves.go
+++ b/entry/manager/waves.go
@@ -269,12 +269,12 @@
 	if err != nil {
 		return err
 	}
-	return m.saveOwned(ctx, &p.stored, value)
+	return m.endTermIfOver(p.stored.save(ctx, m.Store, m.Term.Owner, value))
 }
 
-// saveOwned saves a record of the owner and ends the term if another owner has taken over.
-func (m *Manager) saveOwned(ctx context.Context, r *ownedRecord, value []byte) (err error) {
-	err = r.save(ctx, m.Store, m.Term.Owner, value)
+// endTermIfOver ends the term if a write showed that another owner has taken over, and
+// returns the error of the write.
+func (m *Manager) endTermIfOver(err error) error {
 	if errors.Is(err, errTermOver) {
 		m.endTerm()
 	}
--- a/entry/standin/endpoint.go
+++ b/entry/standin/endpoint.go
@@ -303,8 +303,8 @@
 type Directory []schedule.Endpoint
 
 // Follow passes the list on once.
-func (d Directory) Follow(ctx context.Context, update func(listed []schedule.Endpoint)) <-chan error {
-	update(d)
+func (d Directory) Follow(ctx context.Context, reset func(listed []schedule.Endpoint), _ func(manager.ListChange)) <-chan error {
+	reset(d)
 	ended := make(chan error, 1)
 	go func() {
 		<-ctx.Done()
