--- a/entry/manager/poll.go
+++ b/entry/manager/poll.go
@@ -163,11 +163,12 @@
 	return m.scheduler.EndpointStatus(id)
 }
 
-// mayRenewLease reports whether the lease of the endpoint is still renewed: while it
-// is listed, and for unlistedGrace after that, because list items expire during an
-// outage of the store.
+// mayRenewLease reports whether the lease of an endpoint that answers is still renewed:
+// while it is listed or runs tasks, and for unlistedGrace after that, because list items
+// expire during an outage of the store. An endpoint that only fails to report to the list
+// continues with what it runs.
 func (m *Manager) mayRenewLease(s schedule.EndpointStatus) bool {
-	if s.Listed {
+	if s.Listed || s.Runs > 0 {
 		return true
 	}
 	m.mu.Lock()
--- a/entry/manager/settings.go
+++ b/entry/manager/settings.go
@@ -53,9 +53,9 @@
 	// same one on an endpoint's clock, which may be 2% slow, plus a little for
 	// rounding.
 	maxClockRatio = 1.025
-	// unlistedGrace is how long the lease of a responding endpoint is renewed after
-	// it left the list; list items that expired during an outage of the store are
-	// back within 2 s.
+	// unlistedGrace is how long the lease of a responding endpoint without tasks is
+	// renewed after it left the list; list items that expired during an outage of the
+	// store are back within 2 s.
 	unlistedGrace = 3 * time.Second
 	// maxRecordDelay is how long the record of a running job may wait to be stored,
 	// well below the 4 s within which run ends have to be acknowledged.
--- a/entry/node/fleet_test.go
+++ b/entry/node/fleet_test.go
@@ -30,19 +30,23 @@
 	t         *testing.T
 	store     *standin.Store
 	endpoints *standin.Endpoints
-	directory standin.Directory
+	directory manager.Directory
 }
 
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
 	log.SetHandler(discard.Default)
-	f := &fleet{t: t, store: &standin.Store{}, endpoints: &standin.Endpoints{}}
+	return &fleet{t: t, store: &standin.Store{}, endpoints: &standin.Endpoints{}, directory: standin.Directory(testEndpoints())}
+}
+
+// testEndpoints returns three endpoints of pool p.
+func testEndpoints() (listed []schedule.Endpoint) {
 	for i := range 3 {
-		f.directory = append(f.directory, schedule.Endpoint{
+		listed = append(listed, schedule.Endpoint{
 			ID: fmt.Sprintf("e%d", i), Pool: "p", Address: "none", Capacity: schedule.Capacity{CPU: 8000, MemoryMB: 8000},
 		})
 	}
-	return f
+	return listed
 }
 
 // entry is a running entry.
