--- a/coordination/job/record.go
+++ b/coordination/job/record.go
@@ -86,7 +86,7 @@
 	if len(r.Steps) == 0 && r.State.Terminal() {
 		return nil
 	}
-	if err := r.Job.Validate(); err != nil {
+	if err := r.Validate(); err != nil {
 		return err
 	}
 	for _, p := range r.Progress {
