--- a/entry/node/fleet_test.go
+++ b/entry/node/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -19,6 +20,13 @@
 	"github.com/azurepoint/azurepoint/entry/standin"
 )
 
+// TestMain discards the log. A test cannot do that, because entries of parallel tests log
+// meanwhile.
+func TestMain(m *testing.M) {
+	log.SetHandler(discard.Default)
+	os.Exit(m.Run())
+}
+
 // testQueue is the queue of all test jobs.
 var testQueue = queue.Queue{
 	Name: "q", Host: "host", Prefix: "/q/", Pool: "p", Objective: job.Objective{MaxAttempts: 2, Stretch: 2, TargetMillis: 500},
@@ -35,7 +43,6 @@
 
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
-	log.SetHandler(discard.Default)
 	return &fleet{t: t, store: &standin.Store{}, endpoints: &standin.Endpoints{}, directory: standin.Directory(testEndpoints())}
 }
 
