--- a/entry/manager/ownedrecord_test.go
+++ b/entry/manager/ownedrecord_test.go
@@ -86,7 +86,7 @@
 		endpoints := &fakeEndpoints{}
 		m := &Manager{
 			Term: Term{Number: 1, Confirmed: func() bool { return confirmed }}, Endpoints: endpoints,
-			pollers: map[string]*poller{"e": {started: make(chan struct{}, 1)}}, orderResults: make(chan orderResult, 1),
+			pollers: map[string]*poller{"e": {}}, orderResults: make(chan orderResult, 1),
 		}
 		m.scheduler.AddNewEndpoint(schedule.Endpoint{ID: "e", Pool: "p"}, time.Now())
 		m.sendOrder(t.Context(), schedule.Order{Action: schedule.Start, Endpoint: "e", Task: "j.0.0.0", Run: 65, Spec: "10"})
--- a/entry/manager/poll.go
+++ b/entry/manager/poll.go
@@ -20,11 +20,6 @@
 	manager *Manager
 	id      string
 	done    chan error
-	// started receives a signal when a start is sent to the endpoint.
-	started chan struct{}
-	// unacknowledged is set if the last report listed ends, which have to be acknowledged
-	// soon. Only the poller's goroutine uses it.
-	unacknowledged bool
 
 	mu sync.Mutex
 	// clock is the endpoint's clock in milliseconds as last reported; the answer with
@@ -39,7 +34,7 @@
 	defer m.mu.Unlock()
 	for id := range m.pollersDue {
 		if _, known := m.scheduler.EndpointStatus(id); known && m.pollers[id] == nil {
-			p := &poller{manager: m, id: id, done: make(chan error, 1), started: make(chan struct{}, 1)}
+			p := &poller{manager: m, id: id, done: make(chan error, 1)}
 			m.pollers[id] = p
 			go func() {
 				p.run(ctx)
@@ -58,10 +53,6 @@
 			p.manager.removePoller(p)
 			return
 		}
-		idle := status.Contacted && !status.Unresponsive && status.Runs == 0 && !p.unacknowledged
-		if idle && p.awaitStart(ctx) {
-			continue
-		}
 		delayNext, err := p.pollOnce(ctx, status)
 		switch {
 		case err == nil:
@@ -78,28 +69,6 @@
 	}
 }
 
-// awaitStart waits for a start on an endpoint that runs nothing, up to idlePollInterval, and
-// reports whether one was sent.
-func (p *poller) awaitStart(ctx context.Context) (started bool) {
-	next := time.NewTimer(idlePollInterval)
-	defer next.Stop()
-	select {
-	case <-ctx.Done():
-	case <-next.C:
-	case <-p.started:
-		return true
-	}
-	return false
-}
-
-// signalStart makes the poller of an idle endpoint poll at once.
-func (p *poller) signalStart() {
-	select {
-	case p.started <- struct{}{}:
-	default:
-	}
-}
-
 // Delays between polls of an endpoint that does not answer. The platform charges for
 // each poll, and a crashed endpoint is back within seconds.
 const (
@@ -121,7 +90,7 @@
 	timeout := silentPollTimeout
 	if status.Contacted && !status.Unresponsive {
 		switch {
-		case status.HasUncertainRun, status.Runs == 0:
+		case status.HasUncertainRun:
 		case status.HasWarmingTask:
 			call.Wait = warmingPollWait
 		default:
@@ -151,7 +120,6 @@
 		})
 	}
 	m.applyReport(p.id, reply.Report)
-	p.unacknowledged = len(reply.Ended) > 0
 	return len(reply.Ended) > 0 || status.HasUncertainRun, nil
 }
 
--- a/entry/manager/send.go
+++ b/entry/manager/send.go
@@ -39,9 +39,6 @@
 			"waitedMillis": o.TimeSinceAcceptance.Milliseconds(), "term": m.Term.Number,
 		})
 	}
-	if o.Action == schedule.Start {
-		p.signalStart()
-	}
 	target := Target{ID: status.ID, Address: status.Address}
 	m.ordersInFlight++
 	go func() {
--- a/entry/manager/settings.go
+++ b/entry/manager/settings.go
@@ -34,9 +34,6 @@
 	// no run end reports when it is ready, and the next task of its step may only
 	// move then.
 	warmingPollWait = 250 * time.Millisecond
-	// idlePollInterval is the time between polls of an endpoint that runs nothing, half
-	// of the lease. There is no run to renew; the poll shows that the endpoint answers.
-	idlePollInterval = 2 * time.Second
 	// pollTimeoutMargin is added to the wait before a poll counts as unanswered.
 	pollTimeoutMargin = 700 * time.Millisecond
 	// silentPollTimeout bounds a poll of an endpoint that did not answer the previous
