Decode organisations of a configuration and give jobs one

Cause: nothing in the entries that manage jobs knows an organisation: their keys, weights and limits were not read.

Change: queue.Configuration, job.Job and the scheduler have fields for them, and the manager passes the terms on; nothing decides by them yet. Capacity moves to the job package, so that sizes of tasks and limits of organisations share a type.

--- /dev/null
+++ b/coordination/job/capacity.go
@@ -0,0 +1,25 @@
+package job
+
+// Capacity is an amount of resources that an endpoint has, a task takes, or an
+// organisation may use.
+type Capacity struct {
+	// CPU is in thousandths of a core.
+	CPU      int
+	MemoryMB int
+	GPU      int
+}
+
+// Plus returns the sum of two capacities.
+func (c Capacity) Plus(o Capacity) Capacity {
+	return Capacity{CPU: c.CPU + o.CPU, MemoryMB: c.MemoryMB + o.MemoryMB, GPU: c.GPU + o.GPU}
+}
+
+// Minus returns the difference of two capacities, of which parts may be negative.
+func (c Capacity) Minus(o Capacity) Capacity {
+	return Capacity{CPU: c.CPU - o.CPU, MemoryMB: c.MemoryMB - o.MemoryMB, GPU: c.GPU - o.GPU}
+}
+
+// CanFit reports whether o fits into c.
+func (c Capacity) CanFit(o Capacity) bool {
+	return o.CPU <= c.CPU && o.MemoryMB <= c.MemoryMB && o.GPU <= c.GPU
+}
--- a/coordination/job/job.go
+++ b/coordination/job/job.go
@@ -78,6 +78,12 @@
 	IntervalMillis int64 `json:"intervalMillis,omitempty"`
 	// AcceptedAt is the time at which an entry received the job, in Unix milliseconds.
 	AcceptedAt int64 `json:"accepted"`
+	// Organisation is the organisation of the key with which the job was submitted; empty
+	// for jobs without a key. The job stays the organisation's after its key is removed.
+	Organisation string `json:"organisation,omitempty"`
+	// Surplus is set if the organisation had exceeded its rate of jobs when the job was
+	// accepted.
+	Surplus bool `json:"surplus,omitempty"`
 	// UsesPolicy is set if a policy service restricts the endpoints of the queue's jobs.
 	UsesPolicy bool `json:"advised,omitempty"`
 
--- a/coordination/schedule/endpoint.go
+++ b/coordination/schedule/endpoint.go
@@ -3,28 +3,12 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/azurepoint/azurepoint/coordination/job"
 )
 
 // Capacity is an amount of resources that an endpoint has or a task takes.
-type Capacity struct {
-	// CPU is in thousandths of a core.
-	CPU      int
-	MemoryMB int
-	GPU      int
-}
-
-func (c Capacity) plus(o Capacity) Capacity {
-	return Capacity{c.CPU + o.CPU, c.MemoryMB + o.MemoryMB, c.GPU + o.GPU}
-}
-
-func (c Capacity) minus(o Capacity) Capacity {
-	return Capacity{c.CPU - o.CPU, c.MemoryMB - o.MemoryMB, c.GPU - o.GPU}
-}
-
-// canFit reports whether o fits into c.
-func (c Capacity) canFit(o Capacity) bool {
-	return o.CPU <= c.CPU && o.MemoryMB <= c.MemoryMB && o.GPU <= c.GPU
-}
+type Capacity = job.Capacity
 
 // Endpoint describes an endpoint as it is listed. An instance gets a new endpoint
 // after a move or a crash.
@@ -157,7 +141,7 @@
 }
 
 func (e *endpoint) free() Capacity {
-	return e.Capacity.minus(e.used)
+	return e.Capacity.Minus(e.used)
 }
 
 // freeFor returns the capacity that a task of the step may use.
@@ -165,7 +149,7 @@
 	if st.step.LongRunning {
 		return e.free()
 	}
-	return e.free().minus(e.longRunningReserve)
+	return e.free().Minus(e.longRunningReserve)
 }
 
 // permits reports whether the label and anti-affinity rules allow the task on the
@@ -183,7 +167,7 @@
 func (e *endpoint) longRunningUsage() (room Capacity) {
 	for _, r := range e.runs {
 		if r.task.step.LongRunning {
-			room = room.plus(r.size)
+			room = room.Plus(r.size)
 		}
 	}
 	return room
--- a/coordination/schedule/evacuate.go
+++ b/coordination/schedule/evacuate.go
@@ -49,15 +49,15 @@
 	need := taskSize(st.step)
 	var best *endpoint
 	for _, e := range candidates {
-		if !e.permits(st, t, 0) || !e.Capacity.minus(e.longRunningUsage()).minus(e.longRunningReserve).canFit(need) {
+		if !e.permits(st, t, 0) || !e.Capacity.Minus(e.longRunningUsage()).Minus(e.longRunningReserve).CanFit(need) {
 			continue
 		}
-		if best == nil || e.free().minus(e.longRunningReserve).CPU > best.free().minus(best.longRunningReserve).CPU {
+		if best == nil || e.free().Minus(e.longRunningReserve).CPU > best.free().Minus(best.longRunningReserve).CPU {
 			best = e
 		}
 	}
 	if best != nil {
-		best.longRunningReserve = best.longRunningReserve.plus(need)
+		best.longRunningReserve = best.longRunningReserve.Plus(need)
 	}
 	return best != nil
 }
--- a/coordination/schedule/order.go
+++ b/coordination/schedule/order.go
@@ -207,7 +207,7 @@
 	}
 	t.runs = append(t.runs, r)
 	e.runs[t.name] = r
-	e.used = e.used.plus(r.size)
+	e.used = e.used.Plus(r.size)
 	s.Counts.Started++
 	j := t.job
 	j.started = true
--- a/coordination/schedule/plan.go
+++ b/coordination/schedule/plan.go
@@ -79,7 +79,9 @@
 	c.maxFree = Capacity{}
 	for _, e := range c.endpoints {
 		free := e.free()
-		c.maxFree = Capacity{max(c.maxFree.CPU, free.CPU), max(c.maxFree.MemoryMB, free.MemoryMB), max(c.maxFree.GPU, free.GPU)}
+		c.maxFree = Capacity{
+			CPU: max(c.maxFree.CPU, free.CPU), MemoryMB: max(c.maxFree.MemoryMB, free.MemoryMB), GPU: max(c.maxFree.GPU, free.GPU),
+		}
 	}
 }
 
@@ -235,7 +237,7 @@
 			continue
 		}
 		var e *endpoint
-		if c.maxFree.canFit(taskSize(st.step)) {
+		if c.maxFree.CanFit(taskSize(st.step)) {
 			e = s.chooseEndpoint(st, t, c.endpoints, nil)
 		}
 		if e == nil {
@@ -298,7 +300,7 @@
 		chosen[i] = e
 		use := usage[e]
 		use.tasks++
-		use.capacity = use.capacity.plus(taskSize(st.step))
+		use.capacity = use.capacity.Plus(taskSize(st.step))
 		usage[e] = use
 	}
 	st.gangRunNumber = runNumber + 1
@@ -333,7 +335,7 @@
 		if e.closedTo(t.job) || isolated && !e.settledFor(t.job) {
 			continue
 		}
-		if !e.freeFor(st).minus(usage[e].capacity).canFit(need) || !e.permits(st, t, usage[e].tasks) {
+		if !e.freeFor(st).Minus(usage[e].capacity).CanFit(need) || !e.permits(st, t, usage[e].tasks) {
 			continue
 		}
 		score := s.score(st, t, e, rack)
--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/azurepoint/azurepoint/coordination/job"
+	"github.com/azurepoint/azurepoint/coordination/organisation"
 )
 
 // Settings holds the time limits that the scheduler assumes. It has no defaults; the
@@ -62,6 +63,8 @@
 	unconfirmedCrashes map[string]map[*task]bool
 	// isolatedEndpoints holds the endpoints with exclusiveTo or heldFor.
 	isolatedEndpoints map[*endpoint]bool
+	// organisationTerms holds the terms of the organisations; empty if there are none.
+	organisationTerms []organisation.Terms
 	// Counts holds the totals for metrics.
 	Counts Counts
 	// OnRunEnd, if set, is called for each run that ends, for logs and metrics.
@@ -334,7 +337,7 @@
 func (s *Scheduler) endRun(r *run, reason string, now time.Time) {
 	delete(r.endpoint.runs, r.task.name)
 	delete(s.pendingStops, r)
-	r.endpoint.used = r.endpoint.used.minus(r.size)
+	r.endpoint.used = r.endpoint.used.Minus(r.size)
 	r.task.runs = slices.DeleteFunc(r.task.runs, func(o *run) bool { return o == r })
 	if len(r.task.runs) == 0 {
 		r.task.notRunningSince = now
--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -10,6 +10,7 @@
 
 	"github.com/azurepoint/azurepoint/coordination/fault"
 	"github.com/azurepoint/azurepoint/coordination/job"
+	"github.com/azurepoint/azurepoint/coordination/organisation"
 	"github.com/azurepoint/azurepoint/coordination/retry"
 	"github.com/azurepoint/azurepoint/coordination/schedule"
 	"github.com/azurepoint/azurepoint/entry/event"
@@ -43,6 +44,9 @@
 	Reports   WaveReports
 	// Pools returns the pools that the operators have configured.
 	Pools func() Pools
+	// Organisations, if set, returns the terms of the organisations by the newest
+	// configuration.
+	Organisations func() []organisation.Terms
 	// Holder identifies this entry in orders to the platform.
 	Holder string
 
@@ -245,6 +249,9 @@
 	if !confirmed {
 		return nil
 	}
+	if m.Organisations != nil {
+		m.scheduler.SetOrganisations(m.Organisations())
+	}
 	return m.scheduler.Plan(now, now)
 }
 
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -131,7 +131,7 @@
 	defer cancel()
 	m := &manager.Manager{
 		Settings: n.managerSettings(), Store: n.Store, Endpoints: n.Endpoints, Directory: n.Directory, Machines: n.Machines, Reports: n.Reports, Holder: n.Name,
-		Pools: n.pools,
+		Pools: n.pools, Organisations: n.organisations,
 		Term: manager.Term{
 			Owner:      store.Condition{Key: manager.OwnerKey, Revision: t.revision},
 			Number:     t.number,
--- a/entry/node/requests.go
+++ b/entry/node/requests.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/azurepoint/azurepoint/coordination/job"
+	"github.com/azurepoint/azurepoint/coordination/organisation"
 	"github.com/azurepoint/azurepoint/coordination/retry"
 	"github.com/azurepoint/azurepoint/entry/event"
 	"github.com/azurepoint/azurepoint/entry/manager"
@@ -335,3 +336,15 @@
 	}
 	return p
 }
+
+// organisations returns the terms of the configured organisations.
+func (n *Node) organisations() (terms []organisation.Terms) {
+	c := n.configuration.Load()
+	if c == nil {
+		return nil
+	}
+	for _, o := range c.Organisations {
+		terms = append(terms, o.Terms)
+	}
+	return terms
+}
--- a/entry/queue/queue.go
+++ b/entry/queue/queue.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"github.com/azurepoint/azurepoint/coordination/job"
+	"github.com/azurepoint/azurepoint/coordination/organisation"
 )
 
 // Queue accepts the jobs of requests with its host and path prefix, and runs them in
@@ -15,6 +16,8 @@
 	Host   string
 	Prefix string
 	Pool   string
+	// AllowAnonymous reports whether requests need no key of an organisation.
+	AllowAnonymous bool
 	// Advised reports whether a policy service selects the endpoints that may run a
 	// step.
 	Advised bool
@@ -34,11 +37,20 @@
 	Spare bool
 }
 
-// Configuration is one version of the operators' queues and pools.
+// Organisation is an organisation whose callers identify themselves by one of its keys.
+type Organisation struct {
+	organisation.Terms
+
+	Keys []string
+}
+
+// Configuration is one version of the operators' queues, pools and organisations.
 type Configuration struct {
 	Version int64
 	Queues  []Queue
 	Pools   []Pool
+	// Organisations is empty if the deployment has none; requests then need no key.
+	Organisations []Organisation
 }
 
 // QueueFor returns the queue of the host with the longest prefix of the path.
