Serve requests of organisations by their keys, and close before a removed key is too old

Cause: no entry read a request's key.

Change: the adapter reads the key once, the node turns it into an organisation with the configuration in force, and jobs belong to it; a key of another organisation finds no such job. Each answer that confirms the configuration is dated by when its call was sent; where the settings bound the use of removed keys, the entry refuses requests with keys once the bound has passed since, and confirms its view five times within the bound.

Tests of entry and platform pass.

--- /dev/null
+++ b/coordination/job/caller.go
@@ -0,0 +1,16 @@
+package job
+
+// Caller is who asks about a job. The zero value is a caller of an entry that does not
+// identify its callers, which may ask about any job.
+type Caller struct {
+	// Organisation is the organisation of the caller's key; empty if it needed none.
+	Organisation string
+	// Identified is set if the entry has checked the key.
+	Identified bool
+}
+
+// MaySee reports whether the caller may ask about a job of an organisation. A job without
+// an organisation is open to all callers.
+func (c Caller) MaySee(organisation string) bool {
+	return !c.Identified || organisation == "" || organisation == c.Organisation
+}
--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -165,6 +165,15 @@
 	return j.storedState, true
 }
 
+// JobOrganisation returns the organisation of a job; it is empty for a job that is not
+// known or has none.
+func (s *Scheduler) JobOrganisation(id string) (name string) {
+	if j, known := s.jobs[id]; known {
+		return j.Organisation
+	}
+	return ""
+}
+
 // PendingJobs returns how many jobs of a queue have not started.
 func (s *Scheduler) PendingJobs(queue string) (count int) {
 	for _, jobs := range s.activeJobs {
--- a/entry/event/event.go
+++ b/entry/event/event.go
@@ -34,6 +34,9 @@
 	EndpointReplaced    = Event{Number: 8111, Level: log.InfoLevel, Text: "instance has a new endpoint; the previous endpoint is removed"}
 	StoreProbed         = Event{Number: 8110, Level: log.InfoLevel, Text: "key-value service answered a probe; accepting jobs again"}
 	EndpointLost        = Event{Number: 8112, Level: log.WarnLevel, Text: "runs ended with their endpoint"}
+	AccessClosed        = Event{Number: 8113, Level: log.WarnLevel, Text: "configuration not confirmed in time; requests with a key are refused"}
+	AccessReopened      = Event{Number: 8114, Level: log.InfoLevel, Text: "configuration confirmed; requests with a key are served again"}
+	KeyRefused          = Event{Number: 8115, Level: log.InfoLevel, Text: "request without a valid key refused"}
 	EndpointItemInvalid = Event{Number: 8109, Level: log.WarnLevel, Text: "invalid item of the endpoint list ignored"}
 )
 
--- a/entry/event/writer.go
+++ b/entry/event/writer.go
@@ -33,6 +33,7 @@
 var (
 	RunStartedLimited = RunStarted.WithRateLimit(maxRunLinesPerSecond, &rateLimitedLines)
 	RunEndedLimited   = RunEnded.WithRateLimit(maxRunLinesPerSecond, &rateLimitedLines)
+	KeyRefusedLimited = KeyRefused.WithRateLimit(maxRunLinesPerSecond, &rateLimitedLines)
 )
 
 // Writer passes log lines to an output without blocking the caller. It drops and
--- a/entry/manager/recordwriter.go
+++ b/entry/manager/recordwriter.go
@@ -84,8 +84,10 @@
 	refuseAt, until time.Time
 	// cancelled is set if the job was cancelled while its submitters wait.
 	cancelled bool
-	outcome   Outcome
-	done      chan struct{}
+	// organisation is the organisation of the job.
+	organisation string
+	outcome      Outcome
+	done         chan struct{}
 }
 
 // recordWriter writes the owner's records in batches, under the condition that the
@@ -130,18 +132,20 @@
 	if err != nil {
 		return nil, err
 	}
-	c = &creation{refuseAt: time.Now().Add(refuseAfter), until: until, done: make(chan struct{})}
+	c = &creation{organisation: r.Organisation, refuseAt: time.Now().Add(refuseAfter), until: until, done: make(chan struct{})}
 	rw.creations[r.ID] = c
 	rw.queue = append(rw.queue, &recordWrite{Write: schedule.Write{Record: r}, value: value, creation: c})
 	rw.trigger()
 	return c, nil
 }
 
-// cancelCreation makes a pending creation add a cancelled job, and returns it.
-func (rw *recordWriter) cancelCreation(id string) (c *creation, pending bool) {
+// cancelCreation makes a pending creation that the caller may see add a cancelled job, and
+// returns it.
+func (rw *recordWriter) cancelCreation(id string, caller job.Caller) (c *creation, pending bool) {
 	rw.mu.Lock()
 	defer rw.mu.Unlock()
 	c, pending = rw.creations[id]
+	pending = pending && caller.MaySee(c.organisation)
 	if pending {
 		c.cancelled = true
 	}
--- a/entry/manager/submit.go
+++ b/entry/manager/submit.go
@@ -33,10 +33,13 @@
 func (m *Manager) Submit(ctx context.Context, j job.Job, until time.Time) (r Reply) {
 	m.mu.Lock()
 	loaded, known, active := m.loaded, m.scheduler.HasJob(j.ID), m.scheduler.CountActiveJobs()
+	other := known && m.scheduler.JobOrganisation(j.ID) != j.Organisation
 	m.mu.Unlock()
 	switch {
 	case !loaded:
 		return Reply{Outcome: NotOwner, Reason: "the jobs are being loaded"}
+	case other:
+		return Reply{Outcome: Refused, RetryAfter: refusedRetryDelay, Reason: "another organisation's job has this identifier"}
 	case known:
 		return Reply{Outcome: Accepted}
 	case !m.Term.Confirmed():
@@ -61,12 +64,15 @@
 }
 
 // State returns the stored state of a job; owner is false until the jobs are loaded.
-func (m *Manager) State(id string) (state job.State, known, owner bool) {
+func (m *Manager) State(id string, caller job.Caller) (state job.State, known, owner bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.loaded {
 		return "", false, false
 	}
+	if !caller.MaySee(m.scheduler.JobOrganisation(id)) {
+		return "", false, true
+	}
 	state, known = m.scheduler.JobState(id)
 	return state, known, true
 }
@@ -88,17 +94,21 @@
 
 // Cancel cancels a job and returns its stored state once the cancellation is stored
 // or the context ends; owner is false until the jobs are loaded, and if the term ends.
-func (m *Manager) Cancel(ctx context.Context, id string) (state job.State, known, owner bool) {
+func (m *Manager) Cancel(ctx context.Context, id string, caller job.Caller) (state job.State, known, owner bool) {
 	m.mu.Lock()
 	if !m.loaded {
 		m.mu.Unlock()
 		return "", false, false
 	}
+	if !caller.MaySee(m.scheduler.JobOrganisation(id)) {
+		m.mu.Unlock()
+		return "", false, true
+	}
 	known = m.scheduler.CancelJob(id, time.Now())
 	state, _ = m.scheduler.JobState(id)
 	if !known {
 		m.mu.Unlock()
-		return m.cancelNewJob(ctx, id)
+		return m.cancelNewJob(ctx, id, caller)
 	}
 	if state.Terminal() {
 		m.mu.Unlock()
@@ -116,14 +126,14 @@
 	case <-m.over:
 		return "", false, false
 	}
-	state, known, owner = m.State(id)
+	state, known, owner = m.State(id, caller)
 	return state, known, owner
 }
 
 // cancelNewJob cancels a job whose creation is pending, as Cancel does. A creation without
 // an answer may be stored after the caller has been told that there is no such job.
-func (m *Manager) cancelNewJob(ctx context.Context, id string) (state job.State, known, owner bool) {
-	c, pending := m.recordWriter.cancelCreation(id)
+func (m *Manager) cancelNewJob(ctx context.Context, id string, caller job.Caller) (state job.State, known, owner bool) {
+	c, pending := m.recordWriter.cancelCreation(id, caller)
 	if !pending {
 		return "", false, true
 	}
@@ -137,7 +147,7 @@
 	if c.outcome != Accepted {
 		return "", false, c.outcome == Refused
 	}
-	return m.Cancel(ctx, id)
+	return m.Cancel(ctx, id, caller)
 }
 
 // Loaded reports whether the jobs of the previous owner are loaded.
--- a/entry/node/creation_test.go
+++ b/entry/node/creation_test.go
@@ -91,8 +91,8 @@
 	owner, other := f.startPair()
 	j := job.Job{ID: id, Queue: "q", Pool: "p", Spec: "10000", Steps: []job.Step{{Count: 1, CPU: 1000}}, AcceptedAt: time.Now().UnixMilli()}
 	outcome := f.submitWithoutAnswer(owner, other, j)
-	known, err := other.Cancel(t.Context(), id)
-	for ; err != nil || !known; known, err = other.Cancel(t.Context(), id) {
+	known, err := other.Cancel(t.Context(), id, job.Caller{})
+	for ; err != nil || !known; known, err = other.Cancel(t.Context(), id, job.Caller{}) {
 		time.Sleep(20 * time.Millisecond)
 	}
 	f.await(other, id, job.Cancelled, 3*time.Second)
@@ -131,7 +131,7 @@
 	})
 	ended := make(chan bool, 1)
 	go func() {
-		_, _, owner := m.Cancel(context.Background(), id)
+		_, _, owner := m.Cancel(context.Background(), id, job.Caller{})
 		ended <- owner
 	}()
 	time.Sleep(100 * time.Millisecond)
--- a/entry/node/fleet_test.go
+++ b/entry/node/fleet_test.go
@@ -123,7 +123,7 @@
 	f.t.Helper()
 	until := time.Now().Add(within)
 	for {
-		state, known, err := e.State(f.t.Context(), id)
+		state, known, err := e.State(f.t.Context(), id, job.Caller{})
 		if err == nil && known && state == want {
 			return
 		}
--- a/entry/node/history_test.go
+++ b/entry/node/history_test.go
@@ -234,7 +234,7 @@
 func (h *history) cancelJob(id string, v *callerView) {
 	for range 20 {
 		ctx, cancel := context.WithTimeout(h.t.Context(), callerTimeout)
-		known, err := h.randomEntry().Cancel(ctx, id)
+		known, err := h.randomEntry().Cancel(ctx, id, job.Caller{})
 		cancel()
 		if err == nil && !known {
 			h.t.Errorf("job %s was accepted, and its cancellation is answered as if it did not exist", id)
@@ -256,7 +256,7 @@
 		if !v.accepted {
 			continue
 		}
-		state, known, err := h.randomEntry().State(h.t.Context(), id)
+		state, known, err := h.randomEntry().State(h.t.Context(), id, job.Caller{})
 		if err != nil || !known || !state.Terminal() {
 			return false
 		}
--- a/entry/node/marks.go
+++ b/entry/node/marks.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 	"github.com/go-faster/errors"
 
+	"github.com/azurepoint/azurepoint/coordination/job"
 	"github.com/azurepoint/azurepoint/entry/event"
 	"github.com/azurepoint/azurepoint/entry/manager"
 	"github.com/azurepoint/azurepoint/entry/store"
@@ -66,7 +67,7 @@
 		}
 		ctx, cancel := context.WithTimeout(ctx, adoptInterval)
 		defer cancel()
-		state, known, owner := m.Cancel(ctx, id)
+		state, known, owner := m.Cancel(ctx, id, job.Caller{})
 		return owner && (!known || state.Terminal())
 	}))
 }
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 	"github.com/go-faster/errors"
 
+	"github.com/azurepoint/azurepoint/coordination/access"
 	"github.com/azurepoint/azurepoint/coordination/retry"
 	"github.com/azurepoint/azurepoint/entry/event"
 	"github.com/azurepoint/azurepoint/entry/manager"
@@ -37,9 +38,13 @@
 	Machines  manager.Machines
 	Reports   manager.WaveReports
 	Manager   manager.Settings
+	// Access says for how long a removed key may still be served.
+	Access access.Policy
 
+	// view is how recent the configuration is.
+	view          access.View
 	ownership     *ownership
-	configuration atomic.Pointer[queue.Configuration]
+	configuration atomic.Pointer[inForce]
 	stopping      atomic.Bool
 	storeReach    reachability
 	ownerReach    reachability
@@ -95,7 +100,7 @@
 		OnUnreachable: n.storeLost, OnRecovered: n.storeRegained,
 	}
 	following := control.Run(viewCtx)
-	components := []<-chan error{n.runOwnerLookup(viewCtx), n.runStoreProbe(viewCtx), n.runRegistration(ctx)}
+	components := []<-chan error{n.runAccess(viewCtx), n.runOwnerLookup(viewCtx), n.runStoreProbe(viewCtx), n.runRegistration(ctx)}
 	for ctx.Err() == nil {
 		n.ownership.awaitClaim(ctx)
 		retry.Sleep(ctx, claimDelay(n.Cores, n.entries.maxCores()))
@@ -264,8 +269,8 @@
 	if current != nil && c.Version <= current.Version {
 		return
 	}
-	n.configuration.Store(c)
-	event.ConfigInForce.Log(log.Fields{"version": c.Version, "queues": len(c.Queues), "pools": len(c.Pools)})
+	n.configuration.Store(newInForce(c))
+	event.ConfigInForce.Log(log.Fields{"version": c.Version, "queues": len(c.Queues), "pools": len(c.Pools), "organisations": len(c.Organisations)})
 }
 
 // Stop makes the node report that it is not ready, so that callers use other entries.
--- a/entry/node/node_test.go
+++ b/entry/node/node_test.go
@@ -22,7 +22,7 @@
 	f.submit(b, id, "100", job.Step{Count: 4, CPU: 1000})
 	f.await(a, id, job.Completed, 5*time.Second)
 	f.await(b, id, job.Completed, time.Second)
-	if _, known, err := a.State(t.Context(), "ffffffffffffffff"); known || err != nil {
+	if _, known, err := a.State(t.Context(), "ffffffffffffffff", job.Caller{}); known || err != nil {
 		t.Errorf("unknown job: known %v, %v", known, err)
 	}
 	f.check()
@@ -213,12 +213,12 @@
 	f := newFleet(t)
 	a, b := f.start("a"), f.start("b")
 	f.submit(a, id, "60000", job.Step{Count: 2, CPU: 1000})
-	known, err := b.Cancel(t.Context(), id)
+	known, err := b.Cancel(t.Context(), id, job.Caller{})
 	if !known || err != nil {
 		t.Fatal(known, err)
 	}
 	f.await(a, id, job.Cancelled, time.Second)
-	known, err = b.Cancel(t.Context(), "ffffffffffffffff")
+	known, err = b.Cancel(t.Context(), "ffffffffffffffff", job.Caller{})
 	if known || err != nil {
 		t.Errorf("unknown job: known %v, %v", known, err)
 	}
--- a/entry/node/owner.go
+++ b/entry/node/owner.go
@@ -23,17 +23,17 @@
 }
 
 // State returns the state of a job.
-func (a OwnerServer) State(id string) (state job.State, known, owner bool) {
+func (a OwnerServer) State(id string, caller job.Caller) (state job.State, known, owner bool) {
 	if m := a.Node.manager(); m != nil {
-		return m.State(id)
+		return m.State(id, caller)
 	}
 	return "", false, false
 }
 
 // Cancel cancels a job and returns its state, if this entry is the owner.
-func (a OwnerServer) Cancel(ctx context.Context, id string) (state job.State, known, owner bool) {
+func (a OwnerServer) Cancel(ctx context.Context, id string, caller job.Caller) (state job.State, known, owner bool) {
 	if m := a.Node.manager(); m != nil {
-		return m.Cancel(ctx, id)
+		return m.Cancel(ctx, id, caller)
 	}
 	return "", false, false
 }
--- a/entry/node/requests.go
+++ b/entry/node/requests.go
@@ -14,7 +14,6 @@
 	"github.com/azurepoint/azurepoint/entry/manager"
 	"github.com/azurepoint/azurepoint/entry/meter"
 	"github.com/azurepoint/azurepoint/entry/peer"
-	"github.com/azurepoint/azurepoint/entry/queue"
 	"github.com/azurepoint/azurepoint/entry/store"
 )
 
@@ -48,17 +47,6 @@
 	refusedRetryDelay = time.Second
 )
 
-// QueueFor returns the queue of a request; configured is false while no configuration is
-// known.
-func (n *Node) QueueFor(host, path string) (q queue.Queue, found, configured bool) {
-	c := n.configuration.Load()
-	if c == nil {
-		return queue.Queue{}, false, false
-	}
-	q, found = c.QueueFor(host, path)
-	return q, found, true
-}
-
 // Submit stores a job through the owner or, if no owner answers, directly in the
 // store.
 func (n *Node) Submit(ctx context.Context, j job.Job, until time.Time) (r manager.Reply) {
@@ -178,9 +166,9 @@
 
 // State returns the state of a job; known is false without an error only if the store
 // has no such job.
-func (n *Node) State(ctx context.Context, id string) (state job.State, known bool, err error) {
+func (n *Node) State(ctx context.Context, id string, caller job.Caller) (state job.State, known bool, err error) {
 	defer meter.RecordSince("state", time.Now())
-	if state, known, err = n.stateFromOwner(ctx, id); err == nil && known {
+	if state, known, err = n.stateFromOwner(ctx, id, caller); err == nil && known {
 		return state, true, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -194,12 +182,15 @@
 		return "", false, nil
 	}
 	r, err := job.Decode(item.Value, item.Revision)
+	if err == nil && !caller.MaySee(r.Organisation) {
+		return "", false, nil
+	}
 	return r.State, err == nil, err
 }
 
-func (n *Node) stateFromOwner(ctx context.Context, id string) (state job.State, known bool, err error) {
+func (n *Node) stateFromOwner(ctx context.Context, id string, caller job.Caller) (state job.State, known bool, err error) {
 	if m := n.manager(); m != nil {
-		state, known, owner := m.State(id)
+		state, known, owner := m.State(id, caller)
 		if !owner {
 			return "", false, errNoOwner
 		}
@@ -211,7 +202,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
-	state, known, isOwner, err := n.Peers.State(ctx, owner.Address, id)
+	state, known, isOwner, err := n.Peers.State(ctx, owner.Address, id, caller)
 	n.recordOwnerReach(owner, err == nil)
 	if err == nil && !isOwner {
 		err = errNoOwner
@@ -221,9 +212,9 @@
 
 // Cancel cancels a job through the owner or, if no owner answers, with a cancel mark
 // for the next one.
-func (n *Node) Cancel(ctx context.Context, id string) (known bool, err error) {
+func (n *Node) Cancel(ctx context.Context, id string, caller job.Caller) (known bool, err error) {
 	for range 2 {
-		known, err = n.cancelAtOwner(ctx, id)
+		known, err = n.cancelAtOwner(ctx, id, caller)
 		if err == nil && known {
 			return true, nil
 		}
@@ -234,10 +225,13 @@
 	}
 	readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	_, found, err := n.Store.Get(readCtx, manager.JobKey(id))
+	item, found, err := n.Store.Get(readCtx, manager.JobKey(id))
 	if err != nil || !found {
 		return false, err
 	}
+	if r, err := job.Decode(item.Value, item.Revision); err == nil && !caller.MaySee(r.Organisation) {
+		return false, nil
+	}
 	err = n.commit(ctx, store.Transaction{Puts: []store.Put{{Key: manager.CancelPrefix + id, Value: []byte(n.Name)}}})
 	if err == nil {
 		event.JobCancelled.Log(log.Fields{"job": id, "by": "store"})
@@ -245,10 +239,10 @@
 	return err == nil, err
 }
 
-func (n *Node) cancelAtOwner(ctx context.Context, id string) (known bool, err error) {
+func (n *Node) cancelAtOwner(ctx context.Context, id string, caller job.Caller) (known bool, err error) {
 	state, known, owner := job.State(""), false, false
 	if m := n.manager(); m != nil {
-		state, known, owner = m.Cancel(ctx, id)
+		state, known, owner = m.Cancel(ctx, id, caller)
 	} else {
 		record, found := n.ownership.current()
 		if !found || n.ownership.isSelf(record) {
@@ -256,7 +250,7 @@
 		}
 		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 		defer cancel()
-		state, known, owner, err = n.Peers.Cancel(ctx, record.Address, id)
+		state, known, owner, err = n.Peers.Cancel(ctx, record.Address, id, caller)
 		n.recordOwnerReach(record, err == nil)
 	}
 	switch {
@@ -343,8 +337,5 @@
 	if c == nil {
 		return nil
 	}
-	for _, o := range c.Organisations {
-		terms = append(terms, o.Terms)
-	}
-	return terms
+	return c.terms
 }
--- a/entry/peer/peer.go
+++ b/entry/peer/peer.go
@@ -36,8 +36,8 @@
 // does not own the pools.
 type Owner interface {
 	Submit(ctx context.Context, j job.Job, until time.Time) (r manager.Reply)
-	State(id string) (state job.State, known, owner bool)
-	Cancel(ctx context.Context, id string) (state job.State, known, owner bool)
+	State(id string, caller job.Caller) (state job.State, known, owner bool)
+	Cancel(ctx context.Context, id string, caller job.Caller) (state job.State, known, owner bool)
 	Pending(queue string) (count int, owner bool)
 	// Current returns the owner as observed by this entry.
 	Current() OwnerView
@@ -81,16 +81,24 @@
 
 // State returns the state of a job.
 func (h handler) State(_ context.Context, r *jobsrpc.JobRequest) (*jobsrpc.StateReply, error) {
-	state, known, owner := h.owner.State(r.Id)
+	state, known, owner := h.owner.State(r.Id, callerOf(r))
 	return &jobsrpc.StateReply{Owner: owner, Known: known, State: string(state)}, nil
 }
 
 // Cancel cancels a job and returns its state, if this entry is the owner.
 func (h handler) Cancel(ctx context.Context, r *jobsrpc.JobRequest) (*jobsrpc.StateReply, error) {
-	state, known, owner := h.owner.Cancel(ctx, r.Id)
+	state, known, owner := h.owner.Cancel(ctx, r.Id, callerOf(r))
 	return &jobsrpc.StateReply{Owner: owner, Known: known, State: string(state)}, nil
 }
 
+func callerOf(r *jobsrpc.JobRequest) job.Caller {
+	return job.Caller{Organisation: r.Organisation, Identified: r.Identified}
+}
+
+func jobRequest(id string, caller job.Caller) *jobsrpc.JobRequest {
+	return &jobsrpc.JobRequest{Id: id, Organisation: caller.Organisation, Identified: caller.Identified}
+}
+
 // Pending returns the number of jobs of a queue that have not started.
 func (h handler) Pending(_ context.Context, r *jobsrpc.QueueRequest) (*jobsrpc.PendingReply, error) {
 	count, owner := h.owner.Pending(r.Queue)
@@ -140,8 +148,8 @@
 }
 
 // State requests the state of a job from the owner.
-func (c *Client) State(ctx context.Context, address, id string) (state job.State, known, owner bool, err error) {
-	reply, err := c.ownerClient(address).State(ctx, &jobsrpc.JobRequest{Id: id})
+func (c *Client) State(ctx context.Context, address, id string, caller job.Caller) (state job.State, known, owner bool, err error) {
+	reply, err := c.ownerClient(address).State(ctx, jobRequest(id, caller))
 	if err != nil {
 		return "", false, false, errors.Wrap(err, "peer: state")
 	}
@@ -149,8 +157,8 @@
 }
 
 // Cancel requests the owner to cancel a job.
-func (c *Client) Cancel(ctx context.Context, address, id string) (state job.State, known, owner bool, err error) {
-	reply, err := c.ownerClient(address).Cancel(ctx, &jobsrpc.JobRequest{Id: id})
+func (c *Client) Cancel(ctx context.Context, address, id string, caller job.Caller) (state job.State, known, owner bool, err error) {
+	reply, err := c.ownerClient(address).Cancel(ctx, jobRequest(id, caller))
 	if err != nil {
 		return "", false, false, errors.Wrap(err, "peer: cancel")
 	}
--- a/entry/store/follow.go
+++ b/entry/store/follow.go
@@ -33,6 +33,12 @@
 	// call that succeeds.
 	OnUnreachable func(err error)
 	OnRecovered   func()
+	// Wait is how long a watch waits for changes; 0 means watchWait.
+	Wait time.Duration
+	// Clock, if set, is read before each call, and OnConfirmed is called with its time
+	// after the answer was applied: the view contains all changes up to then.
+	Clock       func() time.Duration
+	OnConfirmed func(sentAt time.Duration)
 
 	failures int
 }
@@ -61,18 +67,25 @@
 
 // load reads all keys and returns the revision to watch from, or -1 after an error.
 func (f *Follower) load(ctx context.Context) (revision int64) {
+	sentAt := f.readClock()
 	items, revision, err := f.Store.Range(ctx, f.Prefix)
 	if f.recordResult(ctx, err) {
 		return -1
 	}
 	f.Reset(items, revision)
+	f.confirm(sentAt)
 	return revision
 }
 
 // watch waits for changes and returns the revision to continue from, or -1 if all
 // keys have to be read again.
 func (f *Follower) watch(ctx context.Context, after int64) (revision int64) {
-	changes, revision, err := f.Store.Watch(ctx, f.Prefix, after, watchWait)
+	sentAt := f.readClock()
+	wait := watchWait
+	if f.Wait > 0 {
+		wait = f.Wait
+	}
+	changes, revision, err := f.Store.Watch(ctx, f.Prefix, after, wait)
 	if errors.Is(err, ErrCompacted) {
 		return -1
 	}
@@ -82,9 +95,23 @@
 	if len(changes) > 0 {
 		f.Apply(changes)
 	}
+	f.confirm(sentAt)
 	return max(revision, after)
 }
 
+func (f *Follower) readClock() (now time.Duration) {
+	if f.Clock == nil {
+		return 0
+	}
+	return f.Clock()
+}
+
+func (f *Follower) confirm(sentAt time.Duration) {
+	if f.OnConfirmed != nil {
+		f.OnConfirmed(sentAt)
+	}
+}
+
 // recordResult counts failures in a row, calls OnUnreachable or OnRecovered, and reports whether
 // the call failed.
 func (f *Follower) recordResult(ctx context.Context, err error) (failed bool) {
