Limit what organisations run, put those above their share last, mark jobs beyond their rate

Cause: limits, weights and rates of organisations decided nothing.

Change: coordination/organisation counts what each organisation may have running, from the order until the end is known, and what an earlier owner's unread runs may take; a start beyond the limit waits. In a full pool organisations above their weighted max-min share come after the others of the same priority. A job beyond the rate is marked when it is accepted and planned after the others. A gang that the limit never admits is refused.

--- a/coordination/job/capacity.go
+++ b/coordination/job/capacity.go
@@ -19,6 +19,11 @@
 	return Capacity{CPU: c.CPU - o.CPU, MemoryMB: c.MemoryMB - o.MemoryMB, GPU: c.GPU - o.GPU}
 }
 
+// Times returns n times the capacity.
+func (c Capacity) Times(n int) Capacity {
+	return Capacity{CPU: c.CPU * n, MemoryMB: c.MemoryMB * n, GPU: c.GPU * n}
+}
+
 // CanFit reports whether o fits into c.
 func (c Capacity) CanFit(o Capacity) bool {
 	return o.CPU <= c.CPU && o.MemoryMB <= c.MemoryMB && o.GPU <= c.GPU
--- a/coordination/schedule/balance.go
+++ b/coordination/schedule/balance.go
@@ -60,7 +60,7 @@
 
 // recordArrival adds the work of a job to the demand of its pool.
 func (s *Scheduler) recordArrival(j *jobState, now time.Time) {
-	if j.longRunning() {
+	if j.longRunning() || j.Surplus {
 		return
 	}
 	work := 0.0
--- a/coordination/schedule/order.go
+++ b/coordination/schedule/order.go
@@ -208,6 +208,7 @@
 	t.runs = append(t.runs, r)
 	e.runs[t.name] = r
 	e.used = e.used.Plus(r.size)
+	s.countStart(r)
 	s.Counts.Started++
 	j := t.job
 	j.started = true
--- a/coordination/schedule/plan.go
+++ b/coordination/schedule/plan.go
@@ -12,11 +12,12 @@
 // fullPace is the pace of a run that is not slowed down, in percent.
 const fullPace = 100
 
-// Lateness classes of a job: it can still meet its objective, it cannot, or it is so
-// late that it is planned last.
+// Lateness classes of a job: it can still meet its objective, it cannot, it exceeds the rate
+// of its organisation, or it is so late that it is planned last.
 const (
 	onTime = iota
 	late
+	surplus
 	tooLate
 )
 
@@ -32,12 +33,14 @@
 // timed jobs become due.
 func (s *Scheduler) Plan(now, wall time.Time) (orders []Order) {
 	s.init()
+	s.updateUnseen(now)
 	s.updateIsolation(now)
 	s.evacuateReserved(now)
 	orders = s.stopOrders(now)
 	for _, pool := range sortedKeys(s.activeJobs) {
 		orders = append(orders, s.planPool(pool, now, wall)...)
 	}
+	s.noteLimits(now)
 	return orders
 }
 
@@ -117,6 +120,7 @@
 		s.rankings[pool] = ranking
 	}
 	if len(jobs) <= maxUncachedJobs || !now.Before(ranking.validUntil) {
+		s.markOverShare(pool, jobs)
 		ranking.jobs = s.sortJobs(jobs, now)
 		ranking.validUntil = now.Add(rankingLifetime)
 	}
@@ -139,9 +143,9 @@
 	return usable, inheritedLeasesExpired
 }
 
-// sortJobs sorts jobs by lateness, then by priority, then by remaining work. Jobs
-// with little work left go first so that as many jobs as possible meet their
-// objective; late jobs follow.
+// sortJobs sorts jobs by lateness, then by priority, then by whether their organisation has
+// more than its share, then by remaining work. Jobs with little work left go first so that
+// as many jobs as possible meet their objective; late jobs follow.
 func (s *Scheduler) sortJobs(jobs map[string]*jobState, now time.Time) (sorted []*jobState) {
 	for _, j := range jobs {
 		s.rank(j, now)
@@ -153,6 +157,11 @@
 			return cmp.Compare(a.lateness, b.lateness)
 		case a.Priority != b.Priority:
 			return cmp.Compare(a.Priority, b.Priority)
+		case a.overShare != b.overShare:
+			if b.overShare {
+				return -1
+			}
+			return 1
 		case a.remainingWork != b.remainingWork:
 			return cmp.Compare(a.remainingWork, b.remainingWork)
 		}
@@ -191,6 +200,9 @@
 	default:
 		j.lateness = tooLate
 	}
+	if j.Surplus {
+		j.lateness = max(j.lateness, surplus)
+	}
 	j.remainingWork = work
 }
 
@@ -236,6 +248,9 @@
 		if t.done || now.Before(t.notBefore) || !t.needsRun() || t.awaitsProof(now) {
 			continue
 		}
+		if !s.mayStart(t.job, st.step, 1) {
+			break
+		}
 		var e *endpoint
 		if c.maxFree.CanFit(taskSize(st.step)) {
 			e = s.chooseEndpoint(st, t, c.endpoints, nil)
@@ -287,6 +302,9 @@
 		}
 		runNumber = max(runNumber, t.lastRun)
 	}
+	if !s.mayStart(st.tasks[0].job, st.step, len(st.tasks)) {
+		return nil
+	}
 	usage := make(map[*endpoint]gangUsage)
 	chosen := make([]*endpoint, len(st.tasks))
 	for i, t := range st.tasks {
--- a/coordination/schedule/report.go
+++ b/coordination/schedule/report.go
@@ -274,6 +274,7 @@
 	t.job.started = true
 	e.runs[l.Task] = adopted
 	e.used = e.used.Plus(adopted.size)
+	s.countStart(adopted)
 	t.runs = append(t.runs, adopted)
 	if t.step.Gang {
 		st := t.job.occurrences[t.ref.Occurrence].steps[t.ref.Step]
--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/azurepoint/azurepoint/coordination/job"
-	"github.com/azurepoint/azurepoint/coordination/organisation"
 )
 
 // Settings holds the time limits that the scheduler assumes. It has no defaults; the
@@ -63,8 +62,7 @@
 	unconfirmedCrashes map[string]map[*task]bool
 	// isolatedEndpoints holds the endpoints with exclusiveTo or heldFor.
 	isolatedEndpoints map[*endpoint]bool
-	// organisationTerms holds the terms of the organisations; empty if there are none.
-	organisationTerms []organisation.Terms
+	organisations     organisations
 	// Counts holds the totals for metrics.
 	Counts Counts
 	// OnRunEnd, if set, is called for each run that ends, for logs and metrics.
@@ -73,6 +71,9 @@
 	OnEndpointLoss func(EndpointLoss)
 	// OnCrash, if set, is called for each confirmed crash under a task.
 	OnCrash func(CrashReport)
+	// OnOrganisationLimit, if set, is called when an organisation reaches its limit, and
+	// when it has left it.
+	OnOrganisationLimit func(OrganisationLimit)
 }
 
 // Counts holds totals of runs since the scheduler was created.
@@ -347,6 +348,7 @@
 	delete(r.endpoint.runs, r.task.name)
 	delete(s.pendingStops, r)
 	r.endpoint.used = r.endpoint.used.Minus(r.size)
+	s.countEnd(r)
 	r.task.runs = slices.DeleteFunc(r.task.runs, func(o *run) bool { return o == r })
 	if len(r.task.runs) == 0 {
 		r.task.notRunningSince = now
--- a/coordination/schedule/task.go
+++ b/coordination/schedule/task.go
@@ -103,6 +103,8 @@
 	index int
 	tasks []*task
 	done  int
+	// running counts the runs of the tasks that may be active.
+	running int
 	// gangRunNumber is the run number that all tasks of the gang share.
 	gangRunNumber int
 }
@@ -159,6 +161,8 @@
 	// onTime, late or tooLate.
 	remainingWork float64
 	lateness      int
+	// overShare is set if the job's organisation has more of the full pool than its share.
+	overShare bool
 }
 
 func newJobState(r job.Record, now time.Time) *jobState {
--- a/entry/event/event.go
+++ b/entry/event/event.go
@@ -63,6 +63,8 @@
 	JobStateUnreadable = Event{Number: 8307, Level: log.WarnLevel, Text: "job state cannot be read"}
 	RecordFailed       = Event{Number: 8308, Level: log.WarnLevel, Text: "records were not stored; trying again"}
 	RecordConflict     = Event{Number: 8310, Level: log.ErrorLevel, Text: "record changed by another writer; the term ends and the jobs are read again"}
+	LimitReached       = Event{Number: 8311, Level: log.InfoLevel, Text: "organisation has reached its limit; its tasks wait"}
+	LimitLeft          = Event{Number: 8312, Level: log.InfoLevel, Text: "tasks of an organisation no longer wait for its limit"}
 	RecordInvalid      = Event{Number: 8309, Level: log.ErrorLevel, Text: "stored record cannot be read"}
 )
 
--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -104,6 +104,7 @@
 	m.waiters = make(map[string][]chan struct{})
 	m.scheduler.Settings = m.Settings.schedulerSettings(int(m.Term.Number), m.Term.OwnerLease)
 	m.scheduler.OnRunEnd, m.scheduler.OnEndpointLoss, m.scheduler.OnCrash = logRunEnd, logEndpointLoss, logCrash
+	m.scheduler.OnOrganisationLimit = logOrganisationLimit
 	m.recordWriter = &recordWriter{
 		store: m.Store, owner: m.Term.Owner, due: m.dueWrites, stored: m.recordStored, failed: m.recordFailed,
 		created: m.jobCreated, exists: m.adoptRecord, lost: m.endTerm,
@@ -386,6 +387,21 @@
 	})
 }
 
+// logOrganisationLimit counts and logs an organisation that has reached or left its limit.
+func logOrganisationLimit(l schedule.OrganisationLimit) {
+	fields := log.Fields{
+		"organisation": l.Organisation, "cpu": l.Running.CPU, "memoryMb": l.Running.MemoryMB, "gpu": l.Running.GPU,
+		"limitCpu": l.Limit.CPU, "limitMemoryMb": l.Limit.MemoryMB, "limitGpu": l.Limit.GPU,
+	}
+	if l.Reached {
+		meter.Count("organisations.limitReached")
+		event.LimitReached.Log(fields)
+		return
+	}
+	fields["heldMillis"] = l.Held.Milliseconds()
+	event.LimitLeft.Log(fields)
+}
+
 // logRunEnd counts and logs the end of a run.
 func logRunEnd(r schedule.RunEnd) {
 	meter.Count("runs." + r.Reason)
--- a/entry/manager/submit.go
+++ b/entry/manager/submit.go
@@ -19,6 +19,9 @@
 	// refusedRetryDelay is when a caller may retry a job that was not stored: by then
 	// a store with a short outage is back, or a new owner has taken over.
 	refusedRetryDelay = time.Second
+	// limitRetryDelay is when a caller may retry a job that the limit of its organisation
+	// never admits; only a new configuration can change that.
+	limitRetryDelay = time.Minute
 )
 
 // Reply is the answer to a submission.
@@ -34,6 +37,10 @@
 	m.mu.Lock()
 	loaded, known, active := m.loaded, m.scheduler.HasJob(j.ID), m.scheduler.CountActiveJobs()
 	other := known && m.scheduler.JobOrganisation(j.ID) != j.Organisation
+	mayRun := m.scheduler.CanEverStart(&j)
+	if loaded && !known && mayRun {
+		j.Surplus = !m.scheduler.TakeRate(j.Organisation, time.Now())
+	}
 	m.mu.Unlock()
 	switch {
 	case !loaded:
@@ -42,6 +49,8 @@
 		return Reply{Outcome: Refused, RetryAfter: refusedRetryDelay, Reason: "another organisation's job has this identifier"}
 	case known:
 		return Reply{Outcome: Accepted}
+	case !mayRun:
+		return Reply{Outcome: Refused, RetryAfter: limitRetryDelay, Reason: "the limit of the organisation admits no gang of this size"}
 	case !m.Term.Confirmed():
 		// Another entry may own the pools by now. A write that gets no answer would
 		// leave the job unsettled, so none is attempted.
