Do not count crashed and moving instances against a wave's limit

Change: only instances that the platform lists as under maintenance, or for which this or an earlier owner may have given an order, count.

The new test fails without the change.

--- a/coordination/schedule/wave.go
+++ b/coordination/schedule/wave.go
@@ -35,7 +35,10 @@
 	// Confirmed is set once the platform has accepted the order. Nothing else shows
 	// that the maintenance has begun: an endpoint also changes by a move or a crash.
 	Confirmed bool
-	// Down is set while the platform does not list the instance as up.
+	// OrderInherited is set if an earlier owner may have ordered the maintenance.
+	OrderInherited bool
+	// Down is set while the instance is, or may be, out of service for maintenance. One
+	// that crashed or moves takes up nothing of the wave's limit.
 	Down bool
 	// MissingSince is the time since which the platform has not listed the instance;
 	// zero if it does.
@@ -59,7 +62,9 @@
 // InstanceObservation is the state of an instance as the platform lists it.
 type InstanceObservation struct {
 	Name, Pool, Endpoint string
-	Up                   bool
+	// Up is set if the instance is in service, and InMaintenance if it is out of service for
+	// maintenance.
+	Up, InMaintenance bool
 }
 
 // Timeouts and time estimates of a wave.
@@ -116,7 +121,7 @@
 		case i.Phase == PhaseOrdered && !i.Confirmed && l.Up && asked.Sub(i.OrderedAt) > orderRetryDelay:
 			i.Phase = PhaseReserved
 		}
-		i.Down = !l.Up
+		i.Down = l.InMaintenance || !l.Up && i.OrderInherited
 		if i.Removed {
 			i.Removed, i.Phase = false, PhaseWaiting
 		}
--- a/coordination/schedule/wave_test.go
+++ b/coordination/schedule/wave_test.go
@@ -33,6 +33,38 @@
 	}
 }
 
+// Guards against a wave that stands still while instances are down for other causes: a crash
+// of a rack, or moves, used up the limit of instances that may be down for maintenance.
+func TestCrashedInstancesDoNotStopWave(t *testing.T) {
+	f := newFixture(t, "e1", "e2", "e3", "e4", "e5", "e6")
+	v, observed := testWave(f, 1, "e1", "e2", "e3", "e4", "e5", "e6")
+	for k := range 3 {
+		observed[k].Up = false
+	}
+	v.Observe(observed, f.now)
+	if idle := f.s.PlanWave(v, observed, f.now); len(idle) != 1 {
+		t.Fatalf("%d instances are ready for maintenance beside three that have crashed, want 1", len(idle))
+	}
+	observed[3].Up, observed[3].InMaintenance = false, true
+	v.Observe(observed, f.now)
+	if idle := f.s.PlanWave(v, observed, f.now); len(idle) != 0 {
+		t.Fatalf("%d instances are ready beside one that is in maintenance, above the limit", len(idle))
+	}
+}
+
+// Guards against more instances down than the wave allows after a change of owner: an order
+// of the earlier owner may have been carried out although the list does not say so yet.
+func TestInheritedOrderCountsAgainstWave(t *testing.T) {
+	f := newFixture(t, "e1", "e2", "e3")
+	v, observed := testWave(f, 1, "e1", "e2")
+	v.Instances[0].Phase, v.Instances[0].OrderInherited = PhaseReserved, true
+	observed[0].Up = false
+	v.Observe(observed, f.now)
+	if idle := f.s.PlanWave(v, observed, f.now); len(idle) != 0 {
+		t.Fatalf("%d instances are ready beside one that an earlier owner may have ordered", len(idle))
+	}
+}
+
 // Guards against counting maintenance as done because the instance has another
 // endpoint, as after a move or a crash (trouble-2 of wmus-sched).
 func TestOnlyAnAcceptedOrderEndsMaintenance(t *testing.T) {
--- a/entry/manager/machines.go
+++ b/entry/manager/machines.go
@@ -19,6 +19,8 @@
 	// Up reports whether the instance is in service; it is not while it moves or is
 	// under maintenance.
 	Up bool
+	// InMaintenance reports whether the instance is out of service for maintenance.
+	InMaintenance bool
 	// Endpoint is the identifier of the instance's endpoint.
 	Endpoint string
 }
--- a/entry/manager/waves.go
+++ b/entry/manager/waves.go
@@ -126,7 +126,7 @@
 	}
 	instances := make([]schedule.InstanceObservation, 0, len(listed))
 	for _, i := range listed {
-		instances = append(instances, schedule.InstanceObservation{Name: i.Name, Pool: i.Pool, Endpoint: i.Endpoint, Up: i.Up})
+		instances = append(instances, schedule.InstanceObservation{Name: i.Name, Pool: i.Pool, Endpoint: i.Endpoint, Up: i.Up, InMaintenance: i.InMaintenance})
 	}
 	for _, p := range waves {
 		m.advanceWave(ctx, p, instances, listedAt)
@@ -253,7 +253,7 @@
 		case p.record.Ordered[i.Name]:
 			// The order may still be carried out. It is repeated: the platform
 			// answers done if it has already carried out the first one.
-			i.Phase = schedule.PhaseReserved
+			i.Phase, i.OrderInherited = schedule.PhaseReserved, true
 		}
 	}
 	p.loaded = true
