Count waiting jobs and those that are being adopted in one step

It was the product's fault, not the test's.

Change: the owner counts its jobs and the marked ones that it does not know under one lock, with marks that were read before.

--- a/entry/manager/submit.go
+++ b/entry/manager/submit.go
@@ -86,12 +86,18 @@
 	return state, known, true
 }
 
-// Pending returns the number of jobs of a queue that have not started; owner is false
-// until the jobs are loaded.
-func (m *Manager) Pending(queue string) (count int, owner bool) {
+// Pending returns the number of jobs of a queue that have not started, with those of the
+// marked ones that are stored and not adopted yet; owner is false until the jobs are loaded.
+func (m *Manager) Pending(queue string, marked []string) (count int, owner bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.scheduler.PendingJobs(queue), m.loaded
+	count = m.scheduler.PendingJobs(queue)
+	for _, id := range marked {
+		if !m.scheduler.HasJob(id) {
+			count++
+		}
+	}
+	return count, m.loaded
 }
 
 // HasJob reports whether the owner knows the job.
--- a/entry/node/marks.go
+++ b/entry/node/marks.go
@@ -200,16 +200,13 @@
 // pendingAtOwner returns the number of jobs of a queue that have not started, with those
 // that are stored and that the owner has not adopted yet.
 func (n *Node) pendingAtOwner(m *manager.Manager, queue string) (count int, owner bool) {
-	count, owner = m.Pending(queue)
-	if !owner {
-		return 0, false
-	}
 	n.mu.Lock()
-	defer n.mu.Unlock()
+	var marked []string
 	for id, q := range n.inboxQueues {
-		if q == queue && !m.HasJob(id) {
-			count++
+		if q == queue {
+			marked = append(marked, id)
 		}
 	}
-	return count, true
+	n.mu.Unlock()
+	return m.Pending(queue, marked)
 }
--- a/entry/node/marks_test.go
+++ b/entry/node/marks_test.go
@@ -71,6 +71,41 @@
 	f.check()
 }
 
+// Guards against a count of waiting jobs that leaves out a job which the owner adopts while it
+// counts: the job was neither in the scheduler yet nor unknown to it any more.
+func TestJobsAreCountedOnceWhileTheyAreAdopted(t *testing.T) {
+	f := newFleet(t)
+	_, b := f.startPair()
+	f.await(b, "1111111111111111", job.Completed, 3*time.Second)
+	const jobs = 14
+	for round := range 20 {
+		transaction := store.Transaction{}
+		for i := range jobs {
+			j := job.Record{Job: job.Job{ID: fmt.Sprintf("%08x%08x", round+1, i), Queue: "q", Pool: "none", Spec: "10", Steps: []job.Step{{Count: 1}}}, State: job.Queued}
+			value, err := j.Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			transaction.Puts = append(transaction.Puts, store.Put{Key: manager.JobKey(j.ID), Value: value}, store.Put{Key: manager.InboxPrefix + j.ID, Value: []byte(j.Queue)})
+		}
+		if _, err := f.store.Commit(t.Context(), transaction); err != nil {
+			t.Fatal(err)
+		}
+		before := int64(round * jobs)
+		for n, seen := before, before; n < before+jobs; seen = n {
+			var err error
+			if n, err = b.Pending(t.Context(), "q"); err != nil || n < seen || n > before+jobs {
+				t.Fatalf("%d jobs are said to wait after %d, of %d: %v", n, seen, before+jobs, err)
+			}
+		}
+		for k := range 200 {
+			if n, err := b.Pending(t.Context(), "q"); n != before+jobs {
+				t.Fatalf("count %d: %d jobs are said to wait, want %d: %v", k, n, before+jobs, err)
+			}
+		}
+	}
+}
+
 // Guards against a cancelled job that starts because it was cancelled while the owner was
 // reading the jobs that were stored without it: 80e3312f0996024e on scale-1 of the large
 // site was stored at 6.4 s, cancelled at 6.9 s and adopted as not cancelled at 9.8 s.
