Shorten the wait for an earlier owner's leases, and settle new jobs when an owner stops

The next owner waited 6.1 s for the endpoints there before it started tasks of inherited jobs, of which 1.5 s stood for an earlier owner that goes on; but a claim succeeds only after that owner's lease has ended in the store, when it renews nothing any more. Besides, an owner that stopped cut off its transactions, and told callers of jobs that it had never sent that their outcome is unknown.

Change: inherited leases end a lease and a margin after the claim; a lease counts from before the check of the ownership, so that a pause in between cannot lengthen it. A stopping owner finishes its transactions, and jobs that it has not sent go to the next one.

--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -24,9 +24,6 @@
 	Owner store.Condition
 	// Number counts the terms from 1; it is the fencing token of the term's orders.
 	Number int64
-	// OwnerLease is how long the previous owner may have continued after it lost the
-	// store.
-	OwnerLease time.Duration
 	// Confirmed reports whether the ownership is confirmed at the moment.
 	Confirmed func() bool
 	// Lost is called once, when the term is found to be over.
@@ -102,7 +99,7 @@
 	m.pollersDue = make(map[string]bool)
 	m.unlisted = make(map[string]time.Time)
 	m.waiters = make(map[string][]chan struct{})
-	m.scheduler.Settings = m.Settings.schedulerSettings(int(m.Term.Number), m.Term.OwnerLease)
+	m.scheduler.Settings = m.Settings.schedulerSettings(int(m.Term.Number))
 	m.scheduler.OnRunEnd, m.scheduler.OnEndpointLoss, m.scheduler.OnCrash = logRunEnd, logEndpointLoss, logCrash
 	m.scheduler.OnOrganisationLimit = logOrganisationLimit
 	m.recordWriter = &recordWriter{
--- a/entry/manager/poll.go
+++ b/entry/manager/poll.go
@@ -82,6 +82,9 @@
 // waiting, so that run ends can accumulate before the next poll.
 func (p *poller) pollOnce(ctx context.Context, status schedule.EndpointStatus) (delayNext bool, err error) {
 	m := p.manager
+	// The lease counts from before the ownership is checked, so that it does not outlast the
+	// one that a successor assumes if the process is paused in between.
+	checkedAt := time.Now()
 	if !m.Term.Confirmed() {
 		retry.Sleep(ctx, unconfirmedPollDelay)
 		return false, nil
@@ -101,7 +104,7 @@
 		}
 		timeout = call.Wait + pollTimeoutMargin
 		if m.mayRenewLease(status) {
-			call.Until = p.endpointDeadline(m.scheduler.Settings.Lease)
+			call.Until = p.endpointDeadline(checkedAt.Add(m.scheduler.Settings.Lease))
 			m.recordLease(p.id)
 		}
 	}
@@ -126,11 +129,11 @@
 	return len(reply.Ended) > 0 || status.HasUncertainRun, nil
 }
 
-// endpointDeadline returns the time d from now on the endpoint's clock.
-func (p *poller) endpointDeadline(d time.Duration) (millis int64) {
+// endpointDeadline returns a deadline on the endpoint's clock.
+func (p *poller) endpointDeadline(deadline time.Time) (millis int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.clock + time.Since(p.clockAt).Milliseconds() + d.Milliseconds()
+	return p.clock + deadline.Sub(p.clockAt).Milliseconds()
 }
 
 // recordFailure handles a failed poll: it ends the term if the endpoint has a higher
--- a/entry/manager/poll_test.go
+++ b/entry/manager/poll_test.go
@@ -48,7 +48,7 @@
 		Settings: Settings{MaxLease: 10 * time.Second}, Term: Term{Number: 1, Confirmed: func() bool { return true }}, Endpoints: endpoint,
 		pollers: make(map[string]*poller), pollersDue: map[string]bool{"e": true}, unlisted: make(map[string]time.Time), wake: make(chan struct{}, 1),
 	}
-	m.scheduler.Settings = m.Settings.schedulerSettings(1, time.Second)
+	m.scheduler.Settings = m.Settings.schedulerSettings(1)
 	m.scheduler.UpdateEndpoints([]schedule.Endpoint{{ID: "e", Pool: "p"}}, time.Now())
 	ctx, cancel := context.WithCancel(t.Context())
 	m.startPollers(ctx)
@@ -60,3 +60,42 @@
 	cancel()
 	<-m.pollers["e"].done
 }
+
+// pollDeadlines records the deadline of each poll.
+type pollDeadlines struct {
+	Endpoints
+	until chan int64
+}
+
+// Poll answers at once.
+func (d *pollDeadlines) Poll(ctx context.Context, _ Target, c PollCall) (reply PollReply, err error) {
+	select {
+	case d.until <- c.Until:
+	case <-ctx.Done():
+	}
+	return PollReply{Report: schedule.Report{Incarnation: 1}, Clock: 1}, nil
+}
+
+// Guards against a task that runs twice after a change of owner: a process that was paused
+// after it had checked its ownership renewed leases for longer than its successor waits.
+func TestLeaseCountsFromTheCheckOfOwnership(t *testing.T) {
+	endpoint := &pollDeadlines{until: make(chan int64)}
+	const pause = 300 * time.Millisecond
+	m := &Manager{
+		Settings: Settings{MaxLease: 10 * time.Second}, Endpoints: endpoint,
+		Term:    Term{Number: 1, Confirmed: func() bool { time.Sleep(pause); return true }},
+		pollers: make(map[string]*poller), pollersDue: map[string]bool{"e": true}, unlisted: make(map[string]time.Time), wake: make(chan struct{}, 1),
+	}
+	m.scheduler.Settings = m.Settings.schedulerSettings(1)
+	m.scheduler.UpdateEndpoints([]schedule.Endpoint{{ID: "e", Pool: "p"}}, time.Now())
+	ctx, cancel := context.WithCancel(t.Context())
+	m.startPollers(ctx)
+	<-endpoint.until
+	// The endpoint's clock was 1 ms when the first answer arrived, just before the check.
+	until, latest := <-endpoint.until, 1+endpointLease.Milliseconds()+pause.Milliseconds()/2
+	if until < endpointLease.Milliseconds() || until > latest {
+		t.Errorf("the lease ends at %d ms on the endpoint's clock, want %d ms to %d ms", until, endpointLease.Milliseconds(), latest)
+	}
+	cancel()
+	<-m.pollers["e"].done
+}
--- a/entry/manager/recordwriter.go
+++ b/entry/manager/recordwriter.go
@@ -109,6 +109,8 @@
 	mu        sync.Mutex
 	creations map[string]*creation
 	queue     []*recordWrite
+	// ended is set once no more transactions are sent.
+	ended bool
 
 	wake chan struct{}
 }
@@ -128,6 +130,11 @@
 	if c, waiting := rw.creations[r.ID]; waiting {
 		return c, nil
 	}
+	if rw.ended {
+		c = &creation{outcome: NotOwner, done: make(chan struct{})}
+		close(c.done)
+		return c, nil
+	}
 	value, err := r.Encode()
 	if err != nil {
 		return nil, err
@@ -162,8 +169,7 @@
 func (rw *recordWriter) run(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
 	go func() {
-		rw.commitLoop(ctx)
-		rw.abandonCreations()
+		rw.abandon(rw.commitLoop(ctx))
 		ended <- nil
 	}()
 	return ended
@@ -184,12 +190,12 @@
 	return previousFailures + 1, time.Now().Add(min(minCommitRetryDelay<<min(previousFailures, 6), maxCommitRetryDelay))
 }
 
-// commitLoop commits due records until the context ends. Several transactions may be
+// commitLoop commits due records until the context ends, and returns the writes that it has
+// not sent or whose outcome is unknown. Several transactions may be
 // in flight, because a slow store takes 300 ms for each; a record is in at most one
 // of them.
-func (rw *recordWriter) commitLoop(ctx context.Context) {
+func (rw *recordWriter) commitLoop(ctx context.Context) (pending []*recordWrite) {
 	results := make(chan commitResult)
-	var pending []*recordWrite
 	inFlight, failures := 0, 0
 	retryAt, lastCommit := time.Time{}, time.Time{}
 	tick := time.NewTicker(maxRecordDelay / 4)
@@ -233,8 +239,9 @@
 		}
 	}
 	for ; inFlight > 0; inFlight-- {
-		<-results
+		pending = append(pending, (<-results).remaining...)
 	}
+	return pending
 }
 
 // fillBatch adds pending writes to a batch; new jobs and final states come first. It
@@ -275,7 +282,8 @@
 		t.Conditions = append(t.Conditions, store.Condition{Key: w.key(), Revision: w.Record.Revision})
 		t.Puts = append(t.Puts, store.Put{Key: w.key(), Value: w.value})
 	}
-	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	// A transaction that is cut off when the owner stops leaves its callers without an answer.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), commitTimeout)
 	defer cancel()
 	defer meter.RecordSince("commit", time.Now())
 	revision, err := rw.store.Commit(ctx, t)
@@ -360,14 +368,15 @@
 	close(w.creation.done)
 }
 
-// abandonCreations ends all pending creations with the outcome Unsettled.
-func (rw *recordWriter) abandonCreations() {
+// abandon ends the writes that remain when the owner stops. A new job that was never sent to
+// the store gets the outcome NotOwner, so that its entry passes it to the next owner.
+func (rw *recordWriter) abandon(pending []*recordWrite) {
 	rw.mu.Lock()
-	defer rw.mu.Unlock()
-	for id, c := range rw.creations {
-		delete(rw.creations, id)
-		c.outcome = Unsettled
-		close(c.done)
-	}
+	rw.ended = true
+	pending = append(pending, rw.queue...)
 	rw.queue = nil
+	rw.mu.Unlock()
+	for _, w := range pending {
+		rw.giveUp(w)
+	}
 }
--- a/entry/manager/send.go
+++ b/entry/manager/send.go
@@ -47,16 +47,16 @@
 		a := orderResult{order: o, answer: schedule.NotExecuted, err: errUnconfirmed}
 		// The process may have been suspended since the order was planned. Another owner
 		// may count on the end of this one's lease.
+		sent := time.Now()
 		if m.Term.Confirmed() {
-			sent := time.Now()
-			a.answer, a.err = m.callEndpoint(ctx, p, target, o)
+			a.answer, a.err = m.callEndpoint(ctx, p, target, o, sent.Add(startWithin))
 			meter.RecordSince("orders."+o.Action.String(), sent)
 		}
 		m.orderResults <- a
 	}()
 }
 
-func (m *Manager) callEndpoint(ctx context.Context, p *poller, t Target, o schedule.Order) (a schedule.OrderResult, err error) {
+func (m *Manager) callEndpoint(ctx context.Context, p *poller, t Target, o schedule.Order, startBy time.Time) (a schedule.OrderResult, err error) {
 	run := RunCall{Task: o.Task, Run: o.Run, Fence: m.Term.Number, Percent: o.Percent}
 	switch o.Action {
 	case schedule.Stop:
@@ -66,7 +66,7 @@
 	default:
 		return m.Endpoints.Start(ctx, t, StartCall{
 			Task: o.Task, Run: o.Run, Spec: o.Spec, Checkpoint: o.Checkpoint, Fence: m.Term.Number,
-			Until: p.endpointDeadline(startWithin),
+			Until: p.endpointDeadline(startBy),
 		})
 	}
 }
--- a/entry/manager/settings.go
+++ b/entry/manager/settings.go
@@ -47,6 +47,10 @@
 	endpointsPerBatchStep = 80
 	// orderTimeout bounds an order.
 	orderTimeout = 700 * time.Millisecond
+	// inheritedLeaseMargin is added to the time within which the leases end that an earlier
+	// owner has renewed. It renews none after its own lease has ended in the store, which is
+	// before a successor can claim the pools.
+	inheritedLeaseMargin = 200 * time.Millisecond
 	// startWithin is how late an endpoint may carry out a start order.
 	startWithin = 2 * time.Second
 	// maxClockRatio is the highest ratio of a duration on the owner's clock to the
@@ -78,11 +82,11 @@
 )
 
 // schedulerSettings returns the scheduler's settings for a term.
-func (s Settings) schedulerSettings(number int, ownerLease time.Duration) schedule.Settings {
+func (s Settings) schedulerSettings(number int) schedule.Settings {
 	lease := min(endpointLease, s.MaxLease)
 	return schedule.Settings{
 		Lease:          lease,
-		InheritedLease: ownerLease + time.Duration(float64(lease)*maxClockRatio) + time.Second/2,
+		InheritedLease: time.Duration(float64(lease)*maxClockRatio) + inheritedLeaseMargin,
 		StartTimeout:   startWithin,
 		StopTimeout:    s.StopTime,
 		MaxClockRatio:  maxClockRatio,
--- a/entry/manager/submit.go
+++ b/entry/manager/submit.go
@@ -68,6 +68,11 @@
 	case <-ctx.Done():
 		return Reply{Outcome: Unsettled, Reason: "the caller's deadline"}
 	case <-m.over:
+	}
+	select {
+	case <-c.done:
+		return Reply{Outcome: c.outcome, RetryAfter: refusedRetryDelay, Reason: "the term has ended"}
+	default:
 		return Reply{Outcome: Unsettled, Reason: "the term has ended"}
 	}
 }
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -140,7 +140,6 @@
 		Term: manager.Term{
 			Owner:      store.Condition{Key: manager.OwnerKey, Revision: t.revision},
 			Number:     t.number,
-			OwnerLease: ownerLease,
 			Confirmed:  func() bool { return n.ownership.confirmed(t) },
 			Lost:       t.end,
 		},
