Count all unseen runs against limits, divide full pools within a plan, name held gangs

Cause: the estimate of an earlier owner's unread runs left out cancelled and failed jobs, steps whose dependencies had ended without being stored, second runs of tasks that allow duplicates, and the CPU of tasks that fill idle time; a failed job lost the sizes of runs that were reported later. A task larger than the limit waited for ever beside others of its organisation, and a gang beside small tasks. An owner without a configuration planned without limits. 8311 and 8312 alternated at each plan.

Change: these are counted, and steps of inherited jobs stay until their runs are certain. A task larger than the limit may start while the rest is within it. A gang held back for 1 s has room left for it. A plan gives an organisation no more than its weighted share until the others of the class had their turn; the planned jobs are taken from all organisations.

--- a/azurepoint/internal/cli/explain.go
+++ b/azurepoint/internal/cli/explain.go
@@ -25,6 +25,9 @@
 	// firstOwnerEvent and lastOwnerEvent are the range of the events about the
 	// owner of the pools; a change of the owner explains a silence.
 	firstOwnerEvent, lastOwnerEvent = 8201, 8299
+	// limitReachedEvent and limitLeftEvent are the events about the limit of an
+	// organisation, which explain why the tasks of its jobs wait.
+	limitReachedEvent, limitLeftEvent = 8311, 8312
 )
 
 type explainCommand struct {
@@ -101,7 +104,7 @@
 		case l.isAboutJob(id):
 			t.jobLines++
 			t.lines = append(t.lines, l)
-		case l.isOwnerEvent():
+		case l.isOwnerEvent(), l.isLimitEvent():
 			t.lines = append(t.lines, l)
 		}
 	}
@@ -120,9 +123,29 @@
 	return number >= firstOwnerEvent && number <= lastOwnerEvent
 }
 
-// print writes the lines ordered by time. Events about the owner are included only
-// between the first and the last line about the job.
+// isLimitEvent reports whether the event is about the limit of an organisation.
+func (l *logLine) isLimitEvent() bool {
+	number, _ := l.Fields["event"].(float64)
+	return number == limitReachedEvent || number == limitLeftEvent
+}
+
+// dropOtherLimits drops the events about limits of other organisations than the job's.
+func (t *timeline) dropOtherLimits(id string) {
+	organisation := ""
+	for _, l := range t.lines {
+		if name, _ := l.Fields["organisation"].(string); name != "" && l.isAboutJob(id) {
+			organisation = name
+		}
+	}
+	t.lines = slices.DeleteFunc(t.lines, func(l logLine) bool {
+		return l.isLimitEvent() && !l.isAboutJob(id) && (organisation == "" || l.Fields["organisation"] != organisation)
+	})
+}
+
+// print writes the lines ordered by time. Events about the owner, and about the limit of the
+// job's organisation, are included only between the first and the last line about the job.
 func (t *timeline) print(id string, out io.Writer) {
+	t.dropOtherLimits(id)
 	slices.SortStableFunc(t.lines, func(a, b logLine) int { return a.Timestamp.Compare(b.Timestamp) })
 	first := slices.IndexFunc(t.lines, func(l logLine) bool { return l.isAboutJob(id) })
 	last := first
--- a/coordination/organisation/ledger.go
+++ b/coordination/organisation/ledger.go
@@ -14,6 +14,10 @@
 // minRateBurst is how many jobs any organisation may submit at once within its rate.
 const minRateBurst = 4
 
+// wholeToken is the part of a token that allows a job, so that rounding does not refuse a job
+// at the time that RateAvailableAt gives.
+const wholeToken = 1 - 1e-6
+
 // Ledger counts what each organisation has running, and the jobs that it submits, against
 // its terms. Its zero value has no organisations; an organisation that is not among the
 // terms, or has an empty name, has no limit. It is not safe for concurrent use.
@@ -100,18 +104,26 @@
 }
 
 // MayStart reports whether count tasks of a size may start together, beside what the
-// organisation has running and what it may have running unseen. A single task may start
-// while nothing else runs, so that a task that is larger than the limit is not left pending.
-func (l *Ledger) MayStart(name string, size job.Capacity, count int, unseen job.Capacity) bool {
+// organisation has running and what it may have running besides. A single task that is larger
+// than the limit may start while the rest is within the limit, because it would otherwise
+// stay pending for ever.
+func (l *Ledger) MayStart(name string, size job.Capacity, count int, besides job.Capacity) bool {
 	t, known := l.terms[name]
 	if !known {
 		return true
 	}
-	running, runs := l.Running(name)
-	if count == 1 && runs == 0 && unseen == (job.Capacity{}) {
+	running, _ := l.Running(name)
+	running = running.Plus(besides)
+	if within(t.Limit, running.Plus(size.Times(count))) {
 		return true
 	}
-	return within(t.Limit, running.Plus(unseen).Plus(size.Times(count)))
+	return count == 1 && admitsOne(t.Limit.CPU, running.CPU, size.CPU) &&
+		admitsOne(t.Limit.MemoryMB, running.MemoryMB, size.MemoryMB) && admitsOne(t.Limit.GPU, running.GPU, size.GPU)
+}
+
+// admitsOne reports whether a single task may start by the limit of one resource.
+func admitsOne(limit, running, size int) bool {
+	return limit <= 0 || running+size <= limit || size > limit && running <= limit
 }
 
 // CanEverStart reports whether count tasks of a size that start together fit into the limit
@@ -130,7 +142,7 @@
 	}
 	a := l.account(name)
 	a.refill(t, now)
-	if a.tokens < 1 {
+	if a.tokens < wholeToken {
 		return false
 	}
 	a.tokens--
@@ -145,7 +157,7 @@
 	}
 	a := l.account(name)
 	a.refill(t, now)
-	if a.tokens >= 1 {
+	if a.tokens >= wholeToken {
 		return now
 	}
 	return now.Add(time.Duration((1 - a.tokens) / t.Weight * float64(time.Second)))
@@ -157,6 +169,8 @@
 		a.tokens = burst
 	} else if elapsed := now.Sub(a.refilledAt); elapsed > 0 {
 		a.tokens = min(burst, a.tokens+elapsed.Seconds()*t.Weight)
+	} else {
+		return
 	}
 	a.refilledAt = now
 }
--- a/coordination/organisation/terms.go
+++ b/coordination/organisation/terms.go
@@ -12,3 +12,8 @@
 	// which it names 0 has no limit.
 	Limit job.Capacity
 }
+
+// Admit reports whether an amount is within the limit.
+func (t Terms) Admit(c job.Capacity) bool {
+	return within(t.Limit, c)
+}
--- /dev/null
+++ b/coordination/schedule/division.go
@@ -0,0 +1,129 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"github.com/azurepoint/azurepoint/coordination/organisation"
+)
+
+// dividePool returns how the pool is divided among organisations, and marks the jobs of those
+// that have more than their share. Long-running tasks take no part in it: they start first.
+// Jobs without an organisation together count as one.
+func (s *Scheduler) dividePool(pool string, jobs map[string]*jobState, wall time.Time) (d organisation.Division) {
+	if !s.organisations.ledger.Active() {
+		return organisation.Division{}
+	}
+	var capacity Capacity
+	for _, e := range s.poolEndpoints(pool) {
+		if e.usable() {
+			capacity = capacity.Plus(e.Capacity)
+		}
+	}
+	uses := make(map[string]organisation.Use)
+	for _, j := range jobs {
+		if j.longRunning() {
+			capacity = capacity.Minus(j.running())
+			continue
+		}
+		u, counted := uses[j.Organisation]
+		if !counted {
+			u.Running = s.organisations.pools[poolUser{pool, j.Organisation}]
+		}
+		u.Wanted = u.Wanted.Plus(j.wanted(wall))
+		uses[j.Organisation] = u
+	}
+	d = s.organisations.ledger.Divide(capacity, uses)
+	for _, j := range jobs {
+		j.overShare = !j.longRunning() && d.Exceeded(j.Organisation, uses[j.Organisation].Running)
+	}
+	return d
+}
+
+// withholds reports whether a job has to wait until the organisations that have less than
+// their share have had their turn.
+func (s *Scheduler) withholds(c *candidates, j *jobState) bool {
+	if j.longRunning() || !c.division.Reached(j.Organisation, s.organisations.pools[poolUser{j.Pool, j.Organisation}]) {
+		return false
+	}
+	c.withheld = true
+	return true
+}
+
+// wanted returns what the tasks take whose turn has come.
+func (j *jobState) wanted(wall time.Time) (c Capacity) {
+	for _, o := range j.occurrences {
+		if o.dueMillis > 0 && wall.UnixMilli() < o.dueMillis {
+			break
+		}
+		for _, st := range o.steps {
+			if !st.complete() && o.dependenciesDone(st) {
+				c = c.Plus(taskSize(st.step).Times(max(len(st.tasks)-st.done, st.running)))
+			}
+		}
+	}
+	return c
+}
+
+// running returns what the runs of the job take.
+func (j *jobState) running() (c Capacity) {
+	for _, o := range j.occurrences {
+		for _, st := range o.steps {
+			c = c.Plus(taskSize(st.step).Times(st.running))
+		}
+	}
+	return c
+}
+
+// sameClass reports whether two jobs are ordered by shares of organisations.
+func sameClass(a, b *jobState) bool {
+	return a.lateness == b.lateness && a.Priority == b.Priority
+}
+
+// limitPlanned returns the jobs that one plan considers. Where not all jobs of a class are
+// among them, each organisation gets an equal part, so that the backlog of one does not hide
+// the jobs of the others.
+func (s *Scheduler) limitPlanned(sorted []*jobState) (planned []*jobState) {
+	if len(sorted) <= maxPlannedJobs {
+		return sorted
+	}
+	inClass := func(j *jobState) bool { return sameClass(j, sorted[maxPlannedJobs]) }
+	start := slices.IndexFunc(sorted, inClass)
+	if start == maxPlannedJobs || !s.organisations.ledger.Active() {
+		return sorted[:maxPlannedJobs]
+	}
+	class := sorted[start:]
+	if end := slices.IndexFunc(class, func(j *jobState) bool { return !inClass(j) }); end >= 0 {
+		class = class[:end]
+	}
+	return append(sorted[:start:start], fairPart(class, maxPlannedJobs-start)...)
+}
+
+// fairPart returns limit of the more jobs of a class in their order: the long-running ones,
+// and equally many of each organisation as far as they have them.
+func fairPart(class []*jobState, limit int) (part []*jobState) {
+	counts := make(map[string]int)
+	for _, j := range class {
+		counts[j.Organisation]++
+	}
+	quota := max(1, limit/len(counts))
+	clear(counts)
+	chosen := make([]bool, len(class))
+	left := limit
+	for i, j := range class {
+		if counts[j.Organisation]++; left > 0 && (j.longRunning() || counts[j.Organisation] <= quota) {
+			chosen[i] = true
+			left--
+		}
+	}
+	for i, j := range class {
+		if !chosen[i] && left > 0 {
+			chosen[i] = true
+			left--
+		}
+		if chosen[i] {
+			part = append(part, j)
+		}
+	}
+	return part
+}
--- a/coordination/schedule/organisations.go
+++ b/coordination/schedule/organisations.go
@@ -7,9 +7,15 @@
 	"github.com/azurepoint/azurepoint/coordination/organisation"
 )
 
-// unseenRefreshInterval is how often the runs of an earlier owner that no endpoint has
-// reported yet are estimated; the estimate visits every inherited job.
-const unseenRefreshInterval = 100 * time.Millisecond
+const (
+	// limitLeftDelay is how long no start of an organisation has to be held back until the
+	// organisation has left its limit. Runs end all the time, so that an organisation at its
+	// limit may start tasks between two plans.
+	limitLeftDelay = 5 * time.Second
+	// gangPatience is how long a gang is held back by the limit of its organisation until
+	// later starts of the organisation leave room for it.
+	gangPatience = time.Second
+)
 
 // organisations holds what the organisations use, and what one plan needs to know of it.
 type organisations struct {
@@ -20,10 +26,32 @@
 	// has reported, as of unseenAt.
 	unseen   map[string]job.Capacity
 	unseenAt time.Time
-	// atLimit holds since when an organisation has had a task that its limit did not let
-	// start; planned holds those of the current plan.
-	atLimit map[string]time.Time
-	planned map[string]bool
+	// longRunning is, by organisation, what its long-running tasks take, and pools what its
+	// other tasks take of a pool.
+	longRunning map[string]job.Capacity
+	pools       map[poolUser]Capacity
+	// held has the organisations whose limit has held a start back lately, and gangs the
+	// gangs for which the later starts of an organisation leave room.
+	held  map[string]*limitHold
+	gangs map[string]*gangHold
+}
+
+// poolUser identifies an organisation in a pool.
+type poolUser struct {
+	pool, organisation string
+}
+
+// limitHold is the span in which the limit of an organisation has held starts back.
+type limitHold struct {
+	since, last time.Time
+}
+
+// gangHold is a gang that the limit of its organisation holds back although it would fit
+// beside the organisation's long-running tasks.
+type gangHold struct {
+	step        *stepState
+	size        job.Capacity
+	since, last time.Time
 }
 
 // OrganisationLimit reports that an organisation has reached its limit or has left it
@@ -38,6 +66,15 @@
 	Held time.Duration
 }
 
+// HeldGang reports a gang that is larger than the limit of its organisation, which was
+// lowered after the job was accepted; it is meant for logs.
+type HeldGang struct {
+	Job, Organisation string
+	Step, Tasks       int
+	// Size is what the whole gang takes.
+	Size, Limit job.Capacity
+}
+
 // SetOrganisations sets the terms of the organisations by the newest configuration, which
 // must not change afterwards. Jobs of an organisation that is not among them have no limit
 // and no share of their own.
@@ -58,117 +95,113 @@
 
 // countStart counts a run that may be active against its organisation and its step.
 func (s *Scheduler) countStart(r *run) {
-	s.organisations.ledger.Start(r.task.job.Organisation, limitSize(r.task.step))
+	o, j := &s.organisations, r.task.job
+	o.ledger.Start(j.Organisation, limitSize(r.task.step))
 	r.task.stepState().running++
+	if o.pools == nil {
+		o.pools, o.longRunning = make(map[poolUser]Capacity), make(map[string]job.Capacity)
+	}
+	if r.task.step.LongRunning {
+		addTo(o.longRunning, j.Organisation, limitSize(r.task.step))
+		return
+	}
+	addTo(o.pools, poolUser{j.Pool, j.Organisation}, r.size)
 }
 
 // countEnd stops counting a run that has ended.
 func (s *Scheduler) countEnd(r *run) {
-	s.organisations.ledger.End(r.task.job.Organisation, limitSize(r.task.step))
+	o, j := &s.organisations, r.task.job
+	o.ledger.End(j.Organisation, limitSize(r.task.step))
 	r.task.stepState().running--
+	if r.task.step.LongRunning {
+		addTo(o.longRunning, j.Organisation, limitSize(r.task.step).Times(-1))
+		return
+	}
+	addTo(o.pools, poolUser{j.Pool, j.Organisation}, r.size.Times(-1))
+}
+
+// addTo adds a capacity to the sum of a key, and drops a sum of nothing.
+func addTo[K comparable](sums map[K]job.Capacity, key K, c job.Capacity) {
+	if sum := sums[key].Plus(c); sum != (job.Capacity{}) {
+		sums[key] = sum
+	} else {
+		delete(sums, key)
+	}
 }
 
 // mayStart reports whether the limit of the job's organisation allows count tasks of the
 // step to start together.
-func (s *Scheduler) mayStart(j *jobState, st *job.Step, count int) bool {
-	o := &s.organisations
-	if j.Organisation == "" || o.ledger.MayStart(j.Organisation, limitSize(st), count, o.unseen[j.Organisation]) {
+func (s *Scheduler) mayStart(st *stepState, count int, now time.Time) bool {
+	o, j := &s.organisations, st.tasks[0].job
+	if j.Organisation == "" || !o.ledger.Active() {
 		return true
 	}
-	if o.planned == nil {
-		o.planned = make(map[string]bool)
+	size, besides := limitSize(st.step), o.unseen[j.Organisation]
+	if !o.ledger.MayStart(j.Organisation, size, count, besides) {
+		s.holdStart(st, count, now)
+		return false
 	}
-	o.planned[j.Organisation] = true
-	return false
-}
-
-// CanEverStart reports whether the limit of the job's organisation admits each of its steps:
-// the tasks of a gang start together or not at all.
-func (s *Scheduler) CanEverStart(j *job.Job) bool {
-	for i := range j.Steps {
-		if st := &j.Steps[i]; st.Gang && !s.organisations.ledger.CanEverStart(j.Organisation, limitSize(st), st.Count) {
-			return false
-		}
+	g := o.gangs[j.Organisation]
+	if g == nil || g.step == st || st.step.LongRunning || now.Sub(g.since) < gangPatience {
+		return true
 	}
-	return true
-}
-
-// TakeRate counts a new job of an organisation, and reports whether its rate allows it.
-func (s *Scheduler) TakeRate(name string, now time.Time) (allowed bool) {
-	return s.organisations.ledger.TakeRate(name, now)
+	return o.ledger.MayStart(j.Organisation, size, count, besides.Plus(g.size))
 }
 
-// updateUnseen estimates what runs of an earlier owner take that no endpoint has reported
-// yet. Each task of an inherited job whose turn has come may be running, but all of them
-// together no more than the unread endpoints hold.
-func (s *Scheduler) updateUnseen(now time.Time) {
-	o := &s.organisations
-	if !o.ledger.Active() || now.Sub(o.unseenAt) < unseenRefreshInterval && !o.unseenAt.IsZero() {
+// holdStart records that a limit holds back the start of count tasks of a step.
+func (s *Scheduler) holdStart(st *stepState, count int, now time.Time) {
+	o, j := &s.organisations, st.tasks[0].job
+	if !st.heldByLimit {
+		st.heldByLimit = true
+		s.Counts.HeldByLimit++
+	}
+	if o.held == nil {
+		o.held, o.gangs = make(map[string]*limitHold), make(map[string]*gangHold)
+	}
+	h := o.held[j.Organisation]
+	if h == nil {
+		h = &limitHold{since: now}
+		o.held[j.Organisation] = h
+		s.reportLimit(j.Organisation, true, 0)
+	}
+	h.last = now
+	if count == 1 {
 		return
 	}
-	o.unseenAt, o.unseen = now, nil
-	unread := make(map[string]Capacity)
-	for _, e := range s.endpoints {
-		if !e.contacted && now.Before(e.leaseUntil) {
-			unread[e.Pool] = unread[e.Pool].Plus(e.Capacity)
+	terms, _ := o.ledger.Terms(j.Organisation)
+	size := limitSize(st.step).Times(count)
+	if !o.ledger.CanEverStart(j.Organisation, limitSize(st.step), count) {
+		if !st.aboveLimit && s.OnHeldGang != nil {
+			s.OnHeldGang(HeldGang{Job: j.ID, Organisation: j.Organisation, Step: st.index, Tasks: count, Size: size, Limit: terms.Limit})
 		}
+		st.aboveLimit = true
+		return
 	}
-	for pool, held := range unread {
-		perPool := make(map[string]job.Capacity)
-		for _, j := range s.activeJobs[pool] {
-			if j.inherited && j.Organisation != "" {
-				perPool[j.Organisation] = perPool[j.Organisation].Plus(j.readyWithoutRuns())
-			}
-		}
-		if o.unseen == nil {
-			o.unseen = make(map[string]job.Capacity)
-		}
-		for name, c := range perPool {
-			o.unseen[name] = o.unseen[name].Plus(job.Capacity{
-				CPU: min(c.CPU, held.CPU), MemoryMB: min(c.MemoryMB, held.MemoryMB), GPU: min(c.GPU, held.GPU),
-			})
-		}
+	g := o.gangs[j.Organisation]
+	if g == nil && terms.Admit(size.Plus(o.longRunning[j.Organisation])) {
+		g = &gangHold{step: st, size: size, since: now}
+		o.gangs[j.Organisation] = g
 	}
-}
-
-// readyWithoutRuns returns the size of the job's tasks whose turn has come and of which no
-// run is known.
-func (j *jobState) readyWithoutRuns() (c job.Capacity) {
-	for _, o := range j.occurrences {
-		for _, st := range o.steps {
-			if st.complete() || !o.dependenciesDone(st) {
-				continue
-			}
-			for _, t := range st.tasks {
-				if !t.done && len(t.runs) == 0 {
-					c = c.Plus(limitSize(st.step))
-				}
-			}
-		}
+	if g != nil && g.step == st {
+		g.last = now
 	}
-	return c
 }
 
-// noteLimits reports the organisations that reached their limit in this plan, and those
-// whose tasks may all start again.
-func (s *Scheduler) noteLimits(now time.Time) {
+// updateHolds reports the organisations of which no start was held back lately, and drops
+// the gangs that their limit no longer holds back.
+func (s *Scheduler) updateHolds(now time.Time) {
 	o := &s.organisations
-	for name := range o.planned {
-		if _, held := o.atLimit[name]; !held {
-			if o.atLimit == nil {
-				o.atLimit = make(map[string]time.Time)
-			}
-			o.atLimit[name] = now
-			s.reportLimit(name, true, 0)
+	for name, g := range o.gangs {
+		if now.Sub(g.last) >= gangPatience || g.step.running > 0 || g.step.complete() {
+			delete(o.gangs, name)
 		}
 	}
-	for name, since := range o.atLimit {
-		if !o.planned[name] {
-			delete(o.atLimit, name)
-			s.reportLimit(name, false, now.Sub(since))
+	for name, h := range o.held {
+		if now.Sub(h.last) >= limitLeftDelay {
+			delete(o.held, name)
+			s.reportLimit(name, false, h.last.Sub(h.since))
 		}
 	}
-	clear(o.planned)
 }
 
 func (s *Scheduler) reportLimit(name string, reached bool, held time.Duration) {
@@ -180,46 +213,18 @@
 	s.OnOrganisationLimit(OrganisationLimit{Organisation: name, Reached: reached, Running: running, Limit: terms.Limit, Held: held})
 }
 
-// markOverShare marks the jobs of the organisations that have more of a full pool than their
-// share, so that the jobs of the others start first.
-func (s *Scheduler) markOverShare(pool string, jobs map[string]*jobState) {
-	if !s.organisations.ledger.Active() {
-		return
-	}
-	var capacity Capacity
-	for _, e := range s.poolEndpoints(pool) {
-		if e.usable() {
-			capacity = capacity.Plus(e.Capacity)
-		}
-	}
-	uses := make(map[string]organisation.Use)
-	for _, j := range jobs {
-		if j.Organisation == "" || j.longRunning() {
-			continue
-		}
-		u := uses[j.Organisation]
-		running, wanted := j.use()
-		u.Running, u.Wanted = u.Running.Plus(running), u.Wanted.Plus(wanted)
-		uses[j.Organisation] = u
-	}
-	over := s.organisations.ledger.OverShare(capacity, uses)
-	for _, j := range jobs {
-		j.overShare = over[j.Organisation]
-	}
-}
-
-// use returns what the job has running, and what it would have running if all its tasks
-// whose turn has come did.
-func (j *jobState) use() (running, wanted Capacity) {
-	for _, o := range j.occurrences {
-		for _, st := range o.steps {
-			if st.complete() || !o.dependenciesDone(st) {
-				continue
-			}
-			size := taskSize(st.step)
-			wanted = wanted.Plus(size.Times(len(st.tasks) - st.done))
-			running = running.Plus(size.Times(st.running))
+// CanEverStart reports whether the limit of the job's organisation admits each of its steps:
+// the tasks of a gang start together or not at all.
+func (s *Scheduler) CanEverStart(j *job.Job) bool {
+	for i := range j.Steps {
+		if st := &j.Steps[i]; st.Gang && !s.organisations.ledger.CanEverStart(j.Organisation, limitSize(st), st.Count) {
+			return false
 		}
 	}
-	return running, wanted
+	return true
+}
+
+// TakeRate counts a new job of an organisation, and reports whether its rate allows it.
+func (s *Scheduler) TakeRate(name string, now time.Time) (allowed bool) {
+	return s.organisations.ledger.TakeRate(name, now)
 }
--- a/coordination/schedule/plan.go
+++ b/coordination/schedule/plan.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/azurepoint/azurepoint/coordination/job"
+	"github.com/azurepoint/azurepoint/coordination/organisation"
 )
 
 // fullPace is the pace of a run that is not slowed down, in percent.
@@ -33,14 +34,14 @@
 // timed jobs become due.
 func (s *Scheduler) Plan(now, wall time.Time) (orders []Order) {
 	s.init()
-	s.updateUnseen(now)
+	s.updateUnseen(now, wall)
 	s.updateIsolation(now)
 	s.evacuateReserved(now)
 	orders = s.stopOrders(now)
 	for _, pool := range sortedKeys(s.activeJobs) {
 		orders = append(orders, s.planPool(pool, now, wall)...)
 	}
-	s.noteLimits(now)
+	s.updateHolds(now)
 	return orders
 }
 
@@ -60,11 +61,26 @@
 	}
 	c := &candidates{endpoints: endpoints}
 	c.updateMaxFree()
-	for _, j := range s.rankedJobs(pool, jobs, now) {
-		if j.state.Terminal() {
-			continue
+	ranking := s.rankedJobs(pool, jobs, now, wall)
+	var withheld []*jobState
+	plan := func(j *jobState) {
+		if !j.state.Terminal() {
+			orders = append(orders, s.planJob(j, c, !j.inherited || inheritedLeasesExpired, now, wall)...)
+		}
+	}
+	for i, j := range ranking.jobs {
+		c.division, c.withheld = ranking.division, false
+		plan(j)
+		if c.withheld {
+			withheld = append(withheld, j)
+		}
+		if i+1 == len(ranking.jobs) || !sameClass(j, ranking.jobs[i+1]) {
+			c.division = organisation.Division{}
+			for _, w := range withheld {
+				plan(w)
+			}
+			withheld = nil
 		}
-		orders = append(orders, s.planJob(j, c, !j.inherited || inheritedLeasesExpired, now, wall)...)
 	}
 	return orders
 }
@@ -75,6 +91,10 @@
 	// maxFree holds, for each resource, the most that is free on any one endpoint. A
 	// task that exceeds it is skipped without a search.
 	maxFree Capacity
+	// division is how the pool is divided among organisations. withheld is set once a start
+	// was held back because its organisation has its share.
+	division organisation.Division
+	withheld bool
 }
 
 // updateMaxFree recomputes maxFree.
@@ -109,22 +129,23 @@
 // jobRanking is the cached ranking of a pool's jobs.
 type jobRanking struct {
 	jobs       []*jobState
+	division   organisation.Division
 	validUntil time.Time
 }
 
 // rankedJobs returns the pool's jobs in the order in which they are placed.
-func (s *Scheduler) rankedJobs(pool string, jobs map[string]*jobState, now time.Time) []*jobState {
+func (s *Scheduler) rankedJobs(pool string, jobs map[string]*jobState, now, wall time.Time) *jobRanking {
 	ranking := s.rankings[pool]
 	if ranking == nil {
 		ranking = &jobRanking{}
 		s.rankings[pool] = ranking
 	}
 	if len(jobs) <= maxUncachedJobs || !now.Before(ranking.validUntil) {
-		s.markOverShare(pool, jobs)
+		ranking.division = s.dividePool(pool, jobs, wall)
 		ranking.jobs = s.sortJobs(jobs, now)
 		ranking.validUntil = now.Add(rankingLifetime)
 	}
-	return ranking.jobs
+	return ranking
 }
 
 // usableEndpoints returns the endpoints of a pool that accept new tasks. The second
@@ -167,10 +188,7 @@
 		}
 		return cmp.Or(a.acceptedAt.Compare(b.acceptedAt), cmp.Compare(a.ID, b.ID))
 	})
-	if len(sorted) > maxPlannedJobs {
-		sorted = sorted[:maxPlannedJobs]
-	}
-	return sorted
+	return s.limitPlanned(sorted)
 }
 
 // rank updates the lateness and the remaining work of a job.
@@ -248,7 +266,7 @@
 		if t.done || now.Before(t.notBefore) || !t.needsRun() || t.awaitsProof(now) {
 			continue
 		}
-		if !s.mayStart(t.job, st.step, 1) {
+		if s.withholds(c, t.job) || !s.mayStart(st, 1, now) {
 			break
 		}
 		var e *endpoint
@@ -302,7 +320,7 @@
 		}
 		runNumber = max(runNumber, t.lastRun)
 	}
-	if !s.mayStart(st.tasks[0].job, st.step, len(st.tasks)) {
+	if s.withholds(c, st.tasks[0].job) || !s.mayStart(st, len(st.tasks), now) {
 		return nil
 	}
 	usage := make(map[*endpoint]gangUsage)
--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -74,11 +74,16 @@
 	// OnOrganisationLimit, if set, is called when an organisation reaches its limit, and
 	// when it has left it.
 	OnOrganisationLimit func(OrganisationLimit)
+	// OnHeldGang, if set, is called once for each gang that is larger than a limit which was
+	// lowered after its job was accepted.
+	OnHeldGang func(HeldGang)
 }
 
 // Counts holds totals of runs since the scheduler was created.
 type Counts struct {
 	Started, Done, Failed, Lost, Stopped, Refused, GivenUp int64
+	// HeldByLimit counts the steps of which the limit of an organisation held back a start.
+	HeldByLimit int64
 }
 
 // RunEnd describes a run that has ended; Reason is meant for logs and metrics.
@@ -294,9 +299,7 @@
 		delete(s.dirty, j.ID)
 		j.urgent = false
 	}
-	if j.storedState.Terminal() && !j.hasRuns() && j.storedState != job.Cancelled {
-		j.Steps, j.Spec, j.occurrences = nil, "", nil
-	}
+	j.releaseSteps()
 	for e := range s.unstoredEndpoints {
 		s.advanceLastStoredEnd(e)
 	}
@@ -358,10 +361,7 @@
 			Job: r.task.job.ID, Task: r.task.name, Endpoint: r.endpoint.ID, Reason: reason, Run: r.number, Duration: now.Sub(r.startedAt),
 		})
 	}
-	j := r.task.job
-	if j.storedState.Terminal() && j.storedVersion == j.version && !j.hasRuns() && j.storedState != job.Cancelled {
-		j.Steps, j.Spec, j.occurrences = nil, "", nil
-	}
+	r.task.job.releaseSteps()
 }
 
 func latest(a, b time.Time) time.Time {
--- a/coordination/schedule/task.go
+++ b/coordination/schedule/task.go
@@ -107,6 +107,9 @@
 	running int
 	// gangRunNumber is the run number that all tasks of the gang share.
 	gangRunNumber int
+	// heldByLimit is set once the limit of the organisation has held back a start of the
+	// step, and aboveLimit once the step is found to be a gang that is larger than the limit.
+	heldByLimit, aboveLimit bool
 }
 
 func (s *stepState) complete() bool {
--- /dev/null
+++ b/coordination/schedule/unseen.go
@@ -0,0 +1,120 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/azurepoint/azurepoint/coordination/job"
+)
+
+const (
+	// unseenRefreshInterval is how often the runs of an earlier owner that no endpoint has
+	// reported yet are estimated; the estimate visits every inherited job.
+	unseenRefreshInterval = 100 * time.Millisecond
+	// earlyStart is how far the clock of an earlier owner may have been ahead when it
+	// started an occurrence of a timed job.
+	earlyStart = 10 * time.Second
+)
+
+// updateUnseen estimates what runs of an earlier owner take that no endpoint has reported
+// yet: each task of an inherited job may be running, but those of a pool together take no
+// more than its unread endpoints have. The estimate may be too high, and never too low,
+// because an endpoint that has reported executes no order of an earlier owner any more.
+func (s *Scheduler) updateUnseen(now, wall time.Time) {
+	o := &s.organisations
+	if !o.ledger.Active() || now.Sub(o.unseenAt) < unseenRefreshInterval && !o.unseenAt.IsZero() {
+		return
+	}
+	o.unseenAt, o.unseen = now, nil
+	unread := make(map[string]Capacity)
+	for _, e := range s.endpoints {
+		if !e.contacted && now.Before(e.leaseUntil) {
+			unread[e.Pool] = unread[e.Pool].Plus(e.Capacity)
+		}
+	}
+	if len(unread) == 0 {
+		return
+	}
+	reserved, bestEffort := make(map[poolUser]Capacity), make(map[poolUser]Capacity)
+	for _, j := range s.jobs {
+		if _, mayRun := unread[j.Pool]; mayRun && j.inherited && j.Organisation != "" {
+			key := poolUser{j.Pool, j.Organisation}
+			r, b := j.unseenRuns(wall)
+			reserved[key], bestEffort[key] = reserved[key].Plus(r), bestEffort[key].Plus(b)
+		}
+	}
+	o.unseen = make(map[string]job.Capacity)
+	for key, c := range reserved {
+		most := unread[key.pool]
+		// Tasks that fill idle time reserve no CPU, so that the endpoints do not bound theirs.
+		c = c.Plus(job.Capacity{MemoryMB: bestEffort[key].MemoryMB, GPU: bestEffort[key].GPU})
+		addTo(o.unseen, key.organisation, job.Capacity{
+			CPU: min(c.CPU, most.CPU) + bestEffort[key].CPU, MemoryMB: min(c.MemoryMB, most.MemoryMB), GPU: min(c.GPU, most.GPU),
+		})
+	}
+}
+
+// unseenRuns returns what runs of the job that are not known may take, those of tasks that
+// only fill idle time apart. An earlier owner may have known more ends than it has stored,
+// so that the tasks of every step count whose end is not stored. A job with a final state
+// counts too: its runs end only when their endpoint carries out the order.
+func (j *jobState) unseenRuns(wall time.Time) (reserved, bestEffort job.Capacity) {
+	for _, o := range j.occurrences {
+		if o.dueMillis > 0 && wall.Add(earlyStart).UnixMilli() < o.dueMillis {
+			break
+		}
+		for _, st := range o.steps {
+			if st.complete() && !st.step.AllowDuplicates {
+				continue
+			}
+			unknown := 0
+			for _, t := range st.tasks {
+				unknown += t.unknownRuns()
+			}
+			size := limitSize(st.step).Times(unknown)
+			if st.step.BestEffort {
+				bestEffort = bestEffort.Plus(size)
+			} else {
+				reserved = reserved.Plus(size)
+			}
+		}
+	}
+	return reserved, bestEffort
+}
+
+// unknownRuns returns how many runs of an inherited task may be active beside the known ones.
+func (t *task) unknownRuns() int {
+	most := 1
+	if t.step.AllowDuplicates {
+		most = maxConcurrentRuns
+	}
+	if t.done {
+		most--
+	}
+	return max(0, most-len(t.runs))
+}
+
+// releaseSteps frees the memory of a job with a stored final state, of which only the state
+// is asked for from then on. The steps of a job of which unknown runs may be reported stay,
+// because they give the sizes of the runs.
+func (j *jobState) releaseSteps() {
+	if !j.storedState.Terminal() || j.storedVersion != j.version || j.storedState == job.Cancelled || j.hasRuns() || j.mayHaveUnseenRuns() {
+		return
+	}
+	j.Steps, j.Spec, j.occurrences = nil, "", nil
+}
+
+// mayHaveUnseenRuns reports whether runs of an earlier owner that count against a limit may
+// be reported of the job after its end.
+func (j *jobState) mayHaveUnseenRuns() bool {
+	if !j.inherited || j.Organisation == "" {
+		return false
+	}
+	for _, o := range j.occurrences {
+		for _, st := range o.steps {
+			if !st.complete() || st.step.AllowDuplicates {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/entry/event/writer.go
+++ b/entry/event/writer.go
@@ -34,6 +34,9 @@
 	RunStartedLimited = RunStarted.WithRateLimit(maxRunLinesPerSecond, &rateLimitedLines)
 	RunEndedLimited   = RunEnded.WithRateLimit(maxRunLinesPerSecond, &rateLimitedLines)
 	KeyRefusedLimited = KeyRefused.WithRateLimit(maxRunLinesPerSecond, &rateLimitedLines)
+
+	LimitReachedLimited = LimitReached.WithRateLimit(maxRunLinesPerSecond, &rateLimitedLines)
+	LimitLeftLimited    = LimitLeft.WithRateLimit(maxRunLinesPerSecond, &rateLimitedLines)
 )
 
 // Writer passes log lines to an output without blocking the caller. It drops and
--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -45,8 +45,8 @@
 	// Pools returns the pools that the operators have configured.
 	Pools func() Pools
 	// Organisations, if set, returns the terms of the organisations by the newest
-	// configuration.
-	Organisations func() []organisation.Terms
+	// configuration; known is false until there is one.
+	Organisations func() (terms []organisation.Terms, known bool)
 	// Holder identifies this entry in orders to the platform.
 	Holder string
 
@@ -82,6 +82,10 @@
 	// orderResults receives the results of the orders in flight.
 	orderResults   chan orderResult
 	ordersInFlight int
+	// usesMeteredAt is when the use of the organisations was last put into the metrics, and
+	// heldMetered the part of the scheduler's count that the metrics have.
+	usesMeteredAt time.Time
+	heldMetered   int64
 }
 
 // Init prepares the manager; it must be called before every other method.
@@ -104,7 +108,7 @@
 	m.waiters = make(map[string][]chan struct{})
 	m.scheduler.Settings = m.Settings.schedulerSettings(int(m.Term.Number), m.Term.OwnerLease)
 	m.scheduler.OnRunEnd, m.scheduler.OnEndpointLoss, m.scheduler.OnCrash = logRunEnd, logEndpointLoss, logCrash
-	m.scheduler.OnOrganisationLimit = logOrganisationLimit
+	m.scheduler.OnOrganisationLimit, m.scheduler.OnHeldGang = logOrganisationLimit, logHeldGang
 	m.recordWriter = &recordWriter{
 		store: m.Store, owner: m.Term.Owner, due: m.dueWrites, stored: m.recordStored, failed: m.recordFailed,
 		created: m.jobCreated, exists: m.adoptRecord, lost: m.endTerm,
@@ -250,8 +254,8 @@
 	if !confirmed {
 		return nil
 	}
-	if m.Organisations != nil {
-		m.scheduler.SetOrganisations(m.Organisations())
+	if !m.updateOrganisations(now) {
+		return nil
 	}
 	return m.scheduler.Plan(now, now)
 }
@@ -311,7 +315,11 @@
 
 func (m *Manager) jobCreated(r job.Record, cancelled bool) {
 	m.addJob(r, cancelled)
-	event.JobAccepted.Log(log.Fields{"job": r.ID, "queue": r.Queue, "pool": r.Pool, "term": m.Term.Number})
+	fields := log.Fields{"job": r.ID, "queue": r.Queue, "pool": r.Pool, "term": m.Term.Number}
+	if r.Organisation != "" {
+		fields["organisation"], fields["surplus"] = r.Organisation, r.Surplus
+	}
+	event.JobAccepted.Log(fields)
 	m.trigger()
 }
 
@@ -387,21 +395,6 @@
 	})
 }
 
-// logOrganisationLimit counts and logs an organisation that has reached or left its limit.
-func logOrganisationLimit(l schedule.OrganisationLimit) {
-	fields := log.Fields{
-		"organisation": l.Organisation, "cpu": l.Running.CPU, "memoryMb": l.Running.MemoryMB, "gpu": l.Running.GPU,
-		"limitCpu": l.Limit.CPU, "limitMemoryMb": l.Limit.MemoryMB, "limitGpu": l.Limit.GPU,
-	}
-	if l.Reached {
-		meter.Count("organisations.limitReached")
-		event.LimitReached.Log(fields)
-		return
-	}
-	fields["heldMillis"] = l.Held.Milliseconds()
-	event.LimitLeft.Log(fields)
-}
-
 // logRunEnd counts and logs the end of a run.
 func logRunEnd(r schedule.RunEnd) {
 	meter.Count("runs." + r.Reason)
--- a/entry/node/requests.go
+++ b/entry/node/requests.go
@@ -332,10 +332,10 @@
 }
 
 // organisations returns the terms of the configured organisations.
-func (n *Node) organisations() (terms []organisation.Terms) {
+func (n *Node) organisations() (terms []organisation.Terms, known bool) {
 	c := n.configuration.Load()
 	if c == nil {
-		return nil
+		return nil, false
 	}
-	return c.terms
+	return c.terms, true
 }
