Start tasks above a limit only beside confirmed runs; check the property against restarted endpoints

Cause: the property test found that a task larger than its organisation's limit could start beside an unanswered order, which then exceeded the limit by more than itself.

Change: such a task waits until all runs of its organisation are confirmed; after 1 s the other starts wait for it.

--- a/coordination/organisation/ledger.go
+++ b/coordination/organisation/ledger.go
@@ -104,25 +104,31 @@
 }
 
 // MayStart reports whether count tasks of a size may start together, beside what the
-// organisation has running and what it may have running besides. A single task that is larger
-// than the limit may start while the rest is within the limit, because it would otherwise
-// stay pending for ever.
+// organisation has running and what it may have running besides.
 func (l *Ledger) MayStart(name string, size job.Capacity, count int, besides job.Capacity) bool {
 	t, known := l.terms[name]
 	if !known {
 		return true
 	}
 	running, _ := l.Running(name)
-	running = running.Plus(besides)
-	if within(t.Limit, running.Plus(size.Times(count))) {
-		return true
+	return t.Admit(running.Plus(besides).Plus(size.Times(count)))
+}
+
+// MayExceed reports whether a single task that is larger than the limit may start: what runs
+// is within the limit, and there is no more room to wait for. Such a task would otherwise stay
+// pending for ever.
+func (l *Ledger) MayExceed(name string, size job.Capacity) bool {
+	t, known := l.terms[name]
+	if !known || t.Admit(size) {
+		return !known
 	}
-	return count == 1 && admitsOne(t.Limit.CPU, running.CPU, size.CPU) &&
-		admitsOne(t.Limit.MemoryMB, running.MemoryMB, size.MemoryMB) && admitsOne(t.Limit.GPU, running.GPU, size.GPU)
+	running, _ := l.Running(name)
+	return admitsLarge(t.Limit.CPU, running.CPU, size.CPU) && admitsLarge(t.Limit.MemoryMB, running.MemoryMB, size.MemoryMB) &&
+		admitsLarge(t.Limit.GPU, running.GPU, size.GPU)
 }
 
-// admitsOne reports whether a single task may start by the limit of one resource.
-func admitsOne(limit, running, size int) bool {
+// admitsLarge reports whether a single task may start by the limit of one resource.
+func admitsLarge(limit, running, size int) bool {
 	return limit <= 0 || running+size <= limit || size > limit && running <= limit
 }
 
--- a/coordination/schedule/organisation_property_test.go
+++ b/coordination/schedule/organisation_property_test.go
@@ -29,9 +29,11 @@
 type lateOrder struct {
 	Order
 
-	fence    int
-	deadline time.Time
-	issued   int
+	fence int
+	// incarnation is the process of the endpoint for which the order is meant.
+	incarnation int64
+	deadline    time.Time
+	issued      int
 }
 
 // organisationModel is a fleet under a sequence of owners, with what its endpoints really run.
@@ -137,7 +139,7 @@
 // execute carries out an order if the endpoint would, and checks the limit after a start.
 func (m *organisationModel) execute(o lateOrder) OrderResult {
 	e := m.endpoints[o.Endpoint[1]-'0']
-	if o.fence < e.fence || m.now.After(o.deadline) || !m.now.Before(e.leaseUntil) {
+	if o.incarnation != e.incarnation || o.fence < e.fence || m.now.After(o.deadline) || !m.now.Before(e.leaseUntil) {
 		return NotExecuted
 	}
 	e.fence = o.fence
@@ -186,7 +188,7 @@
 		t.Fatalf("counted %+v, below what runs: %+v", counted, actual)
 	}
 	for _, o := range orders {
-		l := lateOrder{Order: o, fence: m.owner, deadline: m.now.Add(testSettings.StartTimeout), issued: len(m.configurations) - 1}
+		l := lateOrder{Order: o, fence: m.owner, incarnation: m.s.endpoints[o.Endpoint].incarnation, deadline: m.now.Add(testSettings.StartTimeout), issued: len(m.configurations) - 1}
 		switch rapid.SampledFrom([]string{"answered", "answered", "answered", "lost", "late", "dropped"}).Draw(t, "delivery") {
 		case "answered":
 			m.s.RecordOrderResult(o, m.execute(l), m.now)
@@ -339,13 +341,6 @@
 				clear(e.highest)
 				e.incarnation++
 				e.ended, e.ends, e.fence, e.leaseUntil = nil, 0, 0, time.Time{}
-				kept := m.late[:0:0]
-				for _, o := range m.late {
-					if o.Endpoint != e.id {
-						kept = append(kept, o)
-					}
-				}
-				m.late = kept
 			},
 			"configure": func(t *rapid.T) { m.setLimit(1000 * rapid.IntRange(1, 9).Draw(t, "limit")) },
 			"takeOver":  func(*rapid.T) { m.takeOver() },
--- a/coordination/schedule/organisation_test.go
+++ b/coordination/schedule/organisation_test.go
@@ -370,13 +370,17 @@
 	filler := organisationTask
 	filler.BestEffort, filler.Count = true, 8
 	for name, change := range map[string]func(*job.Record){
-		"cancelled":      func(r *job.Record) { r.State, r.Steps[0].Count = job.Cancelled, 8 },
-		"failed":         func(r *job.Record) { r.State, r.Steps[0].Count = job.Failed, 8 },
-		"dependent":      func(r *job.Record) { r.Steps = append(r.Steps, second) },
-		"duplicates":     func(r *job.Record) { r.Steps[0].AllowDuplicates = true },
-		"fillsIdleTime":  func(r *job.Record) { r.Steps = []job.Step{filler, filler} },
-		"usual":          func(r *job.Record) { r.Steps[0].Count = 8 },
-		"doneDuplicates": func(r *job.Record) { r.Steps[0] = job.Step{Count: 8, CPU: 1000, AllowDuplicates: true}; r.State = job.Completed; r.Progress = []job.Progress{{Done: []int{0, 1, 2, 3, 4, 5, 6, 7}}} },
+		"cancelled":     func(r *job.Record) { r.State, r.Steps[0].Count = job.Cancelled, 8 },
+		"failed":        func(r *job.Record) { r.State, r.Steps[0].Count = job.Failed, 8 },
+		"dependent":     func(r *job.Record) { r.Steps = append(r.Steps, second) },
+		"duplicates":    func(r *job.Record) { r.Steps[0].AllowDuplicates = true },
+		"fillsIdleTime": func(r *job.Record) { r.Steps = []job.Step{filler, filler} },
+		"usual":         func(r *job.Record) { r.Steps[0].Count = 8 },
+		"doneDuplicates": func(r *job.Record) {
+			r.Steps[0] = job.Step{Count: 8, CPU: 1000, AllowDuplicates: true}
+			r.State = job.Completed
+			r.Progress = []job.Progress{{Done: []int{0, 1, 2, 3, 4, 5, 6, 7}}}
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := newLoad(t, 2, terms...)
@@ -463,7 +467,7 @@
 	l.jobs = map[string]int{"a": 500, "": 10}
 	l.play(time.Second)
 	o := &l.s.organisations
-	if len(o.held)+len(o.gangs)+len(o.unseen) > 0 || l.s.Counts.HeldByLimit > 0 || l.s.rankings["p"].division.Shares != nil || l.s.OrganisationUses(20, l.now) != nil {
+	if len(o.held)+len(o.reservations)+len(o.unseen) > 0 || l.s.Counts.HeldByLimit > 0 || l.s.rankings["p"].division.Shares != nil || l.s.OrganisationUses(20, l.now) != nil {
 		t.Errorf("state %+v, want none", o)
 	}
 	for range 100 {
--- a/coordination/schedule/organisations.go
+++ b/coordination/schedule/organisations.go
@@ -12,9 +12,9 @@
 	// organisation has left its limit. Runs end all the time, so that an organisation at its
 	// limit may start tasks between two plans.
 	limitLeftDelay = 5 * time.Second
-	// gangPatience is how long a gang is held back by the limit of its organisation until
-	// later starts of the organisation leave room for it.
-	gangPatience = time.Second
+	// reservationDelay is how long a gang, or a task larger than the limit, is held back
+	// until the other starts of the organisation leave room for it.
+	reservationDelay = time.Second
 )
 
 // organisations holds what the organisations use, and what one plan needs to know of it.
@@ -30,10 +30,10 @@
 	// other tasks take of a pool.
 	longRunning map[string]job.Capacity
 	pools       map[poolUser]Capacity
-	// held has the organisations whose limit has held a start back lately, and gangs the
-	// gangs for which the later starts of an organisation leave room.
-	held  map[string]*limitHold
-	gangs map[string]*gangHold
+	// held has the organisations whose limit has held a start back lately, and reservations
+	// the steps for which the other starts of an organisation leave room.
+	held         map[string]*limitHold
+	reservations map[string]*limitReservation
 }
 
 // poolUser identifies an organisation in a pool.
@@ -46,9 +46,9 @@
 	since, last time.Time
 }
 
-// gangHold is a gang that the limit of its organisation holds back although it would fit
-// beside the organisation's long-running tasks.
-type gangHold struct {
+// limitReservation is a gang, or a task larger than the limit, that the limit holds back although
+// it could start beside the organisation's long-running tasks.
+type limitReservation struct {
 	step        *stepState
 	size        job.Capacity
 	since, last time.Time
@@ -138,14 +138,34 @@
 	}
 	size, besides := limitSize(st.step), o.unseen[j.Organisation]
 	if !o.ledger.MayStart(j.Organisation, size, count, besides) {
+		if count == 1 && s.mayExceed(j.Organisation, size) {
+			return true
+		}
 		s.holdStart(st, count, now)
 		return false
 	}
-	g := o.gangs[j.Organisation]
-	if g == nil || g.step == st || st.step.LongRunning || now.Sub(g.since) < gangPatience {
+	r := o.reservations[j.Organisation]
+	if r == nil || r.step == st || st.step.LongRunning || now.Sub(r.since) < reservationDelay {
 		return true
 	}
-	return o.ledger.MayStart(j.Organisation, size, count, besides.Plus(g.size))
+	return o.ledger.MayStart(j.Organisation, size, count, besides.Plus(r.size))
+}
+
+// mayExceed reports whether a task that is larger than the limit of its organisation may
+// start. All runs of the organisation have to be confirmed: one that started later would
+// exceed the limit by more than itself.
+func (s *Scheduler) mayExceed(name string, size job.Capacity) bool {
+	if s.organisations.unseen[name] != (job.Capacity{}) || !s.organisations.ledger.MayExceed(name, size) {
+		return false
+	}
+	for _, e := range s.endpoints {
+		for _, r := range e.runs {
+			if r.state != confirmed && r.task.job.Organisation == name {
+				return false
+			}
+		}
+	}
+	return true
 }
 
 // holdStart records that a limit holds back the start of count tasks of a step.
@@ -156,7 +176,7 @@
 		s.Counts.HeldByLimit++
 	}
 	if o.held == nil {
-		o.held, o.gangs = make(map[string]*limitHold), make(map[string]*gangHold)
+		o.held, o.reservations = make(map[string]*limitHold), make(map[string]*limitReservation)
 	}
 	h := o.held[j.Organisation]
 	if h == nil {
@@ -165,9 +185,6 @@
 		s.reportLimit(j.Organisation, true, 0)
 	}
 	h.last = now
-	if count == 1 {
-		return
-	}
 	terms, _ := o.ledger.Terms(j.Organisation)
 	size := limitSize(st.step).Times(count)
 	if !o.ledger.CanEverStart(j.Organisation, limitSize(st.step), count) {
@@ -177,23 +194,28 @@
 		st.aboveLimit = true
 		return
 	}
-	g := o.gangs[j.Organisation]
-	if g == nil && terms.Admit(size.Plus(o.longRunning[j.Organisation])) {
-		g = &gangHold{step: st, size: size, since: now}
-		o.gangs[j.Organisation] = g
+	// A task that is larger than the limit needs all starts to be confirmed.
+	large := count == 1 && !terms.Admit(size)
+	if count == 1 && !large {
+		return
+	}
+	r, lasting := o.reservations[j.Organisation], o.longRunning[j.Organisation]
+	if r == nil && (terms.Admit(size.Plus(lasting)) || large && terms.Admit(lasting)) {
+		r = &limitReservation{step: st, size: size, since: now}
+		o.reservations[j.Organisation] = r
 	}
-	if g != nil && g.step == st {
-		g.last = now
+	if r != nil && r.step == st {
+		r.last = now
 	}
 }
 
 // updateHolds reports the organisations of which no start was held back lately, and drops
-// the gangs that their limit no longer holds back.
+// the reservations of steps that their limit no longer holds back.
 func (s *Scheduler) updateHolds(now time.Time) {
 	o := &s.organisations
-	for name, g := range o.gangs {
-		if now.Sub(g.last) >= gangPatience || g.step.running > 0 || g.step.complete() {
-			delete(o.gangs, name)
+	for name, r := range o.reservations {
+		if now.Sub(r.last) >= reservationDelay || r.step.running > 0 || r.step.complete() {
+			delete(o.reservations, name)
 		}
 	}
 	for name, h := range o.held {
