--- a/coordination/schedule/division.go
+++ b/coordination/schedule/division.go
@@ -20,7 +20,7 @@
 			capacity = capacity.Plus(e.Capacity)
 		}
 	}
-	uses := make(map[string]organisation.Use)
+	uses := make(map[string]organisation.Use, len(s.organisations.terms))
 	for _, j := range jobs {
 		if j.longRunning() {
 			capacity = capacity.Minus(j.running())
@@ -102,7 +102,7 @@
 // fairPart returns limit of the more jobs of a class in their order: the long-running ones,
 // and equally many of each organisation as far as they have them.
 func fairPart(class []*jobState, limit int) (part []*jobState) {
-	counts := make(map[string]int)
+	counts := make(map[string]int, limit)
 	for _, j := range class {
 		counts[j.Organisation]++
 	}
--- a/coordination/schedule/order.go
+++ b/coordination/schedule/order.go
@@ -108,10 +108,7 @@
 func (s *Scheduler) applyStartAnswer(e *endpoint, r *run, a OrderResult, now time.Time) {
 	switch a {
 	case Accepted:
-		if r.state != confirmed {
-			r.state = confirmed
-			r.confirmedAt = now
-		}
+		s.confirmRun(r, now)
 		e.aliveAt = latest(e.aliveAt, now)
 	case Unknown, Disconnected:
 		if r.state == starting {
--- a/coordination/schedule/organisations.go
+++ b/coordination/schedule/organisations.go
@@ -30,6 +30,9 @@
 	// other tasks take of a pool.
 	longRunning map[string]job.Capacity
 	pools       map[poolUser]Capacity
+	// unconfirmed counts the runs of an organisation of which it is not known whether they
+	// have started.
+	unconfirmed map[string]int
 	// held has the organisations whose limit has held a start back lately, and reservations
 	// the steps for which the other starts of an organisation leave room.
 	held         map[string]*limitHold
@@ -99,7 +102,10 @@
 	o.ledger.Start(j.Organisation, limitSize(r.task.step))
 	r.task.stepState().running++
 	if o.pools == nil {
-		o.pools, o.longRunning = make(map[poolUser]Capacity), make(map[string]job.Capacity)
+		o.pools, o.longRunning, o.unconfirmed = make(map[poolUser]Capacity), make(map[string]job.Capacity), make(map[string]int)
+	}
+	if r.state != confirmed {
+		o.unconfirmed[j.Organisation]++
 	}
 	if r.task.step.LongRunning {
 		addTo(o.longRunning, j.Organisation, limitSize(r.task.step))
@@ -113,6 +119,9 @@
 	o, j := &s.organisations, r.task.job
 	o.ledger.End(j.Organisation, limitSize(r.task.step))
 	r.task.stepState().running--
+	if r.state != confirmed {
+		s.countConfirmed(j)
+	}
 	if r.task.step.LongRunning {
 		addTo(o.longRunning, j.Organisation, limitSize(r.task.step).Times(-1))
 		return
@@ -120,6 +129,22 @@
 	addTo(o.pools, poolUser{j.Pool, j.Organisation}, r.size.Times(-1))
 }
 
+// confirmRun records that the endpoint has started a run.
+func (s *Scheduler) confirmRun(r *run, now time.Time) {
+	if r.state != confirmed {
+		r.state, r.confirmedAt = confirmed, now
+		s.countConfirmed(r.task.job)
+	}
+}
+
+// countConfirmed counts that it became known whether a run of a job has started.
+func (s *Scheduler) countConfirmed(j *jobState) {
+	o := &s.organisations
+	if o.unconfirmed[j.Organisation]--; o.unconfirmed[j.Organisation] == 0 {
+		delete(o.unconfirmed, j.Organisation)
+	}
+}
+
 // addTo adds a capacity to the sum of a key, and drops a sum of nothing.
 func addTo[K comparable](sums map[K]job.Capacity, key K, c job.Capacity) {
 	if sum := sums[key].Plus(c); sum != (job.Capacity{}) {
@@ -155,17 +180,8 @@
 // start. All runs of the organisation have to be confirmed: one that started later would
 // exceed the limit by more than itself.
 func (s *Scheduler) mayExceed(name string, size job.Capacity) bool {
-	if s.organisations.unseen[name] != (job.Capacity{}) || !s.organisations.ledger.MayExceed(name, size) {
-		return false
-	}
-	for _, e := range s.endpoints {
-		for _, r := range e.runs {
-			if r.state != confirmed && r.task.job.Organisation == name {
-				return false
-			}
-		}
-	}
-	return true
+	o := &s.organisations
+	return o.unconfirmed[name] == 0 && o.unseen[name] == (job.Capacity{}) && o.ledger.MayExceed(name, size)
 }
 
 // holdStart records that a limit holds back the start of count tasks of a step.
--- a/coordination/schedule/report.go
+++ b/coordination/schedule/report.go
@@ -285,10 +285,7 @@
 
 // updateRun updates a run from its listing.
 func (s *Scheduler) updateRun(known *run, l ListedRun, r Report) {
-	if known.state != confirmed {
-		known.state = confirmed
-		known.confirmedAt = r.ReceivedAt
-	}
+	s.confirmRun(known, r.ReceivedAt)
 	if l.Checkpoint != "" && known.task.step.KeepCheckpoints {
 		known.task.checkpoint = l.Checkpoint
 	}
--- a/coordination/schedule/unseen.go
+++ b/coordination/schedule/unseen.go
@@ -66,11 +66,7 @@
 			if st.complete() && !st.step.AllowDuplicates {
 				continue
 			}
-			unknown := 0
-			for _, t := range st.tasks {
-				unknown += t.unknownRuns()
-			}
-			size := limitSize(st.step).Times(unknown)
+			size := limitSize(st.step).Times(st.unknownRuns())
 			if st.step.BestEffort {
 				bestEffort = bestEffort.Plus(size)
 			} else {
@@ -81,16 +77,24 @@
 	return reserved, bestEffort
 }
 
-// unknownRuns returns how many runs of an inherited task may be active beside the known ones.
-func (t *task) unknownRuns() int {
+// unknownRuns returns how many runs of the tasks of an inherited step may be active beside the
+// known ones.
+func (s *stepState) unknownRuns() (count int) {
 	most := 1
-	if t.step.AllowDuplicates {
+	if s.step.AllowDuplicates {
 		most = maxConcurrentRuns
 	}
-	if t.done {
-		most--
+	if s.running == 0 {
+		return most*len(s.tasks) - s.done
+	}
+	for _, t := range s.tasks {
+		unknown := most - len(t.runs)
+		if t.done {
+			unknown--
+		}
+		count += max(0, unknown)
 	}
-	return max(0, most-len(t.runs))
+	return count
 }
 
 // releaseSteps frees the memory of a job with a stored final state, of which only the state
