--- a/azurepoint/internal/cli/explain_test.go
+++ b/azurepoint/internal/cli/explain_test.go
@@ -31,6 +31,31 @@
 	}
 }
 
+const limitLogs = `{"fields":{"event":8301,"job":"aa","organisation":"north"},"timestamp":"2026-01-01T00:00:01Z","message":"job accepted"}
+{"fields":{"event":8311,"organisation":"north","cpu":4000},"timestamp":"2026-01-01T00:00:02Z","message":"limit reached"}
+{"fields":{"event":8311,"organisation":"south"},"timestamp":"2026-01-01T00:00:02Z","message":"limit reached"}
+{"fields":{"event":8313,"job":"aa","organisation":"north"},"timestamp":"2026-01-01T00:00:02.5Z","message":"gang too large"}
+{"fields":{"event":8304,"job":"aa"},"timestamp":"2026-01-01T00:00:03Z","message":"job ended"}
+{"fields":{"event":8312,"organisation":"north"},"timestamp":"2026-01-01T00:00:09Z","message":"limit left"}
+`
+
+// Guards against output that does not show why a job waited for its organisation's limit, or
+// shows limits of other organisations or times.
+func TestExplainLimit(t *testing.T) {
+	var out, errs bytes.Buffer
+	if code := Run(t.Context(), []string{"explain", "aa"}, strings.NewReader(limitLogs), &out, &errs); code != ExitDone {
+		t.Fatalf("code %d: %s", code, &errs)
+	}
+	for _, want := range []string{"8311 limit reached cpu=4000 organisation=north", "8313 gang too large"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q is missing in\n%s", want, &out)
+		}
+	}
+	if strings.Contains(out.String(), "south") || strings.Contains(out.String(), "limit left") {
+		t.Errorf("lines that are not about the job in\n%s", &out)
+	}
+}
+
 // Guards against error messages that do not name the cause.
 func TestExplainErrors(t *testing.T) {
 	for _, c := range []struct {
--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -117,6 +117,7 @@
 	ended := make(chan error, 1)
 	go func() {
 		err := m.run(ctx)
+		meter.ReplaceGauges(usePrefix, nil)
 		close(m.over)
 		ended <- err
 	}()
--- a/entry/manager/organisations.go
+++ b/entry/manager/organisations.go
@@ -16,6 +16,7 @@
 	usesMeterInterval = 5 * time.Second
 	// maxMeteredOrganisations limits the organisations that have metrics of their own.
 	maxMeteredOrganisations = 20
+	usePrefix               = "organisation."
 )
 
 // updateOrganisations passes the terms of the organisations to the scheduler. It reports
@@ -45,7 +46,7 @@
 		values[u.Organisation+".surplusJobs"] = int64(u.SurplusJobs)
 		values[u.Organisation+".limitCpu"] = int64(u.Limit.CPU)
 	}
-	meter.ReplaceGauges("organisation.", values)
+	meter.ReplaceGauges(usePrefix, values)
 	meter.Add("organisations.startsHeld", m.scheduler.Counts.HeldByLimit-m.heldMetered)
 	m.heldMetered = m.scheduler.Counts.HeldByLimit
 }
