Count the rest of a gang that has ended in part after a takeover

Change: all tasks of a loaded gang count until their endpoints have reported.

Result: the new case doneGang of TestTakeoverCountsUnreadEndpoints passes.

--- a/coordination/schedule/organisation_test.go
+++ b/coordination/schedule/organisation_test.go
@@ -362,7 +362,8 @@
 }
 
 // After a takeover, what the unread endpoints may run counts: cancelled and failed jobs, steps
-// whose dependencies ended without being stored, and second runs.
+// whose dependencies ended without being stored, second runs, and the rest of a gang of which
+// one run has ended.
 func TestTakeoverCountsUnreadEndpoints(t *testing.T) {
 	terms := []organisation.Terms{{Name: "a", Limit: job.Capacity{CPU: 8000}}}
 	second := organisationTask
@@ -375,11 +376,14 @@
 		"dependent":     func(r *job.Record) { r.Steps = append(r.Steps, second) },
 		"duplicates":    func(r *job.Record) { r.Steps[0].AllowDuplicates = true },
 		"fillsIdleTime": func(r *job.Record) { r.Steps = []job.Step{filler, filler} },
-		"usual":         func(r *job.Record) { r.Steps[0].Count = 8 },
+		"doneGang": func(r *job.Record) {
+			r.Steps[0] = job.Step{Count: 8, CPU: 1000, Gang: true}
+			r.State, r.Progress = job.Completed, []job.Progress{{Done: []int{0, 1, 2, 3, 4, 5, 6, 7}}}
+		},
+		"usual": func(r *job.Record) { r.Steps[0].Count = 8 },
 		"doneDuplicates": func(r *job.Record) {
 			r.Steps[0] = job.Step{Count: 8, CPU: 1000, AllowDuplicates: true}
-			r.State = job.Completed
-			r.Progress = []job.Progress{{Done: []int{0, 1, 2, 3, 4, 5, 6, 7}}}
+			r.State, r.Progress = job.Completed, []job.Progress{{Done: []int{0, 1, 2, 3, 4, 5, 6, 7}}}
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/coordination/schedule/unseen.go
+++ b/coordination/schedule/unseen.go
@@ -63,7 +63,7 @@
 			break
 		}
 		for _, st := range o.steps {
-			if st.complete() && !st.step.AllowDuplicates {
+			if !st.mayRun() {
 				continue
 			}
 			size := limitSize(st.step).Times(st.unknownRuns())
@@ -77,20 +77,29 @@
 	return reserved, bestEffort
 }
 
+// mayRun reports whether a run of the inherited step may be active that is not known. The end
+// of one run completes a task that allows duplicates, and a whole gang, while others go on.
+func (s *stepState) mayRun() bool {
+	return !s.complete() || s.step.AllowDuplicates || s.step.Gang
+}
+
 // unknownRuns returns how many runs of the tasks of an inherited step may be active beside the
 // known ones.
 func (s *stepState) unknownRuns() (count int) {
-	most := 1
-	if s.step.AllowDuplicates {
+	most, ended := 1, 1
+	switch {
+	case s.step.Gang:
+		ended = 0
+	case s.step.AllowDuplicates:
 		most = maxConcurrentRuns
 	}
 	if s.running == 0 {
-		return most*len(s.tasks) - s.done
+		return most*len(s.tasks) - ended*s.done
 	}
 	for _, t := range s.tasks {
 		unknown := most - len(t.runs)
 		if t.done {
-			unknown--
+			unknown -= ended
 		}
 		count += max(0, unknown)
 	}
@@ -115,7 +124,7 @@
 	}
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
-			if !st.complete() || st.step.AllowDuplicates {
+			if st.mayRun() {
 				return true
 			}
 		}
