Learn from finished runs how long tasks take

Cause: the scheduler expected of every task the moving average of its queue, whatever the task declares, and gave runs up by a multiple of it.

Change: coordination/duration keeps for each queue how run times depend on the declared estimate, the step, the size, the organisation and the finished tasks of the same step, and the distribution around that.

--- /dev/null
+++ b/coordination/duration/distribution.go
@@ -0,0 +1,123 @@
+package duration
+
+import (
+	"math"
+	"time"
+
+	"github.com/DataDog/sketches-go/ddsketch"
+)
+
+// Parameters of the distributions.
+const (
+	// accuracy is the relative accuracy of the sketches.
+	accuracy = 0.05
+	// maxRatio limits the ratio of a run to its prediction, so that a single run does not
+	// decide the mean.
+	maxRatio = 32
+	// maxShapeCount is the number of runs at which the weight of a shape is halved.
+	// shapeHalfLife is the time after which it is halved anyway, down to minShapeCount.
+	maxShapeCount = 1024
+	minShapeCount = 64
+	shapeHalfLife = 20 * time.Second
+	// priorCount is how many runs the shape of a new queue counts for, and priorDeviation the
+	// standard deviation of its logarithm.
+	priorCount     = 8
+	priorDeviation = 0.5
+	// declaredDeviation is that of a declared estimate alone: one run in a hundred takes more
+	// than ten times as long.
+	declaredDeviation = 1.0
+)
+
+// declaredShape is the distribution around a declared estimate without any run. It is not
+// changed.
+var declaredShape = fixedShape(declaredDeviation, 1)
+
+// shape is the distribution of a ratio of run times to predictions. Old runs fade.
+type shape struct {
+	sketch  *ddsketch.DDSketchWithExactSummaryStatistics
+	fadedAt time.Time
+}
+
+// newShape returns the shape of a queue without runs.
+func newShape() shape {
+	return *fixedShape(priorDeviation, priorCount)
+}
+
+// fixedShape returns a log-normal distribution of mean 1 that weighs count runs.
+func fixedShape(deviation, count float64) *shape {
+	// The accuracy is a valid constant, so there is no error.
+	sketch, _ := ddsketch.NewDefaultDDSketchWithExactSummaryStatistics(accuracy)
+	const points = 32
+	for i := range points {
+		z := math.Sqrt2 * math.Erfinv(2*(float64(i)+0.5)/points-1)
+		_ = sketch.AddWithCount(math.Exp(deviation*z-deviation*deviation/2), count/points)
+	}
+	return &shape{sketch: sketch}
+}
+
+// add adds the logarithm of a ratio.
+func (s *shape) add(logRatio float64, now time.Time) {
+	count := s.sketch.GetCount()
+	if s.fadedAt.IsZero() {
+		s.fadedAt = now
+	}
+	if count >= maxShapeCount || count >= minShapeCount && now.Sub(s.fadedAt) >= shapeHalfLife {
+		_ = s.sketch.Reweight(0.5)
+		s.fadedAt = now
+	}
+	_ = s.sketch.Add(math.Exp(bounded(logRatio, math.Log(maxRatio))))
+}
+
+// Distribution is the distribution of the run time of a task.
+type Distribution struct {
+	scale   float64
+	shape   *shape
+	samples int
+}
+
+// Samples returns how many finished runs of the task's queue are known; 0 means that the
+// distribution follows the declared estimate.
+func (d Distribution) Samples() (runs int) {
+	return d.samples
+}
+
+// Mean returns the mean run time.
+func (d Distribution) Mean() time.Duration {
+	return toDuration(d.scale * d.shape.mean())
+}
+
+// Quantile returns the run time that a task does not exceed with the given probability.
+func (d Distribution) Quantile(q float64) time.Duration {
+	ratio, err := d.shape.sketch.GetValueAtQuantile(min(max(q, 0), 1))
+	if err != nil {
+		return d.Mean()
+	}
+	return toDuration(d.scale * ratio)
+}
+
+// Remaining returns the mean remaining time of a run that has lasted for a time. It is the
+// mean run time if the run has lasted longer than all known ones.
+func (d Distribution) Remaining(elapsed time.Duration) time.Duration {
+	ratio := float64(max(elapsed, 0)) / float64(time.Millisecond) / d.scale
+	sum, count := 0.0, 0.0
+	d.shape.sketch.ForEach(func(value, weight float64) (stop bool) {
+		if value > ratio {
+			sum += (value - ratio) * weight
+			count += weight
+		}
+		return false
+	})
+	if count == 0 {
+		return d.Mean()
+	}
+	return toDuration(d.scale * sum / count)
+}
+
+func (s *shape) mean() float64 {
+	return s.sketch.GetSum() / s.sketch.GetCount()
+}
+
+// toDuration returns a time in milliseconds as a duration.
+func toDuration(millis float64) time.Duration {
+	return time.Duration(min(millis, maxRatio*maxRunMillis) * float64(time.Millisecond))
+}
--- /dev/null
+++ b/coordination/schedule/duration.go
@@ -0,0 +1,192 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/azurepoint/azurepoint/coordination/duration"
+	"github.com/azurepoint/azurepoint/coordination/job"
+)
+
+// durationEstimate is a moving average of the durations of the tasks of a queue. It is used
+// with Settings.MeanDurations.
+type durationEstimate struct {
+	mean  float64
+	count int
+}
+
+// versionRuns is how many finished runs share a version of the learned durations. Expected
+// durations are cached for a version.
+const versionRuns = 32
+
+// learnedDurations is what finished runs have taught about the durations of tasks.
+type learnedDurations struct {
+	estimator duration.Estimator
+	observed  int
+	// restarts holds, by queue, how often a new run of a lagging task was faster.
+	restarts map[string]*restartSuccess
+}
+
+// version returns a number that changes when cached expectations are outdated.
+func (l *learnedDurations) version() (number int) {
+	if l.observed < versionRuns {
+		return l.observed + 1
+	}
+	return versionRuns + l.observed/versionRuns
+}
+
+// expectation is what a job's step is expected to take, and its finished tasks.
+type expectation struct {
+	siblings duration.Siblings
+	// mean is in milliseconds. It holds for a version, 0 if it is not known yet.
+	mean    float64
+	version int
+}
+
+// expected returns the expected duration of a task of the step in milliseconds. With
+// Settings.MeanDurations it is the moving average of the queue, or the declared duration
+// if no task of the queue has ended yet.
+func (s *Scheduler) expected(j *jobState, st *job.Step) float64 {
+	if s.Settings.MeanDurations {
+		if d := s.durationEstimates[j.Queue]; d != nil {
+			return d.mean
+		}
+		return float64(max(st.EstimateMillis, 1))
+	}
+	x := j.expectation(st)
+	if x == nil {
+		return millis(s.distribution(j, st).Mean())
+	}
+	if v := s.durations.version(); x.version != v {
+		x.mean, x.version = max(millis(s.distribution(j, st).Mean()), 1), v
+	}
+	return x.mean
+}
+
+// expectedQuantile returns the duration in milliseconds that a task of the step does not
+// exceed with probability q. With Settings.MeanDurations it is the expected duration.
+func (s *Scheduler) expectedQuantile(j *jobState, st *job.Step, q float64) float64 {
+	if s.Settings.MeanDurations {
+		return s.expected(j, st)
+	}
+	return max(millis(s.distribution(j, st).Quantile(q)), 1)
+}
+
+// distribution returns the learned distribution of the duration of a task of the step.
+func (s *Scheduler) distribution(j *jobState, st *job.Step) duration.Distribution {
+	return s.durations.estimator.Expect(j.durationKey(st, true), declared(st))
+}
+
+func declared(st *job.Step) time.Duration {
+	return time.Duration(st.EstimateMillis) * time.Millisecond
+}
+
+func millis(d time.Duration) float64 {
+	return float64(d) / float64(time.Millisecond)
+}
+
+// expectation returns the expectation of a step of the job, or nil if the step is not the
+// job's.
+func (j *jobState) expectation(st *job.Step) *expectation {
+	if len(j.expectations) != len(j.Steps) {
+		j.expectations = make([]expectation, len(j.Steps))
+	}
+	for i := range j.Steps {
+		if st == &j.Steps[i] {
+			return &j.expectations[i]
+		}
+	}
+	return nil
+}
+
+// durationKey returns what the duration of a task of the step may depend on. Local is false
+// for a run away from the task's data.
+func (j *jobState) durationKey(st *job.Step, local bool) (k duration.Key) {
+	k = duration.Key{
+		Queue: j.Queue, Image: st.Image, Organisation: j.Organisation, CPU: st.CPU, MemoryMB: st.MemoryMB,
+		Remote: st.DataRack != "" && !local,
+	}
+	for i := range j.Steps {
+		if st == &j.Steps[i] {
+			k.Step = i
+		}
+	}
+	if x := j.expectation(st); x != nil {
+		k.Siblings = &x.siblings
+	}
+	return k
+}
+
+// updateDurationEstimate learns from a run that is done.
+func (s *Scheduler) updateDurationEstimate(r *run, now time.Time) {
+	if s.Settings.MeanDurations {
+		s.updateMeanDuration(r, now)
+		return
+	}
+	t := r.task
+	s.recordRestart(r, now)
+	if !r.fullRun() {
+		s.observeBound(r, now)
+		return
+	}
+	if r.endpoint.slowUntil.After(now) || r.pace != fullPace {
+		return
+	}
+	k := t.job.durationKey(t.step, r.endpoint.Rack == t.step.DataRack)
+	s.durations.estimator.Observe(k, declared(t.step), now.Sub(r.startedAt), now)
+	s.durations.observed++
+	if x := t.job.expectation(t.step); x != nil {
+		x.version = 0
+	}
+}
+
+// fullRun reports whether the owner knows how long the run took from its beginning, without
+// a part that an earlier run has done.
+func (r *run) fullRun() bool {
+	return !r.task.step.LongRunning && r.adoptedAt.IsZero() && !r.resumed
+}
+
+// observeBound learns from a run that has ended without being done that the task takes
+// longer.
+func (s *Scheduler) observeBound(r *run, now time.Time) {
+	if s.Settings.MeanDurations || r == nil || r.task.step.LongRunning || r.endpoint.slowUntil.After(now) || r.pace != fullPace {
+		return
+	}
+	t := r.task
+	k := t.job.durationKey(t.step, r.endpoint.Rack == t.step.DataRack)
+	s.durations.estimator.ObserveBound(k, declared(t.step), now.Sub(r.startedAt), now)
+}
+
+// updateMeanDuration updates the moving average of the queue by a run that is done.
+func (s *Scheduler) updateMeanDuration(r *run, now time.Time) {
+	took := float64(now.Sub(r.startedAt).Milliseconds())
+	key := r.task.job.Queue
+	d := s.durationEstimates[key]
+	if d == nil {
+		d = &durationEstimate{mean: took}
+		s.durationEstimates[key] = d
+	}
+	d.count++
+	const weight = 0.05
+	d.mean += weight * (took - d.mean)
+}
+
+// remainingOfStep returns how long, in milliseconds, the step is expected to take until all
+// its tasks are done, if a task takes the given time.
+func (s *Scheduler) remainingOfStep(j *jobState, st *stepState, task float64, now time.Time) float64 {
+	if s.Settings.MeanDurations || st.running == 0 {
+		return task
+	}
+	latest := time.Time{}
+	for _, t := range st.tasks {
+		switch {
+		case t.done:
+			continue
+		case len(t.runs) == 0:
+			return task
+		}
+		if r := t.runs[0]; r.startedAt.After(latest) {
+			latest = r.startedAt
+		}
+	}
+	return millis(s.distribution(j, st.step).Remaining(now.Sub(latest)))
+}
--- a/coordination/schedule/order.go
+++ b/coordination/schedule/order.go
@@ -200,6 +200,7 @@
 	r := &run{
 		task: t, endpoint: e, number: number, size: taskSize(t.step), startedAt: now,
 		startDeadline: now.Add(s.localDuration(s.Settings.StartTimeout)), pace: fullPace, paceSent: fullPace,
+		resumed: t.step.KeepCheckpoints && t.checkpoint != "",
 	}
 	t.lastRun = number
 	if t.isolation(t.stepState()) > 0 {
--- a/coordination/schedule/plan.go
+++ b/coordination/schedule/plan.go
@@ -5,8 +5,6 @@
 	"maps"
 	"slices"
 	"time"
-
-	"github.com/azurepoint/azurepoint/coordination/job"
 )
 
 // fullPace is the pace of a run that is not slowed down, in percent.
@@ -185,7 +183,7 @@
 			duration := s.expected(j, st.step)
 			total += duration
 			if !st.complete() {
-				chain += duration
+				chain += s.remainingOfStep(j, st, duration, now)
 				work += duration * float64(max(st.step.CPU, 1)) * float64(len(st.tasks)-st.done)
 			}
 		}
@@ -206,16 +204,6 @@
 	j.remainingWork = work
 }
 
-// expected returns the expected duration of a task of the step in milliseconds: the
-// moving average of its queue, or the declared duration if no task of the queue has
-// ended yet.
-func (s *Scheduler) expected(j *jobState, st *job.Step) float64 {
-	if d := s.durationEstimates[j.Queue]; d != nil {
-		return d.mean
-	}
-	return float64(max(st.EstimateMillis, 1))
-}
-
 // longRunning reports whether the job runs until it is cancelled.
 func (j *jobState) longRunning() bool {
 	return len(j.Steps) > 0 && j.Steps[0].LongRunning
--- a/coordination/schedule/progress.go
+++ b/coordination/schedule/progress.go
@@ -21,16 +21,11 @@
 	completePercent = 100
 )
 
-// checkProgress gives up a run that stalls or is far slower than other runs of its
-// queue, unless an earlier run of the task was given up for that reason.
+// checkProgress gives up a run that lags, unless an earlier run of the task was given up
+// for that reason.
 func (s *Scheduler) checkProgress(r *run, now time.Time) {
 	t := r.task
-	usual := s.durationEstimates[t.job.Queue]
-	if t.step.LongRunning || t.step.Gang || t.restartedForLag || r.stopRequested || usual == nil || usual.count < slowFactor {
-		return
-	}
-	elapsed := now.Sub(r.startedAt)
-	if !isLagging(elapsed, now.Sub(r.progressAt), r.progressPercent, time.Duration(usual.mean)*time.Millisecond) {
+	if t.step.LongRunning || t.step.Gang || t.restartedForLag || r.stopRequested || !s.lags(r, now) {
 		return
 	}
 	r.endpoint.slowUntil = now.Add(slowDuration)
@@ -45,6 +40,16 @@
 	s.requestStop(r)
 }
 
+// lags reports whether a run stalls or is so slow that a new run is likely to end earlier.
+func (s *Scheduler) lags(r *run, now time.Time) bool {
+	if !s.Settings.MeanDurations {
+		return s.wouldEndEarlier(r, now)
+	}
+	usual := s.durationEstimates[r.task.job.Queue]
+	return usual != nil && usual.count >= slowFactor &&
+		isLagging(now.Sub(r.startedAt), now.Sub(r.progressAt), r.progressPercent, time.Duration(usual.mean)*time.Millisecond)
+}
+
 // isLagging reports whether a run lags, given its age, the time since its last
 // progress, its progress in percent and the usual duration.
 func isLagging(elapsed, sinceProgress time.Duration, percent int, usual time.Duration) bool {
--- a/coordination/schedule/progress_test.go
+++ b/coordination/schedule/progress_test.go
@@ -34,6 +34,8 @@
 // long by their nature.
 func TestLaggingRunIsRestartedOnce(t *testing.T) {
 	f := newFixture(t, "e1", "e2")
+	f.s.Settings.MeanDurations = true
+	f.s.init()
 	f.s.durationEstimates["q"] = &durationEstimate{mean: 600, count: 10}
 	f.s.AddJob(newRecord("j", job.Step{Count: 1, CPU: 1000}), f.now)
 	first := f.planAndAccept()[0]
--- a/coordination/schedule/report.go
+++ b/coordination/schedule/report.go
@@ -215,28 +215,17 @@
 			s.updateDurationEstimate(r, now)
 		}
 	case EndFailed:
+		s.observeBound(r, now)
 		e.consecutiveFailures++
 		if e.consecutiveFailures >= backoffThreshold {
 			wait := initialBackoff << min(e.consecutiveFailures-backoffThreshold, 10)
 			e.backoffUntil = now.Add(min(wait, maxBackoff))
 		}
 	case EndStopped, EndLeaseExpired, EndBroken, EndAlone:
+		s.observeBound(r, now)
 	}
 }
 
-func (s *Scheduler) updateDurationEstimate(r *run, now time.Time) {
-	duration := float64(now.Sub(r.startedAt).Milliseconds())
-	key := r.task.job.Queue
-	d := s.durationEstimates[key]
-	if d == nil {
-		d = &durationEstimate{mean: duration}
-		s.durationEstimates[key] = d
-	}
-	d.count++
-	const weight = 0.05
-	d.mean += weight * (duration - d.mean)
-}
-
 // taskByName returns the task with a name, or nil if its job is not known.
 func (s *Scheduler) taskByName(name string) *task {
 	id, ref, err := job.ParseTaskName(name)
--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -27,6 +27,9 @@
 	// RunNumberBase is the number above which this owner numbers its runs, so that they
 	// exceed the run numbers of every earlier owner.
 	RunNumberBase int
+	// MeanDurations makes the scheduler expect of every task the moving average of its
+	// queue, instead of learning from finished runs what their run time depends on.
+	MeanDurations bool
 }
 
 // Scheduler holds the jobs and endpoints of the pools of one owner. It is not safe
@@ -37,6 +40,7 @@
 	jobs              map[string]*jobState
 	endpoints         map[string]*endpoint
 	durationEstimates map[string]*durationEstimate
+	durations         learnedDurations
 	// dirty holds the jobs whose record differs from the stored one.
 	dirty map[string]*jobState
 	// activeJobs holds the jobs of each pool whose state is not final.
@@ -88,12 +92,6 @@
 	Duration                    time.Duration
 }
 
-// durationEstimate is a moving average of the durations of the tasks of a queue.
-type durationEstimate struct {
-	mean  float64
-	count int
-}
-
 func (s *Scheduler) init() {
 	if s.jobs != nil {
 		return
--- a/coordination/schedule/task.go
+++ b/coordination/schedule/task.go
@@ -33,6 +33,8 @@
 	// at most once for a task, because a task that takes long by its nature lags on
 	// every endpoint.
 	restartedForLag bool
+	// projected is the run time that the progress of that run led to expect.
+	projected       time.Duration
 	notRunningSince time.Time
 }
 
@@ -58,6 +60,8 @@
 	size     Capacity
 
 	startedAt time.Time
+	// resumed is set if the run continued from a checkpoint.
+	resumed bool
 	// confirmedAt is the arrival time of the answer or report that confirmed the
 	// run.
 	confirmedAt time.Time
@@ -75,8 +79,7 @@
 	// stoppedAt is the arrival time of the answer to the order to stop.
 	stoppedAt time.Time
 
-	// lagging is set once the run progresses far more slowly than other runs of its
-	// queue.
+	// lagging is set once a second run is likely to end earlier.
 	lagging         bool
 	progressPercent int
 	progressAt      time.Time
@@ -161,6 +164,8 @@
 	// onTime, late or tooLate.
 	remainingWork float64
 	lateness      int
+	// expectations caches the expected durations of the steps.
+	expectations []expectation
 	// overShare is set if the job's organisation has more of the full pool than its share.
 	overShare bool
 }
--- a/entry/manager/settings.go
+++ b/entry/manager/settings.go
@@ -19,6 +19,9 @@
 	MaintenanceTime time.Duration
 	// StopTime is how long an endpoint may take to stop a run.
 	StopTime time.Duration
+	// MeanDurations makes the scheduler expect of every task the moving average of its queue,
+	// instead of learning from finished runs what their run time depends on.
+	MeanDurations bool
 }
 
 // Leases, timeouts and intervals.
@@ -87,5 +90,6 @@
 		StopTimeout:    s.StopTime,
 		MaxClockRatio:  maxClockRatio,
 		RunNumberBase:  (number - 1) * runsPerTerm,
+		MeanDurations:  s.MeanDurations,
 	}
 }
