--- a/coordination/duration/distribution.go
+++ b/coordination/duration/distribution.go
@@ -17,20 +17,20 @@
 	// maxShapeCount is the number of runs at which the weight of a shape is halved.
 	// shapeHalfLife is the time after which it is halved anyway, down to minShapeCount.
 	maxShapeCount = 1024
-	minShapeCount = 64
-	shapeHalfLife = 20 * time.Second
+	minShapeCount = 128
+	shapeHalfLife = 5 * time.Second
 	// priorCount is how many runs the shape of a new queue counts for, and priorDeviation the
 	// standard deviation of its logarithm.
 	priorCount     = 8
 	priorDeviation = 0.5
 	// declaredDeviation is that of a declared estimate alone: one run in a hundred takes more
 	// than ten times as long.
-	declaredDeviation = 1.0
+	declaredDeviation = 1.5
 )
 
 // declaredShape is the distribution around a declared estimate without any run. It is not
 // changed.
-var declaredShape = fixedShape(declaredDeviation, 1)
+var declaredShape = fixedShape(declaredDeviation, priorCount)
 
 // shape is the distribution of a ratio of run times to predictions. Old runs fade.
 type shape struct {
@@ -48,13 +48,20 @@
 	// The accuracy is a valid constant, so there is no error.
 	sketch, _ := ddsketch.NewDefaultDDSketchWithExactSummaryStatistics(accuracy)
 	const points = 32
+	sum := 0.0
 	for i := range points {
-		z := math.Sqrt2 * math.Erfinv(2*(float64(i)+0.5)/points-1)
-		_ = sketch.AddWithCount(math.Exp(deviation*z-deviation*deviation/2), count/points)
+		sum += math.Exp(deviation * normalQuantile((float64(i)+0.5)/points))
+	}
+	for i := range points {
+		_ = sketch.AddWithCount(math.Exp(deviation*normalQuantile((float64(i)+0.5)/points))*points/sum, count/points)
 	}
 	return &shape{sketch: sketch}
 }
 
+func normalQuantile(p float64) float64 {
+	return math.Sqrt2 * math.Erfinv(2*p-1)
+}
+
 // add adds the logarithm of a ratio.
 func (s *shape) add(logRatio float64, now time.Time) {
 	count := s.sketch.GetCount()
@@ -88,10 +95,9 @@
 
 // Quantile returns the run time that a task does not exceed with the given probability.
 func (d Distribution) Quantile(q float64) time.Duration {
-	ratio, err := d.shape.sketch.GetValueAtQuantile(min(max(q, 0), 1))
-	if err != nil {
-		return d.Mean()
-	}
+	// The sketch's own quantiles leave out a whole run, which is too much for small weights.
+	sketch := d.shape.sketch
+	ratio := sketch.Value(sketch.GetPositiveValueStore().KeyAtRank(min(max(q, 0), 1) * sketch.GetCount()))
 	return toDuration(d.scale * ratio)
 }
 
--- a/coordination/duration/history.go
+++ b/coordination/duration/history.go
@@ -35,12 +35,14 @@
 	halfLife = 10 * time.Second
 	// maxResidual limits the effect of one run, as a logarithm: a factor of e.
 	maxResidual = 1.0
-	// biasWeight is the weight of a run in the recent error, and maxBias the recent error, a
-	// factor of 1.6, above which the earlier runs count as outdated.
-	biasWeight = 1.0 / 32
-	maxBias    = 0.5
+	// biasWeight is the weight of a run in the recent error. While that exceeds maxBias, most
+	// of the recent runs deviate to the same side, and each of them takes the share
+	// biasDecay of the weight of the earlier runs.
+	biasWeight = 1.0 / 16
+	maxBias    = 0.65
+	biasDecay  = 0.7
 	// errorWeight is the weight of a run in the average error of a level.
-	errorWeight = 1.0 / 256
+	errorWeight = 1.0 / 64
 	// minGain is the share by which the error of a finer level or of another exponent must be
 	// lower before it is preferred.
 	minGain = 0.03
@@ -70,7 +72,7 @@
 	if l.weight >= minWeight {
 		l.bias += biasWeight * (bounded(took-l.means[0], maxResidual) - l.bias)
 		if math.Abs(l.bias) > maxBias {
-			l.weight = minWeight
+			l.weight = max(minWeight, l.weight*biasDecay)
 		}
 	}
 	l.weight = min(l.weight+1, maxWeight)
@@ -179,30 +181,32 @@
 // keyPrior runs of the key, and alone if the key has fewer than minKeyRuns.
 func (q *queueHistory) at(k Key, l level, exponent int) (mean float64) {
 	mean = q.all.means[exponent]
+	if own := q.locationOf(k, l); own != &q.all {
+		return (own.means[exponent]*own.weight + mean*keyPrior) / (own.weight + keyPrior)
+	}
+	return mean
+}
+
+// locationOf returns the average of the task's key in a level, or that of the queue if the
+// key has too few runs.
+func (q *queueHistory) locationOf(k Key, l level) (own *location) {
 	key, applies := k.levelKeyOf(l)
 	if !applies {
-		return mean
+		return &q.all
 	}
 	own, known := q.keys[l][key]
 	if !known || own.weight < minKeyRuns {
-		return mean
+		return &q.all
 	}
-	return (own.means[exponent]*own.weight + mean*keyPrior) / (own.weight + keyPrior)
+	return own
 }
 
 // observe adds a run that is done.
 func (q *queueHistory) observe(k Key, declared, took float64, now time.Time) {
 	if q.runs > 0 {
-		p := q.predict(k, declared)
 		q.updateErrors(k, declared, took)
-		q.shape.add(took-p.base, now)
-		if k.Siblings != nil && k.Siblings.count > 0 {
-			combined := k.Siblings.combine(p.base)
-			q.siblingShape.add(took-combined, now)
-			gain := math.Abs(took-p.base) - math.Abs(took-combined)
-			q.siblingGain += errorWeight * (bounded(gain, maxResidual) - q.siblingGain)
-		}
-	} else if declared == 0 {
+		q.updateShapes(k, declared, took, now)
+	} else {
 		q.all.means[0] = took
 	}
 	q.runs++
@@ -212,6 +216,22 @@
 	}
 }
 
+// updateShapes adds the ratio of a run to its prediction, unless the prediction is outdated.
+func (q *queueHistory) updateShapes(k Key, declared, took float64, now time.Time) {
+	if math.Abs(q.locationOf(k, q.level).bias) > maxBias {
+		return
+	}
+	base := q.predict(k, declared).base
+	q.shape.add(took-base, now)
+	if k.Siblings == nil || k.Siblings.count == 0 {
+		return
+	}
+	combined := k.Siblings.combine(base)
+	q.siblingShape.add(took-combined, now)
+	gain := math.Abs(took-base) - math.Abs(took-combined)
+	q.siblingGain += errorWeight * (bounded(gain, maxResidual) - q.siblingGain)
+}
+
 // updateLocations adds a run to the queue and to the keys of all levels.
 func (q *queueHistory) updateLocations(k Key, declared, took float64, now time.Time) {
 	declared = q.usableDeclared(declared)
