Keep learned run times over a change of owner

Cause: what the owner had learned was forgotten with its term.

A record that cannot be read is logged as event 8313 and replaced.

--- a/coordination/duration/distribution.go
+++ b/coordination/duration/distribution.go
@@ -95,10 +95,7 @@
 
 // Quantile returns the run time that a task does not exceed with the given probability.
 func (d Distribution) Quantile(q float64) time.Duration {
-	// The sketch's own quantiles leave out a whole run, which is too much for small weights.
-	sketch := d.shape.sketch
-	ratio := sketch.Value(sketch.GetPositiveValueStore().KeyAtRank(min(max(q, 0), 1) * sketch.GetCount()))
-	return toDuration(d.scale * ratio)
+	return toDuration(d.scale * d.shape.quantile(q))
 }
 
 // Remaining returns the mean remaining time of a run that has lasted for a time. It is the
@@ -119,6 +116,12 @@
 	return toDuration(d.scale * sum / count)
 }
 
+// quantile returns a quantile of the ratio. The sketch's own quantiles leave out a whole run,
+// which is too much for small weights.
+func (s *shape) quantile(q float64) float64 {
+	return s.sketch.Value(s.sketch.GetPositiveValueStore().KeyAtRank(min(max(q, 0), 1) * s.sketch.GetCount()))
+}
+
 func (s *shape) mean() float64 {
 	return s.sketch.GetSum() / s.sketch.GetCount()
 }
--- a/coordination/schedule/duration.go
+++ b/coordination/schedule/duration.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/azurepoint/azurepoint/coordination/duration"
+	"github.com/azurepoint/azurepoint/coordination/fault"
 	"github.com/azurepoint/azurepoint/coordination/job"
 )
 
@@ -34,6 +35,19 @@
 	return versionRuns + l.observed/versionRuns
 }
 
+// DurationState returns what is kept of the learned durations over a change of owner, and a
+// number that changes when it does.
+func (s *Scheduler) DurationState(queues int) (state duration.State, version int) {
+	return s.durations.estimator.State(queues), s.durations.observed
+}
+
+// LoadDurations adds what an earlier owner has learned about queues of which no task has
+// ended under this owner.
+func (s *Scheduler) LoadDurations(state duration.State, now time.Time) (err error) {
+	defer fault.Annotate(&err, "schedule: load durations")
+	return s.durations.estimator.Load(state, now)
+}
+
 // expectation is what a job's step is expected to take, and its finished tasks.
 type expectation struct {
 	siblings duration.Siblings
--- a/entry/event/event.go
+++ b/entry/event/event.go
@@ -65,6 +65,7 @@
 	RecordConflict     = Event{Number: 8310, Level: log.ErrorLevel, Text: "record changed by another writer; the term ends and the jobs are read again"}
 	LimitReached       = Event{Number: 8311, Level: log.InfoLevel, Text: "organisation has reached its limit; its tasks wait"}
 	LimitLeft          = Event{Number: 8312, Level: log.InfoLevel, Text: "tasks of an organisation no longer wait for its limit"}
+	DurationsInvalid   = Event{Number: 8313, Level: log.WarnLevel, Text: "stored run times cannot be read; they are learned again"}
 	RecordInvalid      = Event{Number: 8309, Level: log.ErrorLevel, Text: "stored record cannot be read"}
 )
 
--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -126,7 +126,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	components := []<-chan error{m.recordWriter.run(ctx), m.Directory.Follow(ctx, m.resetEndpoints, m.applyListChange), m.runWaves(ctx), m.runMoves(ctx), m.runEndpointRecording(ctx), m.runCleanup(ctx)}
+	components := []<-chan error{m.recordWriter.run(ctx), m.Directory.Follow(ctx, m.resetEndpoints, m.applyListChange), m.runWaves(ctx), m.runMoves(ctx), m.runEndpointRecording(ctx), m.runCleanup(ctx), m.runDurations(ctx)}
 	m.runPlanner(ctx)
 	cancel()
 	for ; m.ordersInFlight > 0; m.ordersInFlight-- {
