--- a/coordination/duration/history.go
+++ b/coordination/duration/history.go
@@ -160,7 +160,7 @@
 // predict returns the prediction for a task.
 func (q *queueHistory) predict(k Key, declared float64) (p prediction) {
 	declared = q.usableDeclared(declared)
-	p.base = q.at(k, q.level, q.exponent) + exponents[q.exponent]*declared
+	p.base = q.at(q.locationOf(k, q.level), q.exponent) + exponents[q.exponent]*declared
 	p.location, p.samples = p.base, q.runs
 	if k.Siblings != nil && k.Siblings.count > 0 && q.siblingGain >= 0 {
 		p.siblings = true
@@ -177,11 +177,11 @@
 	return declared
 }
 
-// at returns the mean of the task's key in a level. The mean of the queue counts like
-// keyPrior runs of the key, and alone if the key has fewer than minKeyRuns.
-func (q *queueHistory) at(k Key, l level, exponent int) (mean float64) {
+// at returns the mean of a location of the queue. The mean of the queue counts like keyPrior
+// runs of a key.
+func (q *queueHistory) at(own *location, exponent int) (mean float64) {
 	mean = q.all.means[exponent]
-	if own := q.locationOf(k, l); own != &q.all {
+	if own != &q.all {
 		return (own.means[exponent]*own.weight + mean*keyPrior) / (own.weight + keyPrior)
 	}
 	return mean
@@ -262,8 +262,9 @@
 	declared = q.usableDeclared(declared)
 	weight := max(errorWeight, 1/float64(q.runs))
 	for l := range levelCount {
+		own := q.locationOf(k, l)
 		for i, x := range exponents {
-			residual := took - x*declared - q.at(k, l, i)
+			residual := took - x*declared - q.at(own, i)
 			q.errors[l][i] += weight * (math.Abs(bounded(residual, 3*maxResidual)) - q.errors[l][i])
 		}
 	}
--- a/coordination/schedule/bench_test.go
+++ b/coordination/schedule/bench_test.go
@@ -12,17 +12,28 @@
 // BenchmarkBurst measures the scheduler's time per task in a burst in one pool, with
 // as many endpoints as in the largest deployments.
 func BenchmarkBurst(b *testing.B) {
-	benchmarkScheduler(b, 0)
+	benchmarkScheduler(b, 0, false)
 }
 
 // BenchmarkBacklog is BenchmarkFlood with 1,000 waiting jobs.
 func BenchmarkBacklog(b *testing.B) {
-	benchmarkScheduler(b, 1000)
+	benchmarkScheduler(b, 1000, false)
 }
 
-func benchmarkScheduler(b *testing.B, backlog int) {
+// BenchmarkBurstMeanDurations is BenchmarkBurst without learned durations.
+func BenchmarkBurstMeanDurations(b *testing.B) {
+	benchmarkScheduler(b, 0, true)
+}
+
+// BenchmarkBacklogMeanDurations is BenchmarkBacklog without learned durations.
+func BenchmarkBacklogMeanDurations(b *testing.B) {
+	benchmarkScheduler(b, 1000, true)
+}
+
+func benchmarkScheduler(b *testing.B, backlog int, meanDurations bool) {
 	b.Helper()
 	s := &Scheduler{Settings: testSettings}
+	s.Settings.MeanDurations = meanDurations
 	now := time.UnixMilli(1_700_000_000_000)
 	var listed []Endpoint
 	for i := range 349 {
