--- a/coordination/schedule/durationlag.go
+++ b/coordination/schedule/durationlag.go
@@ -8,9 +8,11 @@
 
 // Thresholds for lagging runs with learned durations.
 const (
-	// lagQuantile is the quantile of the duration that a run has to exceed before it counts
-	// as lagging.
-	lagQuantile = 0.95
+	// lagQuantile is the quantile of the duration that a run has to exceed by its progress so
+	// that it counts as lagging. Its progress says enough once the run has lasted as long as
+	// half of the runs, at progressQuantile.
+	lagQuantile      = 0.95
+	progressQuantile = 0.5
 	// minLagRuns is how many runs of the queue have to be known.
 	minLagRuns = 8
 	// stallSteps is the number of percent that a run would have progressed, at its speed so
@@ -37,13 +39,13 @@
 	return (r.faster + restartPrior) / (r.all + 2*restartPrior)
 }
 
-// wouldEndEarlier reports whether a new run of the task, with its start, is expected to end
-// before a run that takes longer than almost all others.
+// wouldEndEarlier reports whether a run will take longer than almost all others, and a new
+// run of the task, with its start, is expected to end earlier.
 func (s *Scheduler) wouldEndEarlier(r *run, now time.Time) bool {
 	t := r.task
 	d := s.distribution(t.job, t.step)
 	elapsed := now.Sub(r.startedAt)
-	if d.Samples() < minLagRuns || r.progressPercent >= completePercent || elapsed <= d.Quantile(lagQuantile) {
+	if d.Samples() < minLagRuns || r.progressPercent >= completePercent || elapsed < d.Quantile(progressQuantile) {
 		return false
 	}
 	if r.stalled(now) {
@@ -56,7 +58,7 @@
 		p := s.durations.restarts[t.job.Queue].probability()
 		fresh = time.Duration(p*float64(fresh)+(1-p)*float64(elapsed+remaining)) + s.Settings.StopTimeout
 	}
-	if remaining <= fresh {
+	if remaining <= fresh || elapsed+remaining <= d.Quantile(lagQuantile) {
 		return false
 	}
 	t.projected = elapsed + remaining
