--- a/entry/manager/durations.go
+++ b/entry/manager/durations.go
@@ -105,4 +105,3 @@
 	}
 	return version, nil
 }
-
