--- a/coordination/schedule/balance.go
+++ b/coordination/schedule/balance.go
@@ -65,7 +65,7 @@
 	}
 	work := 0.0
 	for i := range j.Steps {
-		work += s.expected(j, &j.Steps[i]) * float64(j.Steps[i].CPU) * float64(j.Steps[i].Count)
+		work += s.meanDuration(j, &j.Steps[i]) * float64(j.Steps[i].CPU) * float64(j.Steps[i].Count)
 	}
 	if s.firstArrivalAt.IsZero() {
 		s.firstArrivalAt = now
--- a/coordination/schedule/duration.go
+++ b/coordination/schedule/duration.go
@@ -8,8 +8,8 @@
 	"github.com/azurepoint/azurepoint/coordination/job"
 )
 
-// durationEstimate is a moving average of the durations of the tasks of a queue. It is used
-// with Settings.MeanDurations.
+// durationEstimate is a moving average of the durations of the tasks of a queue. The sizes of
+// pools follow it, and everything else with Settings.MeanDurations.
 type durationEstimate struct {
 	mean  float64
 	count int
@@ -61,10 +61,7 @@
 // if no task of the queue has ended yet.
 func (s *Scheduler) expected(j *jobState, st *job.Step) float64 {
 	if s.Settings.MeanDurations {
-		if d := s.durationEstimates[j.Queue]; d != nil {
-			return d.mean
-		}
-		return float64(max(st.EstimateMillis, 1))
+		return s.meanDuration(j, st)
 	}
 	x := j.expectation(st)
 	if x == nil {
@@ -76,6 +73,15 @@
 	return x.mean
 }
 
+// meanDuration returns the moving average of the durations of the job's queue in
+// milliseconds, or the declared duration if no task of the queue has ended yet.
+func (s *Scheduler) meanDuration(j *jobState, st *job.Step) float64 {
+	if d := s.durationEstimates[j.Queue]; d != nil {
+		return d.mean
+	}
+	return float64(max(st.EstimateMillis, 1))
+}
+
 // expectedQuantile returns the duration in milliseconds that a task of the step does not
 // exceed with probability q. With Settings.MeanDurations it is the expected duration.
 func (s *Scheduler) expectedQuantile(j *jobState, st *job.Step, q float64) float64 {
@@ -132,8 +138,8 @@
 
 // updateDurationEstimate learns from a run that is done.
 func (s *Scheduler) updateDurationEstimate(r *run, now time.Time) {
+	s.updateMeanDuration(r, now)
 	if s.Settings.MeanDurations {
-		s.updateMeanDuration(r, now)
 		return
 	}
 	t := r.task
