--- a/entry/event/event.go
+++ b/entry/event/event.go
@@ -66,6 +66,7 @@
 	LimitReached       = Event{Number: 8311, Level: log.InfoLevel, Text: "organisation has reached its limit; its tasks wait"}
 	LimitLeft          = Event{Number: 8312, Level: log.InfoLevel, Text: "tasks of an organisation no longer wait for its limit"}
 	GangAboveLimit     = Event{Number: 8313, Level: log.WarnLevel, Text: "gang is larger than the limit of its organisation; it waits for a higher limit"}
+	DurationsInvalid   = Event{Number: 8314, Level: log.WarnLevel, Text: "stored run times cannot be read; they are learned again"}
 	RecordInvalid      = Event{Number: 8309, Level: log.ErrorLevel, Text: "stored record cannot be read"}
 )
 
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -138,10 +138,10 @@
 		Settings: n.managerSettings(), Store: n.Store, Endpoints: n.Endpoints, Directory: n.Directory, Machines: n.Machines, Reports: n.Reports, Holder: n.Name,
 		Pools: n.pools, Organisations: n.organisations,
 		Term: manager.Term{
-			Owner:      store.Condition{Key: manager.OwnerKey, Revision: t.revision},
-			Number:     t.number,
-			Confirmed:  func() bool { return n.ownership.confirmed(t) },
-			Lost:       t.end,
+			Owner:     store.Condition{Key: manager.OwnerKey, Revision: t.revision},
+			Number:    t.number,
+			Confirmed: func() bool { return n.ownership.confirmed(t) },
+			Lost:      t.end,
 		},
 	}
 	m.Init()
