--- a/entry/manager/organisations_test.go
+++ b/entry/manager/organisations_test.go
@@ -18,7 +18,7 @@
 func newOrganisationManager(organisations int) (m *Manager, terms []organisation.Terms) {
 	m = &Manager{Term: Term{Number: 1, Confirmed: func() bool { return true }, Lost: func() {}}}
 	m.scheduler.OnOrganisationLimit = logOrganisationLimit
-	m.scheduler.Settings = m.Settings.schedulerSettings(1, time.Second)
+	m.scheduler.Settings = m.Settings.schedulerSettings(1)
 	now := time.Now()
 	m.scheduler.SetEndpoints([]schedule.Endpoint{{ID: "e", Pool: "p", Capacity: job.Capacity{CPU: 100_000}}}, now)
 	m.scheduler.ApplyReport("e", schedule.Report{SentAt: now, ReceivedAt: now, Incarnation: 1})
