Check a configuration of queues, pools and organisations before it takes effect

Cause: operators saw a shadowed prefix, a queue without a pool, or a limit that admits no task only from requests that failed or jobs that waited.

The decisions are in coordination/check.

--- a/azurepoint/internal/cli/cli.go
+++ b/azurepoint/internal/cli/cli.go
@@ -39,6 +39,9 @@
 	if o.Explain != nil {
 		return explain(o.Explain, stdin, p)
 	}
+	if o.Check != nil {
+		return checkFile(o.Check, p)
+	}
 	secret, err := readFile(o.SecretFile)
 	if err != nil {
 		return p.reportError(ExitUsage, err)
--- a/azurepoint/internal/cli/options.go
+++ b/azurepoint/internal/cli/options.go
@@ -50,6 +50,7 @@
 	Run     *runCommand     `arg:"subcommand:run" help:"run statements, separated by ';' or new lines"`
 	Change  *changeCommand  `arg:"subcommand:change" help:"tell what became of a change"`
 	Explain *explainCommand `arg:"subcommand:explain" help:"tell the story of a job from the logs of entries"`
+	Check   *checkCommand   `arg:"subcommand:check" help:"find the faults of a configuration of queues, pools and organisations"`
 	Dump    *struct{}       `arg:"subcommand:dump" help:"print the state of the entry"`
 	Metrics *struct{}       `arg:"subcommand:metrics" help:"print the metrics of the entry"`
 	Show    *statementWords `arg:"subcommand:show" help:"ask: pools, members, instances, waves, versions, usage, movable, drainable, change"`
@@ -101,8 +102,8 @@
 }
 
 func (o *options) validate() (err error) {
-	if o.Explain != nil {
-		// Explain reads log files and needs neither an address nor a secret.
+	if o.Explain != nil || o.Check != nil {
+		// These read files and need neither an address nor a secret.
 		return nil
 	}
 	if _, err = netip.ParseAddrPort(o.Address); err != nil {
--- /dev/null
+++ b/coordination/check/configuration.go
@@ -0,0 +1,138 @@
+package check
+
+import (
+	"github.com/go-faster/errors"
+
+	"github.com/azurepoint/azurepoint/coordination/job"
+	"github.com/azurepoint/azurepoint/coordination/organisation"
+)
+
+// Severity says whether a fault keeps a configuration from being used.
+type Severity string
+
+// Severities of faults.
+const (
+	// Error marks a configuration that does not do what it says.
+	Error Severity = "error"
+	// Warning marks an entry that is allowed and unlikely to be meant.
+	Warning Severity = "warning"
+)
+
+// Fault is one fault of a configuration file.
+type Fault struct {
+	Severity Severity `json:"severity"`
+	Line     int      `json:"line"`
+	// Key is the path of the entry, such as organisations[3].limit.cpu.
+	Key  string `json:"key"`
+	Text string `json:"text"`
+}
+
+// Queue is a queue of a configuration.
+type Queue struct {
+	Name, Host, Prefix, Pool string
+	AllowAnonymous           bool
+	Objective                job.Objective
+	// Task is the size of the queue's usual task, and Gang how many start together.
+	Task job.Capacity
+	Gang int
+
+	place *value
+}
+
+// Pool is a pool of a configuration.
+type Pool struct {
+	Name                    string
+	EnforcesCapacity, Spare bool
+	// Capacity is what all its endpoints have together; zero if it is not given.
+	Capacity job.Capacity
+
+	place *value
+}
+
+// Organisation is an organisation of a configuration.
+type Organisation struct {
+	Terms organisation.Terms
+	Keys  []string
+
+	place *value
+}
+
+// Configuration is a configuration file.
+type Configuration struct {
+	Version       int
+	Queues        []Queue
+	Pools         []Pool
+	Organisations []Organisation
+
+	place *value
+}
+
+// Parse reads a configuration file and returns all its faults of form. The error says that the
+// file is no JSON at all.
+func Parse(text []byte) (c *Configuration, faults []Fault, err error) {
+	d := &document{source: text}
+	root, err := d.parse()
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "check")
+	}
+	c = &Configuration{place: root}
+	if !d.object(root, "version", "queues", "pools", "organisations") {
+		return c, d.faults, nil
+	}
+	c.Version = d.integer(root, "version")
+	for _, v := range d.list(root, "queues") {
+		if d.object(v, "name", "host", "prefix", "pool", "allowAnonymous", "priority", "maxAttempts", "stretch", "targetMillis", "task") {
+			c.Queues = append(c.Queues, d.queue(v))
+		}
+	}
+	for _, v := range d.list(root, "pools") {
+		if d.object(v, "name", "enforcesCapacity", "spare", "capacity") {
+			c.Pools = append(c.Pools, Pool{
+				Name: d.text(v, "name"), EnforcesCapacity: d.flag(v, "enforcesCapacity"), Spare: d.flag(v, "spare"),
+				Capacity: d.capacity(v, "capacity"), place: v,
+			})
+		}
+	}
+	for _, v := range d.list(root, "organisations") {
+		if d.object(v, "name", "keys", "weight", "limit") {
+			c.Organisations = append(c.Organisations, d.organisation(v))
+		}
+	}
+	return c, d.faults, nil
+}
+
+func (d *document) queue(v *value) (q Queue) {
+	q = Queue{
+		Name: d.text(v, "name"), Host: d.text(v, "host"), Prefix: d.text(v, "prefix"), Pool: d.text(v, "pool"),
+		AllowAnonymous: d.flag(v, "allowAnonymous"), Task: d.capacity(v, "task", "gang"), place: v,
+		Objective: job.Objective{
+			Priority: d.integer(v, "priority"), MaxAttempts: d.integer(v, "maxAttempts"), Stretch: d.number(v, "stretch"),
+			TargetMillis: int64(d.integer(v, "targetMillis")),
+		},
+	}
+	if task := v.fields["task"]; task != nil && task.fields != nil {
+		q.Gang = d.integer(task, "gang")
+	}
+	return q
+}
+
+func (d *document) organisation(v *value) (o Organisation) {
+	o = Organisation{place: v, Terms: organisation.Terms{Name: d.text(v, "name"), Weight: d.number(v, "weight"), Limit: d.capacity(v, "limit")}}
+	for _, key := range d.list(v, "keys") {
+		text, valid := key.scalar.(string)
+		if !valid || text == "" {
+			d.reportf(key, Error, "is not a key")
+			continue
+		}
+		o.Keys = append(o.Keys, text)
+	}
+	return o
+}
+
+func (d *document) capacity(v *value, name string, others ...string) (c job.Capacity) {
+	field := v.fields[name]
+	if field == nil || !d.object(field, append(others, "cpu", "memoryMb", "gpu")...) {
+		return job.Capacity{}
+	}
+	return job.Capacity{CPU: d.integer(field, "cpu"), MemoryMB: d.integer(field, "memoryMb"), GPU: d.integer(field, "gpu")}
+}
--- a/coordination/schedule/division.go
+++ b/coordination/schedule/division.go
@@ -50,6 +50,26 @@
 	return true
 }
 
+// visit calls plan for each job in the order of the ranking, and again at the end of each class
+// for those of which a start was withheld, so that nothing is left unused.
+func (r *jobRanking) visit(c *candidates, plan func(*jobState)) {
+	var withheld []*jobState
+	for i, j := range r.jobs {
+		c.division, c.withheld = r.division, false
+		plan(j)
+		if c.withheld {
+			withheld = append(withheld, j)
+		}
+		if i+1 == len(r.jobs) || !sameClass(j, r.jobs[i+1]) {
+			c.division = organisation.Division{}
+			for _, w := range withheld {
+				plan(w)
+			}
+			withheld = nil
+		}
+	}
+}
+
 // wanted returns what the tasks take whose turn has come.
 func (j *jobState) wanted(wall time.Time) (c Capacity) {
 	for _, o := range j.occurrences {
--- a/coordination/schedule/plan.go
+++ b/coordination/schedule/plan.go
@@ -61,27 +61,11 @@
 	}
 	c := &candidates{endpoints: endpoints}
 	c.updateMaxFree()
-	ranking := s.rankedJobs(pool, jobs, now, wall)
-	var withheld []*jobState
-	plan := func(j *jobState) {
+	s.rankedJobs(pool, jobs, now, wall).visit(c, func(j *jobState) {
 		if !j.state.Terminal() {
 			orders = append(orders, s.planJob(j, c, !j.inherited || inheritedLeasesExpired, now, wall)...)
 		}
-	}
-	for i, j := range ranking.jobs {
-		c.division, c.withheld = ranking.division, false
-		plan(j)
-		if c.withheld {
-			withheld = append(withheld, j)
-		}
-		if i+1 == len(ranking.jobs) || !sameClass(j, ranking.jobs[i+1]) {
-			c.division = organisation.Division{}
-			for _, w := range withheld {
-				plan(w)
-			}
-			withheld = nil
-		}
-	}
+	})
 	return orders
 }
 
