End shares and estimates when a configuration has no organisations any more

Cause: jobs kept the mark of an organisation above its share after the last organisation was removed.

Change: the marks and the estimate of unseen runs are cleared.

Result: TestOrganisationsRemoved and the other tests of coordination/schedule pass.

--- a/coordination/schedule/division.go
+++ b/coordination/schedule/division.go
@@ -12,6 +12,9 @@
 // Jobs without an organisation together count as one.
 func (s *Scheduler) dividePool(pool string, jobs map[string]*jobState, wall time.Time) (d organisation.Division) {
 	if !s.organisations.ledger.Active() {
+		for _, j := range jobs {
+			j.overShare = false
+		}
 		return organisation.Division{}
 	}
 	var capacity Capacity
--- a/coordination/schedule/organisation_test.go
+++ b/coordination/schedule/organisation_test.go
@@ -481,6 +481,24 @@
 	}
 }
 
+// A configuration that has no organisations any more ends limits and shares at once.
+func TestOrganisationsRemoved(t *testing.T) {
+	l := newLoad(t, 1, organisation.Terms{Name: "a", Limit: job.Capacity{CPU: 4000}}, organisation.Terms{Name: "b", Weight: 1})
+	l.jobs = map[string]int{"a": 20, "b": 20}
+	l.play(2 * time.Second)
+	l.s.SetOrganisations(nil)
+	l.jobs["b"] = 0
+	l.play(8 * time.Second)
+	if l.most["a"] != 8000 || len(l.s.organisations.held) > 0 {
+		t.Errorf("ran %d at most with holds %v, want the whole pool and none", l.most["a"], l.s.organisations.held)
+	}
+	for _, j := range l.s.activeJobs["p"] {
+		if j.overShare {
+			t.Fatalf("job %s is above a share", j.ID)
+		}
+	}
+}
+
 // A timed job whose occurrences are still to come wants nothing of the pool.
 func TestFutureOccurrencesAreNotWanted(t *testing.T) {
 	l := newLoad(t, 1, organisation.Terms{Name: "a"}, organisation.Terms{Name: "b"})
--- a/coordination/schedule/unseen.go
+++ b/coordination/schedule/unseen.go
@@ -21,7 +21,11 @@
 // because an endpoint that has reported executes no order of an earlier owner any more.
 func (s *Scheduler) updateUnseen(now, wall time.Time) {
 	o := &s.organisations
-	if !o.ledger.Active() || now.Sub(o.unseenAt) < unseenRefreshInterval && !o.unseenAt.IsZero() {
+	if !o.ledger.Active() {
+		o.unseen, o.unseenAt = nil, time.Time{}
+		return
+	}
+	if now.Sub(o.unseenAt) < unseenRefreshInterval && !o.unseenAt.IsZero() {
 		return
 	}
 	o.unseenAt, o.unseen = now, nil
