Let jobs that have started go on beside shares

Cause: within a plan, an organisation at its share waited also with jobs that it had begun, so that under overload many jobs were begun and all ended late.

Change: a job that has started and needs at most a twentieth of its pool does not wait for the shares of others. New jobs are held back as before.

--- a/coordination/schedule/division.go
+++ b/coordination/schedule/division.go
@@ -7,6 +7,11 @@
 	"github.com/azurepoint/azurepoint/coordination/organisation"
 )
 
+// finishingPart is the part of a pool, as its inverse, up to which a started job may take what
+// it needs to finish, whatever its organisation has: many jobs that are begun and wait would
+// all end late.
+const finishingPart = 20
+
 // dividePool returns how the pool is divided among organisations, and marks the jobs of those
 // that have more than their share. Long-running tasks take no part in it: they start first.
 // Jobs without an organisation together count as one.
@@ -33,12 +38,14 @@
 		if !counted {
 			u.Running = s.organisations.pools[poolUser{pool, j.Organisation}]
 		}
-		u.Wanted = u.Wanted.Plus(j.wanted(wall))
+		wanted := j.wanted(wall)
+		j.finishing = j.started && capacity.CanFit(wanted.Times(finishingPart))
+		u.Wanted = u.Wanted.Plus(wanted)
 		uses[j.Organisation] = u
 	}
 	d = s.organisations.ledger.Divide(capacity, uses)
 	for _, j := range jobs {
-		j.overShare = !j.longRunning() && d.Exceeded(j.Organisation, uses[j.Organisation].Running)
+		j.overShare = !j.longRunning() && !j.finishing && d.Exceeded(j.Organisation, uses[j.Organisation].Running)
 	}
 	return d
 }
@@ -46,7 +53,7 @@
 // withholds reports whether a job has to wait until the organisations that have less than
 // their share have had their turn.
 func (s *Scheduler) withholds(c *candidates, j *jobState) bool {
-	if j.longRunning() || !c.division.Reached(j.Organisation, s.organisations.pools[poolUser{j.Pool, j.Organisation}]) {
+	if j.longRunning() || j.finishing || !c.division.Reached(j.Organisation, s.organisations.pools[poolUser{j.Pool, j.Organisation}]) {
 		return false
 	}
 	c.withheld = true
--- a/coordination/schedule/organisation_test.go
+++ b/coordination/schedule/organisation_test.go
@@ -526,3 +526,28 @@
 		t.Errorf("%d uses, want 1", len(uses))
 	}
 }
+
+// A job that has begun goes on although its organisation has its share: many jobs that are
+// begun and wait would all end late.
+func TestStartedJobGoesOnAboveShare(t *testing.T) {
+	l := newLoad(t, 4, organisation.Terms{Name: "a", Weight: 1}, organisation.Terms{Name: "b", Weight: 1})
+	r := newRecord("begun", job.Step{Count: 1, CPU: 1000, EstimateMillis: 400})
+	r.Steps = append(r.Steps, job.Step{Count: 1, CPU: 1000, EstimateMillis: 400, DependsOn: []int{0}})
+	r.Organisation, r.AcceptedAt = "a", l.now.UnixMilli()
+	l.s.AddJob(r, l.now)
+	l.planAndAccept()
+	l.submit("running", "a", job.Step{Count: 16, CPU: 1000, EstimateMillis: 400})
+	l.planAndAccept()
+	for i := range 10 {
+		l.submit(fmt.Sprintf("b%d", i), "b", job.Step{Count: 2, CPU: 1000, EstimateMillis: 1})
+	}
+	l.planAndAccept()
+	for _, e := range l.endpoints {
+		l.endRun(e, firstTask("begun"), EndDone)
+		l.sendReport(e)
+	}
+	starts := l.startOrders(l.planAndAccept())
+	if len(starts) != 1 || starts[0].Job != "begun" {
+		t.Errorf("starts %v, want the second step of the job that has begun", starts)
+	}
+}
--- a/coordination/schedule/task.go
+++ b/coordination/schedule/task.go
@@ -166,6 +166,9 @@
 	lateness      int
 	// overShare is set if the job's organisation has more of the full pool than its share.
 	overShare bool
+	// finishing is set if the job has started and needs little of the pool to go on, so that
+	// it does not wait for the shares of others.
+	finishing bool
 }
 
 func newJobState(r job.Record, now time.Time) *jobState {
