Give runs up only if a new run is expected to end earlier

Cause: the last change also gave up long runs of jobs that can afford it, so that endpoints become free to move.

Change: that rule is gone.

--- a/coordination/schedule/durationlag.go
+++ b/coordination/schedule/durationlag.go
@@ -53,42 +53,21 @@
 	}
 	remaining := r.remaining(d, now)
 	projected, fresh := elapsed+remaining, d.Mean()
-	if projected <= d.Quantile(lagQuantile) || remaining <= fresh {
+	if projected <= d.Quantile(lagQuantile) {
 		return false
 	}
 	// A second run beside the first one loses none of its work.
 	if !t.step.AllowDuplicates {
 		p := s.durations.restarts[t.job.Queue].probability()
-		expected := time.Duration(p*float64(fresh)+(1-p)*float64(projected)) + s.Settings.StopTimeout
-		if remaining <= expected && (remaining <= elapsed || !s.canRepeat(r, projected, now)) {
-			return false
-		}
+		fresh = time.Duration(p*float64(fresh)+(1-p)*float64(projected)) + s.Settings.StopTimeout
+	}
+	if remaining <= fresh {
+		return false
 	}
 	t.projected = projected
 	return true
 }
 
-// canRepeat reports whether the job still meets its objective if a new run takes as long as
-// this one is projected to take. A long run keeps its endpoint from moving to another pool
-// after the other runs there have ended; a new run joins other runs.
-func (s *Scheduler) canRepeat(r *run, projected time.Duration, now time.Time) bool {
-	t := r.task
-	j := t.job
-	total, left := 0.0, 0.0
-	for _, st := range j.occurrences[t.ref.Occurrence].steps {
-		took := s.expected(j, st.step)
-		if st.index == t.ref.Step {
-			took = millis(projected)
-		}
-		total += took
-		if !st.complete() {
-			left += took
-		}
-	}
-	age := millis(now.Sub(j.acceptedAt) + s.Settings.StopTimeout)
-	return t.ref.Occurrence == 0 && age+left <= j.Stretch*total+float64(j.TargetMillis)
-}
-
 // stalled reports whether the run shows no progress although it should have by its progress
 // so far.
 func (r *run) stalled(now time.Time) bool {
