Mend the check of keys, and test it without a network

Cause: a review of the check of keys found requests and jobs that pass it wrongly. Views were up to two intervals of a fifth of the bound old, so that an entry could close at 0.58 of the bound after a loss, and each view was old enough for a recheck before its next answer, without a fault. A removed or older configuration was confirmed. A change of the bound by SIGHUP reached neither the wait of the watch nor the recheck. A submission under the identifier of another organisation's job was accepted while that job was being created, and where only the store knew the job; its cancellation could cancel that job. A job that was stored before the entries identified callers was refused to its caller's next attempt. The removal of the last organisation opened all queues. An entry whose view is too old said it was ready. A refused submission took from the organisation's rate.

Change: the freshness of the view is read before the configuration. Views are confirmed each sixth of the bound, read again from two fifths of it, and the first watch after a failure answers at once. Removed and older configurations are not confirmed. The settings are read when they are used. Submissions compare organisations at each place that finds a job. Keys stay needed without organisations where removed keys are bounded. An entry is not ready while its view is too old. The rate is taken when a job is created.

--- a/coordination/access/doc.go
+++ b/coordination/access/doc.go
@@ -14,6 +14,7 @@
 // suspended process notices on waking how old its view is.
 //
 // The bound of an entry that has lost its source counts from the last call before the
-// loss. Views are confirmed every fifth of the bound, so that callers are served for at
-// least three fifths of it after a loss.
+// loss, which was sent up to two intervals between confirmations before. The interval is a
+// sixth of the bound, so that callers are served for at least three fifths of it after a
+// loss.
 package access
--- a/coordination/access/view.go
+++ b/coordination/access/view.go
@@ -6,11 +6,13 @@
 )
 
 const (
-	// confirmDivisor divides the bound into the interval at which a view is confirmed.
-	confirmDivisor = 5
-	// recheckDivisor divides the bound into the age from which a view that no watch has
-	// confirmed is confirmed by a read of its own.
-	recheckDivisor = 3
+	// confirmDivisor divides the bound into the interval at which a view is confirmed. An
+	// answer confirms a view as of when its call was sent, one interval before, so that a
+	// view is up to two intervals old.
+	confirmDivisor = 6
+	// recheckPercent is the part of the bound from which a view that no watch has confirmed
+	// is confirmed by a read of its own. It exceeds two intervals and an answer's delay.
+	recheckPercent = 40
 	// maxClockRatio is the highest ratio of a duration on the operators' clock to the same
 	// one on the clock of an entry, which may be slow.
 	maxClockRatio = 1.02
@@ -39,7 +41,7 @@
 // RecheckAge returns the age from which a view is confirmed by a read of its own, because
 // the answer to its watch is late; 0 means never.
 func (p Policy) RecheckAge() time.Duration {
-	return p.RevokeWithin / recheckDivisor
+	return p.RevokeWithin * recheckPercent / 100
 }
 
 // Verdict is how a request is answered.
@@ -80,26 +82,41 @@
 	}
 }
 
-// Age returns how old the view may be at a time since boot; known is false for a view that
-// was never confirmed.
-func (v *View) Age(now time.Duration) (age time.Duration, known bool) {
+// Freshness is how recent a view is at a moment. The zero value belongs to a view that was
+// never confirmed.
+type Freshness struct {
+	// Age is how long ago the call was sent that confirmed the view.
+	Age       time.Duration
+	Confirmed bool
+}
+
+// Freshness returns how recent the view is at a time since boot.
+func (v *View) Freshness(now time.Duration) Freshness {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return now - v.confirmedAt, v.confirmed
+	if !v.confirmed {
+		return Freshness{}
+	}
+	return Freshness{Age: now - v.confirmedAt, Confirmed: true}
+}
+
+// TooOld reports whether requests with keys are not served by a view.
+func (p Policy) TooOld(f Freshness) bool {
+	return p.RevokeWithin > 0 && (!f.Confirmed || f.Age > p.MaxAge())
 }
 
 // Decide returns the verdict on a request that needs a key, given whether the view holds
-// its key. A key that the view lacks may have been added since, so that it is only refused
-// by a view that was confirmed when it had to be.
-func (v *View) Decide(p Policy, keyKnown bool, now time.Duration) Verdict {
-	age, confirmed := v.Age(now)
-	limit := p.MaxAge()
+// its key. The freshness must have been read before the key was looked up: a configuration
+// that is replaced in between would otherwise pass for the one that was confirmed. A key
+// that the view lacks may have been added since, so that it is only refused by a view that
+// was confirmed when it had to be.
+func (p Policy) Decide(f Freshness, keyKnown bool) Verdict {
 	switch {
-	case limit > 0 && (!confirmed || age > limit):
+	case p.TooOld(f):
 		return Unconfirmed
 	case keyKnown:
 		return Allowed
-	case limit > 0 && age > p.RecheckAge()+p.ConfirmInterval():
+	case p.RevokeWithin > 0 && f.Age > p.RecheckAge()+p.ConfirmInterval():
 		return Unconfirmed
 	default:
 		return Unauthorised
@@ -107,13 +124,13 @@
 }
 
 // Transition reports whether the view has become too old since the last call, or recent
-// enough again, with its age.
-func (v *View) Transition(p Policy, now time.Duration) (changed, closed bool, age time.Duration) {
-	age, confirmed := v.Age(now)
-	closed = p.MaxAge() > 0 && (!confirmed || age > p.MaxAge())
+// enough again, with its freshness.
+func (v *View) Transition(p Policy, now time.Duration) (changed, closed bool, f Freshness) {
+	f = v.Freshness(now)
+	closed = p.TooOld(f)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	changed = closed != v.closed
 	v.closed = closed
-	return changed, closed, age
+	return changed, closed, f
 }
--- a/coordination/job/caller.go
+++ b/coordination/job/caller.go
@@ -9,6 +9,13 @@
 	Identified bool
 }
 
+// MayBeSameJob reports whether two submissions with one identifier may be of the same job,
+// given their organisations. One without an organisation may have been sent before the
+// entries identified callers.
+func MayBeSameJob(organisation, other string) bool {
+	return organisation == "" || other == "" || organisation == other
+}
+
 // MaySee reports whether the caller may ask about a job of an organisation. A job without
 // an organisation is open to all callers.
 func (c Caller) MaySee(organisation string) bool {
--- a/entry/manager/recordwriter.go
+++ b/entry/manager/recordwriter.go
@@ -42,6 +42,9 @@
 	refuseAfter = 450 * time.Millisecond
 )
 
+// errOtherOrganisation means that the identifier of a submission is in use.
+var errOtherOrganisation = errors.New("another organisation's job has this identifier")
+
 // Outcome is the result of a job submission.
 type Outcome int
 
@@ -126,6 +129,9 @@
 	rw.mu.Lock()
 	defer rw.mu.Unlock()
 	if c, waiting := rw.creations[r.ID]; waiting {
+		if !job.MayBeSameJob(c.organisation, r.Organisation) {
+			return nil, errOtherOrganisation
+		}
 		return c, nil
 	}
 	value, err := r.Encode()
@@ -314,10 +320,8 @@
 			remaining = append(remaining, w)
 		case bytes.Equal(item.Value, w.value):
 			rw.markStored(w, item.Revision)
-		case w.creation != nil && rw.exists(item, rw.isCancelled(w.creation)):
-			rw.finishCreation(w, Accepted)
 		case w.creation != nil:
-			rw.finishCreation(w, Unsettled)
+			rw.finishCreation(w, rw.adoptExisting(w, item))
 		default:
 			// Only the owner replaces records, and a record has one write at a time. The
 			// next term reads what holds.
@@ -329,6 +333,21 @@
 	return remaining
 }
 
+// adoptExisting passes on a job that is already stored under the identifier of a creation,
+// and returns the outcome of the creation.
+func (rw *recordWriter) adoptExisting(w *recordWrite, item store.Item) Outcome {
+	r, err := job.Decode(item.Value, item.Revision)
+	other := err == nil && !job.MayBeSameJob(r.Organisation, w.creation.organisation)
+	switch {
+	case !rw.exists(item, !other && rw.isCancelled(w.creation)):
+		return Unsettled
+	case other:
+		return Refused
+	default:
+		return Accepted
+	}
+}
+
 func (rw *recordWriter) markStored(w *recordWrite, revision int64) {
 	if w.creation == nil {
 		rw.stored(w.Write, revision)
--- a/entry/manager/submit.go
+++ b/entry/manager/submit.go
@@ -36,17 +36,14 @@
 func (m *Manager) Submit(ctx context.Context, j job.Job, until time.Time) (r Reply) {
 	m.mu.Lock()
 	loaded, known, active := m.loaded, m.scheduler.HasJob(j.ID), m.scheduler.CountActiveJobs()
-	other := known && m.scheduler.JobOrganisation(j.ID) != j.Organisation
+	other := known && !job.MayBeSameJob(m.scheduler.JobOrganisation(j.ID), j.Organisation)
 	mayRun := m.scheduler.CanEverStart(&j)
-	if loaded && !known && mayRun {
-		j.Surplus = !m.scheduler.TakeRate(j.Organisation, time.Now())
-	}
 	m.mu.Unlock()
 	switch {
 	case !loaded:
 		return Reply{Outcome: NotOwner, Reason: "the jobs are being loaded"}
 	case other:
-		return Reply{Outcome: Refused, RetryAfter: refusedRetryDelay, Reason: "another organisation's job has this identifier"}
+		return Reply{Outcome: Refused, RetryAfter: refusedRetryDelay, Reason: errOtherOrganisation.Error()}
 	case known:
 		return Reply{Outcome: Accepted}
 	case !mayRun:
@@ -58,9 +55,12 @@
 	case active >= maxActiveJobs:
 		return Reply{Outcome: Refused, RetryAfter: refusedRetryDelay, Reason: "too many jobs"}
 	}
+	m.mu.Lock()
+	j.Surplus = !m.scheduler.TakeRate(j.Organisation, time.Now())
+	m.mu.Unlock()
 	c, err := m.recordWriter.create(job.Record{Job: j, State: job.Queued}, until)
 	if err != nil {
-		return Reply{Outcome: Refused, Reason: err.Error()}
+		return Reply{Outcome: Refused, RetryAfter: refusedRetryDelay, Reason: err.Error()}
 	}
 	select {
 	case <-c.done:
--- a/entry/node/access.go
+++ b/entry/node/access.go
@@ -60,13 +60,16 @@
 
 // Admit finds the queue of a request and the organisation of its key.
 func (n *Node) Admit(host, path, key string) (a Admission) {
+	// Read first: see access.Policy.Decide.
+	freshness := n.view.Freshness(bootTime())
+	policy := n.AccessPolicy()
 	c := n.configuration.Load()
 	if c == nil {
 		return Admission{}
 	}
 	a.Configured = true
 	a.Queue, a.Found = c.QueueFor(host, path)
-	if !a.Found || len(c.Organisations) == 0 {
+	if !a.Found || !c.needsKeys(policy) {
 		return a
 	}
 	a.Caller.Identified = true
@@ -74,7 +77,7 @@
 		return a
 	}
 	name, known := c.organisationByKey[key]
-	a.Verdict = n.view.Decide(n.accessPolicy(), known, bootTime())
+	a.Verdict = policy.Decide(freshness, known)
 	switch a.Verdict {
 	case access.Allowed:
 		a.Caller.Organisation = name
@@ -97,10 +100,9 @@
 	n.view.Confirm(sentAt)
 }
 
-// ConfigurationAge returns how old the view of the configuration may be; known is false for
-// one that was never confirmed.
-func (n *Node) ConfigurationAge() (age time.Duration, known bool) {
-	return n.view.Age(bootTime())
+// ConfigurationFreshness returns how recent the view of the configuration is.
+func (n *Node) ConfigurationFreshness() access.Freshness {
+	return n.view.Freshness(bootTime())
 }
 
 // StoreReachable reports whether the last call to the store was answered.
@@ -120,16 +122,23 @@
 	n.Access = p
 }
 
-func (n *Node) accessPolicy() access.Policy {
+// AccessPolicy returns for how long a removed key may still be served.
+func (n *Node) AccessPolicy() access.Policy {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.Access
 }
 
-// needsKeys reports whether the configuration has organisations.
-func (n *Node) needsKeys() bool {
-	c := n.configuration.Load()
-	return c != nil && len(c.Organisations) > 0
+// needsKeys reports whether requests need keys. Where the use of removed keys is bounded
+// they do so also after the last organisation was removed.
+func (f *inForce) needsKeys(p access.Policy) bool {
+	return f != nil && (len(f.Organisations) > 0 || p.RevokeWithin > 0)
+}
+
+// accessClosed reports whether requests with keys are refused because the view is too old.
+func (n *Node) accessClosed() bool {
+	freshness, policy := n.view.Freshness(bootTime()), n.AccessPolicy()
+	return n.configuration.Load().needsKeys(policy) && policy.TooOld(freshness)
 }
 
 // runAccess logs when the view of the keys becomes too old and when it is confirmed again.
@@ -137,7 +146,7 @@
 	ended := make(chan error, 1)
 	go func() {
 		for ctx.Err() == nil {
-			if n.needsKeys() {
+			if n.configuration.Load().needsKeys(n.AccessPolicy()) {
 				n.checkAccess()
 			}
 			retry.Sleep(ctx, accessCheckInterval)
@@ -148,11 +157,11 @@
 }
 
 func (n *Node) checkAccess() {
-	changed, closed, age := n.view.Transition(n.accessPolicy(), bootTime())
+	changed, closed, freshness := n.view.Transition(n.AccessPolicy(), bootTime())
 	if !changed {
 		return
 	}
-	fields := log.Fields{"ageMillis": age.Milliseconds(), "version": n.configuration.Load().Version}
+	fields := log.Fields{"ageMillis": freshness.Age.Milliseconds(), "confirmed": freshness.Confirmed, "version": n.configuration.Load().Version}
 	if closed {
 		meter.Count("access.closed")
 		event.AccessClosed.Log(fields)
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -262,11 +262,10 @@
 	event.StoreRecovered.Log(nil)
 }
 
-// SetConfiguration applies a configuration unless it is not newer than the current
-// one.
+// SetConfiguration applies a configuration unless it is older than the current one.
 func (n *Node) SetConfiguration(c *queue.Configuration) {
 	current := n.configuration.Load()
-	if current != nil && c.Version <= current.Version {
+	if current != nil && c.Version < current.Version {
 		return
 	}
 	n.configuration.Store(newInForce(c))
@@ -278,10 +277,10 @@
 	n.stopping.Store(true)
 }
 
-// Ready reports whether this entry can serve callers: it knows the configuration, and
-// reaches the owner or the store.
+// Ready reports whether this entry can serve callers: it knows the configuration, may rely
+// on its keys, and reaches the owner or the store.
 func (n *Node) Ready() bool {
-	return n.configuration.Load() != nil && !n.stopping.Load() && !n.isolated()
+	return n.configuration.Load() != nil && !n.stopping.Load() && !n.isolated() && !n.accessClosed()
 }
 
 // isolated reports whether this entry reaches neither the store nor an owner that
--- a/entry/node/requests.go
+++ b/entry/node/requests.go
@@ -115,6 +115,12 @@
 	return r, err
 }
 
+// isOtherJob reports whether a stored record is the job of another organisation.
+func isOtherJob(item store.Item, j job.Job) bool {
+	r, err := job.Decode(item.Value, item.Revision)
+	return err == nil && !job.MayBeSameJob(r.Organisation, j.Organisation)
+}
+
 // storeDirectly stores a job with an inbox mark, so that the owner adopts it.
 func (n *Node) storeDirectly(ctx context.Context, j job.Job, uncertain bool, refuseAt time.Time) (r manager.Reply) {
 	record := job.Record{Job: j, State: job.Queued}
@@ -137,6 +143,8 @@
 		switch {
 		case err == nil:
 			return manager.Reply{Outcome: manager.Accepted}
+		case errors.As(err, &conflict) && isOtherJob(conflict.Current[manager.JobKey(j.ID)], j):
+			return manager.Reply{Outcome: manager.Refused, RetryAfter: refusedRetryDelay, Reason: "another organisation's job has this identifier"}
 		case errors.As(err, &conflict):
 			// The stored record is of the same job. Its writer may have given it up
 			// when no answer came, so the job is marked for the owner in any case.
--- a/entry/store/follow.go
+++ b/entry/store/follow.go
@@ -16,6 +16,8 @@
 	// configuration must be in force plus the time that a machine needs to count as
 	// connected again.
 	watchWait = 2 * time.Second
+	// confirmWait is how long a watch waits that only has to confirm the view.
+	confirmWait = 20 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the delay after a failed call.
 	minRetryDelay = 50 * time.Millisecond
 	maxRetryDelay = 400 * time.Millisecond
@@ -33,8 +35,8 @@
 	// call that succeeds.
 	OnUnreachable func(err error)
 	OnRecovered   func()
-	// Wait is how long a watch waits for changes; 0 means watchWait.
-	Wait time.Duration
+	// Wait, if set, returns how long a watch waits for changes; 0 means watchWait.
+	Wait func() time.Duration
 	// Clock, if set, is read before each call, and OnConfirmed is called with its time
 	// after the answer was applied: the view contains all changes up to then.
 	Clock       func() time.Duration
@@ -81,11 +83,7 @@
 // keys have to be read again.
 func (f *Follower) watch(ctx context.Context, after int64) (revision int64) {
 	sentAt := f.readClock()
-	wait := watchWait
-	if f.Wait > 0 {
-		wait = f.Wait
-	}
-	changes, revision, err := f.Store.Watch(ctx, f.Prefix, after, wait)
+	changes, revision, err := f.Store.Watch(ctx, f.Prefix, after, f.nextWait())
 	if errors.Is(err, ErrCompacted) {
 		return -1
 	}
@@ -99,6 +97,21 @@
 	return max(revision, after)
 }
 
+// nextWait returns how long the next watch waits. After a failure its answer is needed soon
+// where views have to be confirmed.
+func (f *Follower) nextWait() (wait time.Duration) {
+	if f.OnConfirmed != nil && f.failures > 0 {
+		return confirmWait
+	}
+	if f.Wait != nil {
+		wait = f.Wait()
+	}
+	if wait <= 0 {
+		wait = watchWait
+	}
+	return wait
+}
+
 func (f *Follower) readClock() (now time.Duration) {
 	if f.Clock == nil {
 		return 0
--- /dev/null
+++ b/entry/store/follow_test.go
@@ -0,0 +1,106 @@
+package store
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// scriptedStore answers calls from a list; the test's clock advances with each of them.
+type scriptedStore struct {
+	Store
+	mu sync.Mutex
+	// clock is the time since boot, and steps what the next calls return.
+	clock time.Duration
+	steps []scriptedCall
+	// waits holds how long each watch was to wait.
+	waits []time.Duration
+	done  chan struct{}
+}
+
+type scriptedCall struct {
+	took     time.Duration
+	changes  []Change
+	revision int64
+	err      error
+}
+
+// next returns the next scripted call, or blocks after the last one until the test ends.
+func (s *scriptedStore) next(ctx context.Context) (c scriptedCall) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.steps) == 0 {
+		close(s.done)
+		<-ctx.Done()
+		return scriptedCall{err: ErrNoAnswer}
+	}
+	c, s.steps = s.steps[0], s.steps[1:]
+	s.clock += c.took
+	return c
+}
+
+func (s *scriptedStore) Range(ctx context.Context, _ string) (items []Item, revision int64, err error) {
+	c := s.next(ctx)
+	return nil, c.revision, c.err
+}
+
+func (s *scriptedStore) Watch(ctx context.Context, _ string, _ int64, wait time.Duration) (changes []Change, revision int64, err error) {
+	s.waits = append(s.waits, wait)
+	c := s.next(ctx)
+	return c.changes, c.revision, c.err
+}
+
+// Guards against a view that is confirmed as of the arrival of an answer, by a call without
+// one or by one whose history was dropped, or before its changes are applied; and against a
+// wait of the settings at the start, and a long one when an answer is due after a failure.
+func TestFollowerConfirmsAsOfTheSendingOfACall(t *testing.T) {
+	s := &scriptedStore{done: make(chan struct{}), clock: 10 * time.Second, steps: []scriptedCall{
+		{took: time.Second, revision: 1},
+		{took: 2 * time.Second, revision: 1},
+		{took: time.Second, err: errors.Wrap(ErrNoAnswer, "lost")},
+		{took: 4 * time.Second, revision: 2, changes: []Change{{Item: Item{Key: "x/a", Revision: 2}}}},
+		{took: 8 * time.Second, err: ErrCompacted},
+		{took: time.Second, err: ErrRejected},
+		{took: time.Second, revision: 9},
+	}}
+	var confirmed []time.Duration
+	var confirmedBeforeChange int
+	wait := time.Second
+	f := &Follower{
+		Store: s, Prefix: "x/", Reset: func([]Item, int64) {}, Apply: func([]Change) { confirmedBeforeChange = len(confirmed) },
+		OnUnreachable: func(error) {}, OnRecovered: func() {}, Clock: func() time.Duration { return s.clock },
+		OnConfirmed: func(sentAt time.Duration) { confirmed = append(confirmed, sentAt) },
+		Wait: func() time.Duration {
+			wait += time.Millisecond
+			return wait
+		},
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := f.Run(ctx)
+	<-s.done
+	cancel()
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+	want := []time.Duration{10 * time.Second, 11 * time.Second, 14 * time.Second, 27 * time.Second}
+	if len(confirmed) != len(want) {
+		t.Fatalf("confirmed as of %v, want %v", confirmed, want)
+	}
+	for i := range want {
+		if confirmed[i] != want[i] {
+			t.Errorf("confirmed as of %v, want %v", confirmed, want)
+		}
+	}
+	if confirmedBeforeChange != 2 {
+		t.Errorf("the changes were applied after %d confirmations, want 2", confirmedBeforeChange)
+	}
+	wantWaits := []time.Duration{1001 * time.Millisecond, 1002 * time.Millisecond, confirmWait, 1003 * time.Millisecond, 1004 * time.Millisecond}
+	for i := range wantWaits {
+		if len(s.waits) != len(wantWaits) || s.waits[i] != wantWaits[i] {
+			t.Fatalf("watches waited %v, want %v", s.waits, wantWaits)
+		}
+	}
+}
--- a/entry/store/store.go
+++ b/entry/store/store.go
@@ -78,7 +78,8 @@
 	// Range returns all items below a prefix and the revision to watch from.
 	Range(ctx context.Context, prefix string) (items []Item, revision int64, err error)
 	// Watch returns the changes below a prefix after a revision, or none when the
-	// wait time is over, and the revision to continue from.
+	// wait time is over, and the revision to continue from. The answer has all changes that
+	// were acknowledged before the call was sent.
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (changes []Change, revision int64, err error)
 	// Commit applies a transaction and returns its revision.
 	Commit(ctx context.Context, t Transaction) (revision int64, err error)
