Hand the pools over to a much stronger entry

Cause: the first entry to claim the pools owns them, and claims them again when its process restarts. Where entries differ (0.192 cores and 10 Mbit/s beside 0.8 cores and 200 Mbit/s) a small one often owned a fleet of 350 endpoints; its link filled, calls to the store and to endpoints timed out, and the pools stood still.

Change: an owner looks once a second for a listed entry with twice its cores that answers and has read this owner's term from the store. If there is one, the owner ends its term as for a planned stop, and the strongest entries claim first. It does so at most once in 30 s, so that listed entries that have ended do not make it give up again.

--- a/entry/event/event.go
+++ b/entry/event/event.go
@@ -49,6 +49,7 @@
 	OwnershipUnconfirmed = Event{Number: 8205, Level: log.WarnLevel, Text: "ownership cannot be confirmed; no orders are sent"}
 	OwnershipConfirmed   = Event{Number: 8206, Level: log.InfoLevel, Text: "ownership confirmed again"}
 	ClaimFailed          = Event{Number: 8207, Level: log.InfoLevel, Text: "claiming the pools failed"}
+	OwnershipHandedOver  = Event{Number: 8209, Level: log.InfoLevel, Text: "giving the pools up to a stronger entry"}
 	OwnerReported        = Event{Number: 8208, Level: log.InfoLevel, Text: "another entry reported a newer owner of the pools"}
 )
 
--- a/entry/node/fleet_test.go
+++ b/entry/node/fleet_test.go
@@ -69,6 +69,12 @@
 
 // start runs an entry and serves its peers.
 func (f *fleet) start(name string) *entry {
+	f.t.Helper()
+	return f.startWithCores(name, 0)
+}
+
+// startWithCores runs an entry that has so many cores and serves its peers.
+func (f *fleet) startWithCores(name string, cores float64) *entry {
 	f.t.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(f.t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
@@ -76,7 +82,7 @@
 	}
 	link := &unreliableStore{Store: f.store}
 	n := &Node{
-		Name: name, Address: listener.Addr().String(), Process: time.Now().UnixNano(), Store: link,
+		Name: name, Address: listener.Addr().String(), Cores: cores, Process: time.Now().UnixNano(), Store: link,
 		Peers: peer.NewClient(), Endpoints: f.endpoints, Directory: f.directory, Machines: standin.Machines{},
 		Manager: manager.Settings{MaxLease: 10 * time.Second, StateRetention: time.Minute},
 	}
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/go-faster/errors"
@@ -64,6 +65,9 @@
 	// pendingCounts holds the last result of Pending by queue.
 	pendingCounts map[string]cachedCount
 
+	// noHandoverUntil is the time until which the pools are not handed over again; only the
+	// goroutine of a term accesses it.
+	noHandoverUntil time.Time
 	// cancelsChanged and inboxChanged wake the servers of the marks.
 	cancelsChanged, inboxChanged chan struct{}
 }
@@ -152,14 +156,20 @@
 		n.ownership.keepLease(termCtx, t)
 		leaseDone <- nil
 	}()
+	handoverDone := make(chan error, 1)
+	go func() {
+		n.watchForHandover(termCtx, t)
+		handoverDone <- nil
+	}()
 	n.serveControl(termCtx, t, m)
 	n.setActive(nil)
 	cancel()
 	<-leaseDone
+	<-handoverDone
 	if err := <-ended; err != nil {
 		event.ComponentFailed.Log(log.Fields{"part": "manager", "error": err.Error()})
 	}
-	if ctx.Err() == nil {
+	if ctx.Err() == nil && !t.handedOver.Load() {
 		event.OwnershipLost.Log(log.Fields{"term": t.number})
 		n.ownership.dropTerm(t)
 		return
--- a/entry/node/ownership.go
+++ b/entry/node/ownership.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -87,8 +88,10 @@
 	// confirmedUntil is the boot time until which the lease is certain to last.
 	confirmedUntil time.Duration
 	confirmed      bool
-	lost           chan struct{}
-	lostOnce       sync.Once
+	// handedOver is set if the term ended so that a stronger entry can own the pools.
+	handedOver atomic.Bool
+	lost       chan struct{}
+	lostOnce   sync.Once
 }
 
 func (t *heldTerm) end() {
