Refuse jobs that cannot be served in time, with the time at which room is expected

Cause: a flood was accepted whole, and the jobs that could no longer be of use were found out by their callers one timeout later. Change: coordination/admission estimates the end of a job behind the accepted work that goes first, for its pool, its organisation's limit and the owner's orders; the scheduler gathers these backlogs and the manager asks it. Estimates are corrected by the error of earlier ones. With no backlog nothing is refused.

--- /dev/null
+++ b/coordination/schedule/admit.go
@@ -0,0 +1,396 @@
+package schedule
+
+import (
+	"math"
+	"time"
+
+	"github.com/azurepoint/azurepoint/coordination/admission"
+	"github.com/azurepoint/azurepoint/coordination/job"
+)
+
+const (
+	// backlogLifetime is how long the backlogs are reused, and backlogLifetimePerJob is
+	// added for each job, so that long queues do not take more processor time.
+	backlogLifetime       = 40 * time.Millisecond
+	backlogLifetimePerJob = 50 * time.Microsecond
+	// storeDelay is how long an accepted job may take to be stored and added; a job that
+	// takes longer has been refused by the store.
+	storeDelay = 2 * time.Second
+	// runningPart is the part of their work that running tasks have left on average.
+	runningPart = 0.5
+	// roomPart is the part of a pool, or of an organisation's limit, above which the tasks of
+	// a step count as running in waves.
+	roomPart = 0.25
+	// waitingFactor times the run time of a job is the estimate above which it tells how well
+	// waits are estimated.
+	waitingFactor = 2
+	// minRate stands for a capacity of none.
+	minRate = 1e-3
+)
+
+// Instances are the instances that may add to the pools.
+type Instances struct {
+	// Incoming counts the instances on their way to each pool, and Spare those of the spare
+	// pool that are up.
+	Incoming map[string]int
+	Spare    int
+}
+
+// admissions holds what the decisions on new jobs are made from.
+type admissions struct {
+	instances    Instances
+	backlogs     map[string]*admission.Backlog
+	limits       map[string]*admission.Backlog
+	orders       *admission.Backlog
+	overShare    map[string]map[string]bool
+	rooms        map[string]Capacity
+	validUntil   time.Time
+	calibrations map[string]*admission.Calibration
+	// accepted holds the accepted jobs that have neither ended nor become too late.
+	accepted map[string]*acceptedJob
+	returns  admission.Returns
+}
+
+// acceptedJob is a job with the estimate on which it was accepted.
+type acceptedJob struct {
+	pool, organisation string
+	rank               admission.Rank
+	work               admission.Amount
+	// estimate is the estimate of its end as of at, and usefulUntil when it is too late.
+	at, estimate, usefulUntil time.Time
+	// waits is set if the estimate was mainly one of the wait.
+	waits bool
+}
+
+// Refusal is why a job is refused and when it may return.
+type Refusal struct {
+	admission.Decision
+	RetryAfter time.Duration
+}
+
+// SetInstances sets the instances that may add to the pools.
+func (s *Scheduler) SetInstances(i Instances) {
+	s.admissions.instances = i
+}
+
+// Admit decides whether a new job is accepted, and sets whether it is beyond its
+// organisation's rate. Starts is the number of starts a second that the owner can send, or 0
+// if that is not the limit. A job that is not stored later has to be forgotten.
+func (s *Scheduler) Admit(j *job.Job, starts float64, now time.Time) (r Refusal, accepted bool) {
+	s.init()
+	o, a := &s.organisations, &s.admissions
+	if a.accepted[j.ID] != nil {
+		// It is being stored for another caller.
+		return Refusal{}, true
+	}
+	j.Surplus = o.ledger.RateAvailableAt(j.Organisation, now).After(now)
+	d := admission.Decision{}
+	if len(j.Steps) > 0 && !j.Steps[0].LongRunning && j.Repeat == 0 && j.Stretch > 0 {
+		s.updateBacklogs(starts, now)
+		request := s.admissionRequest(j, now)
+		d = admission.Decide(request, s.admissionQueues(j), a.calibrations[j.Pool], now)
+		if d.Refused {
+			return Refusal{Decision: d, RetryAfter: s.retryAfter(j, request, d, now)}, false
+		}
+		s.addAccepted(j, request, d, now)
+	}
+	j.Surplus = !s.TakeRate(j.Organisation, now)
+	return Refusal{Decision: d}, true
+}
+
+// ForgetAdmission takes back the acceptance of a job that was not stored.
+func (s *Scheduler) ForgetAdmission(id string) {
+	delete(s.admissions.accepted, id)
+}
+
+// admissionQueues returns the backlogs that a job has to pass.
+func (s *Scheduler) admissionQueues(j *job.Job) (queues []admission.Queue) {
+	a := &s.admissions
+	if b := a.backlogs[j.Pool]; b != nil {
+		queues = append(queues, admission.Queue{Backlog: b, Reason: admission.Room})
+	}
+	if b := a.limits[j.Organisation]; b != nil {
+		queues = append(queues, admission.Queue{Backlog: b, Reason: admission.Limit})
+	}
+	if a.orders != nil {
+		queues = append(queues, admission.Queue{Backlog: a.orders, Reason: admission.Orders})
+	}
+	return queues
+}
+
+// admissionRequest returns what the decision on a job needs to know of it.
+func (s *Scheduler) admissionRequest(j *job.Job, now time.Time) (r admission.Request) {
+	state := &jobState{Job: *j}
+	room := s.admissions.rooms[j.Pool]
+	terms, _ := s.organisations.ledger.Terms(j.Organisation)
+	var run, chain float64
+	for i := range j.Steps {
+		st := &j.Steps[i]
+		duration := s.expected(state, st)
+		run += duration
+		size := limitSize(st).Times(st.Count)
+		chain += duration * max(1, waves(size, room, roomPart), waves(size, terms.Limit, 1))
+		work := admission.AmountOf(taskSize(st).Times(st.Count), duration, st.Count)
+		r.Work = r.Work.Plus(work)
+		r.Rank.RemainingWork += duration * float64(max(st.CPU, 1)) * float64(st.Count)
+	}
+	first := s.admissions.returns.FirstRefused(j.ID)
+	if first.IsZero() {
+		first = now
+	}
+	objective := j.Stretch*chain + float64(j.TargetMillis)
+	r.Run = time.Duration(run * float64(time.Millisecond))
+	r.OnTimeBy = first.Add(time.Duration(objective * float64(time.Millisecond)))
+	r.UsefulUntil = first.Add(time.Duration(tooLateFactor * objective * float64(time.Millisecond)))
+	r.Surplus = j.Surplus
+	r.Rank.Priority, r.Rank.OverShare = j.Priority, s.admissions.overShare[j.Pool][j.Organisation]
+	if j.Surplus {
+		r.Rank.Class = admission.ClassSurplus
+	}
+	return r
+}
+
+// waves returns in how many parts tasks of a size run in a part of a room; a resource of
+// which the room has none does not matter.
+func waves(size, room Capacity, part float64) (count float64) {
+	for _, p := range [][2]int{{size.CPU, room.CPU}, {size.MemoryMB, room.MemoryMB}, {size.GPU, room.GPU}} {
+		if p[1] > 0 {
+			count = max(count, math.Ceil(float64(p[0])/(part*float64(p[1]))))
+		}
+	}
+	return count
+}
+
+// retryAfter returns when a refused job may return, after those that were refused before for
+// the same reason.
+func (s *Scheduler) retryAfter(j *job.Job, r admission.Request, d admission.Decision, now time.Time) time.Duration {
+	a := &s.admissions
+	takes := time.Duration(0)
+	for _, q := range s.admissionQueues(j) {
+		if q.Reason == d.Reason || q.Reason == admission.Room && d.Reason == admission.Rate {
+			takes = q.DoneAt(r.Work, admission.Amount{}, now).Sub(now)
+		}
+	}
+	line := string(d.Reason) + " " + j.Pool
+	switch d.Reason {
+	case admission.Limit:
+		line = string(d.Reason) + " " + j.Organisation
+	case admission.Rate:
+		line = string(d.Reason) + " " + j.Organisation
+		// The job is welcome once there is room or once the rate allows it.
+		if at := s.organisations.ledger.RateAvailableAt(j.Organisation, now); at.Before(d.RoomAt) {
+			d.RoomAt = at
+		}
+		if t, known := s.organisations.ledger.Terms(j.Organisation); known && t.Weight > 0 {
+			takes = min(takes, time.Duration(float64(time.Second)/t.Weight))
+		}
+	case admission.Room, admission.Orders:
+	}
+	return a.returns.RetryAfter(line, j.ID, d.RoomAt, takes, now)
+}
+
+func (s *Scheduler) addAccepted(j *job.Job, r admission.Request, d admission.Decision, now time.Time) {
+	a := &s.admissions
+	if a.accepted == nil {
+		a.accepted = make(map[string]*acceptedJob)
+	}
+	e := &acceptedJob{
+		pool: j.Pool, organisation: j.Organisation, rank: r.Rank, work: r.Work,
+		at: now, estimate: d.Estimate, usefulUntil: r.UsefulUntil, waits: d.Estimate.Sub(now) > waitingFactor*r.Run,
+	}
+	a.accepted[j.ID] = e
+	for _, q := range s.admissionQueues(j) {
+		q.Add(e.rank, e.work)
+	}
+}
+
+// updateBacklogs gathers the accepted work of all pools, unless that was done just before.
+func (s *Scheduler) updateBacklogs(starts float64, now time.Time) {
+	a := &s.admissions
+	if now.Before(a.validUntil) {
+		return
+	}
+	a.validUntil = now.Add(backlogLifetime + time.Duration(s.CountActiveJobs())*backlogLifetimePerJob)
+	s.observeAccepted(now)
+	a.backlogs, a.overShare = make(map[string]*admission.Backlog), make(map[string]map[string]bool)
+	a.limits, a.orders = make(map[string]*admission.Backlog), nil
+	if starts > 0 {
+		a.orders = &admission.Backlog{Supplies: []admission.Supply{{From: now, Rate: admission.Amount{Starts: starts / 1000}}}}
+	}
+	s.addSupplies(now)
+	held := make(map[string]Capacity)
+	for pool, jobs := range s.activeJobs {
+		a.overShare[pool] = make(map[string]bool)
+		for _, j := range jobs {
+			if j.longRunning() {
+				for _, o := range j.occurrences {
+					for _, st := range o.steps {
+						held[j.Organisation] = held[j.Organisation].Plus(limitSize(st.step).Times(st.running))
+					}
+				}
+				continue
+			}
+			s.rank(j, now)
+			a.overShare[pool][j.Organisation] = j.overShare
+			rank := admission.Rank{Class: j.lateness, Priority: j.Priority, OverShare: j.overShare, RemainingWork: j.remainingWork}
+			s.loadBacklog(pool, j.Organisation, rank, s.workLeft(j, now))
+		}
+	}
+	for id, e := range a.accepted {
+		if !s.HasJob(id) {
+			s.loadBacklog(e.pool, e.organisation, e.rank, e.work)
+		}
+	}
+	s.addLimits(held, now)
+}
+
+// loadBacklog adds the work of a job to the backlogs that it passes.
+func (s *Scheduler) loadBacklog(pool, organisation string, r admission.Rank, work admission.Amount) {
+	a := &s.admissions
+	if b := a.backlogs[pool]; b != nil {
+		b.Load(r, work)
+	}
+	if a.orders != nil {
+		a.orders.Load(r, work)
+	}
+	if organisation == "" {
+		return
+	}
+	b := a.limits[organisation]
+	if b == nil {
+		b = &admission.Backlog{}
+		a.limits[organisation] = b
+	}
+	b.Load(r, work)
+}
+
+// workLeft returns the expected work of a job's tasks that are due and not done.
+func (s *Scheduler) workLeft(j *jobState, now time.Time) (work admission.Amount) {
+	for _, o := range j.occurrences {
+		if o.dueMillis > now.UnixMilli() {
+			break
+		}
+		for _, st := range o.steps {
+			if st.complete() {
+				continue
+			}
+			left := len(st.tasks) - st.done
+			running := min(st.running, left)
+			part := float64(left-running) + runningPart*float64(running)
+			work = work.Plus(admission.AmountOf(taskSize(st.step), s.expected(j, st.step)*part, left-running))
+		}
+	}
+	return work
+}
+
+// addSupplies sets the capacity of each pool: what is in service, and after forecastHorizon
+// what is on its way, what the spare pool has and what is idle in other pools.
+func (s *Scheduler) addSupplies(now time.Time) {
+	a := &s.admissions
+	a.rooms = make(map[string]Capacity)
+	short, largest, idle := make(map[string]Capacity), make(map[string]Capacity), make(map[string]int)
+	idleEndpoints, anyLargest := 0, Capacity{}
+	for _, e := range s.endpoints {
+		if !e.listed || e.Draining || e.reserved() || e.unresponsive() {
+			continue
+		}
+		a.rooms[e.Pool] = a.rooms[e.Pool].Plus(e.Capacity)
+		short[e.Pool] = short[e.Pool].Plus(e.Capacity.Minus(e.longRunningUsage()))
+		if e.Capacity.CPU > largest[e.Pool].CPU {
+			largest[e.Pool] = e.Capacity
+		}
+		if e.Capacity.CPU > anyLargest.CPU {
+			anyLargest = e.Capacity
+		}
+		if e.usable() && len(e.runs) == 0 {
+			idle[e.Pool]++
+			idleEndpoints++
+		}
+	}
+	for pool, capacity := range short {
+		size := largest[pool]
+		if size == (Capacity{}) {
+			size = anyLargest
+		}
+		growth := a.instances.Incoming[pool] + a.instances.Spare + idleEndpoints - idle[pool]
+		b := &admission.Backlog{Supplies: []admission.Supply{{From: now, Rate: rateOf(capacity)}}}
+		if growth > 0 {
+			b.Supplies = append(b.Supplies, admission.Supply{From: now.Add(forecastHorizon), Rate: rateOf(capacity.Plus(size.Times(growth)))})
+		}
+		if d := s.demands[pool]; d != nil {
+			d.decay(now)
+			b.Reserved = admission.Amount{CPU: d.longRate}
+		}
+		a.backlogs[pool] = b
+	}
+}
+
+// addLimits sets what each organisation may have running beside its long-running tasks, and
+// removes the backlogs of organisations without a limit.
+func (s *Scheduler) addLimits(held map[string]Capacity, now time.Time) {
+	for name := range held {
+		if s.admissions.limits[name] == nil {
+			s.admissions.limits[name] = &admission.Backlog{}
+		}
+	}
+	for name, b := range s.admissions.limits {
+		t, known := s.organisations.ledger.Terms(name)
+		if !known || t.Limit == (Capacity{}) {
+			delete(s.admissions.limits, name)
+			continue
+		}
+		free := t.Limit.Minus(held[name])
+		rate := rateOf(free)
+		for _, p := range []struct {
+			limit, free int
+			rate        *float64
+		}{{t.Limit.CPU, free.CPU, &rate.CPU}, {t.Limit.MemoryMB, free.MemoryMB, &rate.MemoryMB}, {t.Limit.GPU, free.GPU, &rate.GPU}} {
+			switch {
+			case p.limit <= 0:
+				*p.rate = 0
+			case p.free <= 0:
+				*p.rate = minRate
+			}
+		}
+		b.Supplies = []admission.Supply{{From: now, Rate: rate}}
+	}
+}
+
+func rateOf(c Capacity) admission.Amount {
+	return admission.Amount{CPU: float64(c.CPU), MemoryMB: float64(c.MemoryMB), GPU: float64(c.GPU)}
+}
+
+// observeAccepted compares the estimates of accepted jobs with when they ended.
+func (s *Scheduler) observeAccepted(now time.Time) {
+	a := &s.admissions
+	if a.calibrations == nil {
+		a.calibrations = make(map[string]*admission.Calibration)
+	}
+	for id, e := range a.accepted {
+		c := a.calibrations[e.pool]
+		if c == nil {
+			c = &admission.Calibration{}
+			a.calibrations[e.pool] = c
+		}
+		j := s.jobs[id]
+		switch {
+		case j == nil && now.Sub(e.at) > storeDelay:
+			delete(a.accepted, id)
+		case j == nil:
+		case !j.state.Terminal() && !now.After(e.usefulUntil):
+		default:
+			if e.waits && (j.state == job.Completed || !j.state.Terminal()) {
+				c.Observe(e.at, e.estimate, endOr(j, now))
+			}
+			delete(a.accepted, id)
+		}
+	}
+}
+
+// endOr returns when a job has ended, or the time given if it has not.
+func endOr(j *jobState, now time.Time) time.Time {
+	if j.state.Terminal() {
+		return time.UnixMilli(j.endedAt)
+	}
+	return now
+}
--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -63,6 +63,7 @@
 	// isolatedEndpoints holds the endpoints with exclusiveTo or heldFor.
 	isolatedEndpoints map[*endpoint]bool
 	organisations     organisations
+	admissions        admissions
 	// Counts holds the totals for metrics.
 	Counts Counts
 	// OnRunEnd, if set, is called for each run that ends, for logs and metrics.
--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -8,6 +8,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/azurepoint/azurepoint/coordination/admission"
 	"github.com/azurepoint/azurepoint/coordination/fault"
 	"github.com/azurepoint/azurepoint/coordination/job"
 	"github.com/azurepoint/azurepoint/coordination/organisation"
@@ -82,10 +83,15 @@
 	// orderResults receives the results of the orders in flight.
 	orderResults   chan orderResult
 	ordersInFlight int
+	// planDue is when the current plan was due; it is accessed by the planner only.
+	planDue time.Time
+	// pace measures how many starts this owner can send.
+	pace admission.Pace
 }
 
 // Init prepares the manager; it must be called before every other method.
 func (m *Manager) Init() {
+	m.pace.Interval = maxPlanInterval
 	m.orders = &recentOrders{record: ownedRecord{key: recentKey}, owner: m.Term.Owner, handoverTime: m.Settings.OrderLease + handoverMargin, ordered: make(map[string]time.Time)}
 	m.over = make(chan struct{})
 	m.wavesChanged = make(chan struct{}, 1)
@@ -215,7 +221,7 @@
 func (m *Manager) runPlanner(ctx context.Context) {
 	due := time.NewTimer(0)
 	defer due.Stop()
-	lastPlan := time.Time{}
+	lastPlan, next := time.Time{}, time.Now()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -225,11 +231,16 @@
 			m.applyOrderResult(a)
 			continue
 		case <-m.wake:
-			due.Reset(max(0, minPlanInterval-time.Since(lastPlan)))
+			wait := max(0, minPlanInterval-time.Since(lastPlan))
+			due.Reset(wait)
+			if at := time.Now().Add(wait); at.Before(next) {
+				next = at
+			}
 			continue
 		case <-due.C:
 		}
 		lastPlan = time.Now()
+		m.planDue, next = next, lastPlan.Add(maxPlanInterval)
 		due.Reset(maxPlanInterval)
 		for _, o := range m.dueOrders() {
 			m.sendOrder(ctx, o)
--- a/entry/manager/moves.go
+++ b/entry/manager/moves.go
@@ -89,6 +89,7 @@
 			free = append(free, l)
 		}
 	}
+	m.scheduler.SetInstances(schedule.Instances{Incoming: incoming, Spare: countSpare(free, pools.Spare)})
 	moves := m.scheduler.PlanMoves(free, pools.Serving, pools.Spare, incoming, time.Now())
 	m.mu.Unlock()
 	if len(moves) == 0 {
@@ -107,6 +108,16 @@
 	b.orderMoves(ctx, moves)
 }
 
+// countSpare returns how many instances of the spare pool are up.
+func countSpare(instances []schedule.InstanceObservation, spare string) (count int) {
+	for _, i := range instances {
+		if spare != "" && i.Pool == spare && i.Up {
+			count++
+		}
+	}
+	return count
+}
+
 // orderMoves sends the orders of moves, up to maxConcurrentMoves at a time, and
 // returns once all are answered.
 func (b *balancer) orderMoves(ctx context.Context, moves []schedule.Move) {
--- a/entry/manager/send.go
+++ b/entry/manager/send.go
@@ -18,6 +18,10 @@
 	order  schedule.Order
 	answer schedule.OrderResult
 	err    error
+	// sendDelay is the time from when the order was due to be planned until it was sent;
+	// answeredAt is zero if it got no answer.
+	sendDelay  time.Duration
+	answeredAt time.Time
 }
 
 // errUnconfirmed means that an order was not sent because the ownership is unconfirmed.
@@ -41,6 +45,7 @@
 	}
 	target := Target{ID: status.ID, Address: status.Address}
 	m.ordersInFlight++
+	planDue := m.planDue
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
@@ -51,6 +56,7 @@
 			sent := time.Now()
 			a.answer, a.err = m.callEndpoint(ctx, p, target, o)
 			meter.RecordSince("orders."+o.Action.String(), sent)
+			a.sendDelay, a.answeredAt = sent.Sub(planDue), time.Now()
 		}
 		m.orderResults <- a
 	}()
@@ -88,7 +94,11 @@
 		event.OrderRefused.Log(fields)
 	}
 	m.mu.Lock()
-	m.scheduler.RecordOrderResult(a.order, a.answer, time.Now())
+	now := time.Now()
+	if a.order.Action == schedule.Start && !a.answeredAt.IsZero() {
+		m.pace.Observe(a.sendDelay+now.Sub(a.answeredAt), now)
+	}
+	m.scheduler.RecordOrderResult(a.order, a.answer, now)
 	urgent := a.answer == schedule.Disconnected && m.scheduler.HasUrgentWrites()
 	m.mu.Unlock()
 	if urgent {
--- a/entry/manager/settings.go
+++ b/entry/manager/settings.go
@@ -19,6 +19,8 @@
 	MaintenanceTime time.Duration
 	// StopTime is how long an endpoint may take to stop a run.
 	StopTime time.Duration
+	// AcceptAll turns off the refusal of jobs that cannot be served in time.
+	AcceptAll bool
 }
 
 // Leases, timeouts and intervals.
--- a/entry/manager/submit.go
+++ b/entry/manager/submit.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/apex/log"
 
 	"github.com/azurepoint/azurepoint/coordination/job"
+	"github.com/azurepoint/azurepoint/coordination/schedule"
 	"github.com/azurepoint/azurepoint/entry/event"
+	"github.com/azurepoint/azurepoint/entry/meter"
 )
 
 // Limits of job submission.
@@ -34,33 +37,67 @@
 // Submit stores a job and returns once its outcome is known, or when the context
 // ends.
 func (m *Manager) Submit(ctx context.Context, j job.Job, until time.Time) (r Reply) {
-	m.mu.Lock()
-	loaded, known, active := m.loaded, m.scheduler.HasJob(j.ID), m.scheduler.CountActiveJobs()
-	other := known && m.scheduler.JobOrganisation(j.ID) != j.Organisation
-	mayRun := m.scheduler.CanEverStart(&j)
-	if loaded && !known && mayRun {
-		j.Surplus = !m.scheduler.TakeRate(j.Organisation, time.Now())
+	if r, decided := m.admit(&j); decided {
+		return r
 	}
-	m.mu.Unlock()
+	r = m.storeNew(ctx, j, until)
+	if r.Outcome == Refused || r.Outcome == NotOwner {
+		m.mu.Lock()
+		m.scheduler.ForgetAdmission(j.ID)
+		m.mu.Unlock()
+	}
+	return r
+}
+
+// admit decides on a job, and reports whether the reply is final: a new job that is accepted
+// has to be stored first.
+func (m *Manager) admit(j *job.Job) (r Reply, decided bool) {
+	confirmed := m.Term.Confirmed()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known := m.scheduler.HasJob(j.ID)
 	switch {
-	case !loaded:
-		return Reply{Outcome: NotOwner, Reason: "the jobs are being loaded"}
-	case other:
-		return Reply{Outcome: Refused, RetryAfter: refusedRetryDelay, Reason: "another organisation's job has this identifier"}
+	case !m.loaded:
+		return Reply{Outcome: NotOwner, Reason: "the jobs are being loaded"}, true
+	case known && m.scheduler.JobOrganisation(j.ID) != j.Organisation:
+		return Reply{Outcome: Refused, RetryAfter: refusedRetryDelay, Reason: "another organisation's job has this identifier"}, true
 	case known:
-		return Reply{Outcome: Accepted}
-	case !mayRun:
-		return Reply{Outcome: Refused, RetryAfter: limitRetryDelay, Reason: "the limit of the organisation admits no gang of this size"}
-	case !m.Term.Confirmed():
+		return Reply{Outcome: Accepted}, true
+	case !m.scheduler.CanEverStart(j):
+		meter.Count("refusals.gang")
+		return Reply{Outcome: Refused, RetryAfter: limitRetryDelay, Reason: "the limit of the organisation admits no gang of this size"}, true
+	case !confirmed:
 		// Another entry may own the pools by now. A write that gets no answer would
 		// leave the job unsettled, so none is attempted.
-		return Reply{Outcome: NotOwner, Reason: "the ownership cannot be confirmed"}
-	case active >= maxActiveJobs:
-		return Reply{Outcome: Refused, RetryAfter: refusedRetryDelay, Reason: "too many jobs"}
+		return Reply{Outcome: NotOwner, Reason: "the ownership cannot be confirmed"}, true
+	case m.scheduler.CountActiveJobs() >= maxActiveJobs:
+		meter.Count("refusals.count")
+		return Reply{Outcome: Refused, RetryAfter: refusedRetryDelay, Reason: "too many jobs"}, true
 	}
+	now := time.Now()
+	if m.Settings.AcceptAll {
+		j.Surplus = !m.scheduler.TakeRate(j.Organisation, now)
+		return Reply{}, false
+	}
+	refusal, accepted := m.scheduler.Admit(j, m.pace.Limit(now), now)
+	if accepted {
+		return Reply{}, false
+	}
+	meter.Count("refusals." + string(refusal.Reason))
+	return Reply{Outcome: Refused, RetryAfter: refusal.RetryAfter, Reason: refusalText(refusal, now)}, true
+}
+
+// refusalText names what the job would wait for, the estimate and the limit.
+func refusalText(r schedule.Refusal, now time.Time) string {
+	return fmt.Sprintf("%s: would end in %.1f s, limit %.1f s", r.Reason, r.EndsAt.Sub(now).Seconds(), r.Limit.Sub(now).Seconds())
+}
+
+// storeNew stores an accepted job and returns once its outcome is known, or when the context
+// ends.
+func (m *Manager) storeNew(ctx context.Context, j job.Job, until time.Time) (r Reply) {
 	c, err := m.recordWriter.create(job.Record{Job: j, State: job.Queued}, until)
 	if err != nil {
-		return Reply{Outcome: Refused, Reason: err.Error()}
+		return Reply{Outcome: Refused, RetryAfter: refusedRetryDelay, Reason: err.Error()}
 	}
 	select {
 	case <-c.done:
