Do not report a job as unsettled that is certainly not stored

Cause: a call whose context ended before it had a connection counted as one that may have stored the job, as did creations of which no transaction was sent.

--- a/coordination/admission/decide.go
+++ b/coordination/admission/decide.go
@@ -26,6 +26,8 @@
 	Limit Reason = "limit"
 	// Orders means the owner, which cannot send more starts.
 	Orders Reason = "orders"
+	// Time means that the job has spent its time on earlier refusals.
+	Time Reason = "time"
 	// Rate means a job beyond the rate of its organisation, for which there is no room
 	// beside the others' work.
 	Rate Reason = "rate"
@@ -64,9 +66,9 @@
 }
 
 // Decide decides on a job that has to pass all the queues. A job within its organisation's
-// rate is refused only if it would be too late even by an estimate that is as wrong as the
-// last ones were; a surplus job is refused unless it can be on time beside the work that is
-// expected within the rates of the others.
+// rate is refused only if it would be of no use, and a surplus job if it could not be on time
+// beside the work that is expected within the rates. Both are refused only if that holds even
+// for an estimate that is too high by as much as the last ones were wrong.
 func Decide(r Request, queues []Queue, c *Calibration, now time.Time) (d Decision) {
 	if r.OnTimeBy.IsZero() {
 		return Decision{Estimate: now, EndsAt: now, Limit: now}
@@ -74,7 +76,7 @@
 	if r.Surplus {
 		ends, slowest := r.endsAt(queues, r.Rank, now)
 		d = Decision{Estimate: ends, EndsAt: c.typical(now, ends), Limit: r.OnTimeBy}
-		d.refuseAfterLimit(d.EndsAt, slowest, now)
+		d.refuseAfterLimit(c.earliest(now, ends), slowest, now)
 		if d.Refused && d.Reason == Room {
 			d.Reason = Rate
 		}
@@ -104,7 +106,7 @@
 
 // endsAt returns when the job would end with a rank, and the reason of the slowest queue.
 func (r Request) endsAt(queues []Queue, rank Rank, now time.Time) (ends time.Time, slowest Reason) {
-	ends = now.Add(r.Run)
+	ends, slowest = now.Add(r.Run), Time
 	for _, q := range queues {
 		reserved := Amount{}
 		if r.Surplus {
--- a/coordination/admission/returns.go
+++ b/coordination/admission/returns.go
@@ -22,6 +22,7 @@
 // place is the place of a refused job.
 type place struct {
 	firstRefused, at time.Time
+	line             string
 }
 
 // line is where the next job of a line returns: room is expected at next, and the last job
@@ -30,9 +31,10 @@
 	next, last time.Time
 }
 
-// FirstRefused returns when a job was refused first, or zero.
-func (r *Returns) FirstRefused(id string) time.Time {
-	return r.places[id].firstRefused
+// Refused returns when a job was refused first, or zero, and in which line.
+func (r *Returns) Refused(id string) (first time.Time, line string) {
+	p := r.places[id]
+	return p.firstRefused, p.line
 }
 
 // RetryAfter returns in how many whole seconds a refused job may return: not before roomAt,
@@ -46,7 +48,7 @@
 		l.next = latest(l.next, roomAt)
 		p.at = l.next
 		if p.firstRefused.IsZero() {
-			p.firstRefused = now
+			p.firstRefused, p.line = now, name
 		}
 		l.next = l.next.Add(takes)
 	}
--- a/coordination/schedule/admit.go
+++ b/coordination/schedule/admit.go
@@ -89,12 +89,22 @@
 		s.updateBacklogs(starts, now)
 		request := s.admissionRequest(j, now)
 		d = admission.Decide(request, s.admissionQueues(j), a.calibrations[j.Pool], now)
+		if _, line := a.returns.Refused(j.ID); !j.Surplus && d.Outlook != admission.OnTime && line == rateLine(j) {
+			// It must not use up the rate of a job that can still be on time.
+			j.Surplus = true
+			request = s.admissionRequest(j, now)
+			d = admission.Decide(request, s.admissionQueues(j), a.calibrations[j.Pool], now)
+		}
 		if d.Refused {
 			return Refusal{Decision: d, RetryAfter: s.retryAfter(j, request, d, now)}, false
 		}
 		s.addAccepted(j, request, d, now)
 	}
-	j.Surplus = !s.TakeRate(j.Organisation, now)
+	if first, _ := a.returns.Refused(j.ID); !first.IsZero() {
+		// The age of a job counts from the caller's first attempt.
+		j.AcceptedAt = min(j.AcceptedAt, first.UnixMilli())
+	}
+	j.Surplus = j.Surplus || !s.TakeRate(j.Organisation, now)
 	return Refusal{Decision: d}, true
 }
 
@@ -134,7 +144,7 @@
 		r.Work = r.Work.Plus(work)
 		r.Rank.RemainingWork += duration * float64(max(st.CPU, 1)) * float64(st.Count)
 	}
-	first := s.admissions.returns.FirstRefused(j.ID)
+	first, _ := s.admissions.returns.Refused(j.ID)
 	if first.IsZero() {
 		first = now
 	}
@@ -161,6 +171,11 @@
 	return count
 }
 
+// rateLine names the refused jobs beyond the rate of an organisation.
+func rateLine(j *job.Job) string {
+	return string(admission.Rate) + " " + j.Organisation
+}
+
 // retryAfter returns when a refused job may return, after those that were refused before for
 // the same reason.
 func (s *Scheduler) retryAfter(j *job.Job, r admission.Request, d admission.Decision, now time.Time) time.Duration {
@@ -176,7 +191,7 @@
 	case admission.Limit:
 		line = string(d.Reason) + " " + j.Organisation
 	case admission.Rate:
-		line = string(d.Reason) + " " + j.Organisation
+		line = rateLine(j)
 		// The job is welcome once there is room or once the rate allows it.
 		if at := s.organisations.ledger.RateAvailableAt(j.Organisation, now); at.Before(d.RoomAt) {
 			d.RoomAt = at
@@ -184,7 +199,7 @@
 		if t, known := s.organisations.ledger.Terms(j.Organisation); known && t.Weight > 0 {
 			takes = min(takes, time.Duration(float64(time.Second)/t.Weight))
 		}
-	case admission.Room, admission.Orders:
+	case admission.Room, admission.Orders, admission.Time:
 	}
 	return a.returns.RetryAfter(line, j.ID, d.RoomAt, takes, now)
 }
@@ -319,7 +334,7 @@
 		}
 		if d := s.demands[pool]; d != nil {
 			d.decay(now)
-			b.Reserved = admission.Amount{CPU: d.longRate}
+			b.Reserved = admission.Amount{CPU: min(d.shortRate, d.longRate)}
 		}
 		a.backlogs[pool] = b
 	}
--- a/entry/manager/recordwriter.go
+++ b/entry/manager/recordwriter.go
@@ -88,6 +88,9 @@
 	organisation string
 	outcome      Outcome
 	done         chan struct{}
+	// sent is set while a transaction may store the job, and settled once the outcome is
+	// known.
+	sent, settled bool
 }
 
 // recordWriter writes the owner's records in batches, under the condition that the
@@ -109,6 +112,8 @@
 	mu        sync.Mutex
 	creations map[string]*creation
 	queue     []*recordWrite
+	// ended is set once nothing is written any more.
+	ended bool
 
 	wake chan struct{}
 }
@@ -121,10 +126,67 @@
 	}
 }
 
+// errEnded means that the term is over, so that the job is not written.
+var errEnded = errors.New("manager: the term has ended")
+
+// withdraw ends a new job whose submitter no longer waits, and returns its outcome: Refused if
+// no transaction of it was sent.
+func (rw *recordWriter) withdraw(c *creation, id string) (outcome Outcome) {
+	rw.mu.Lock()
+	defer rw.mu.Unlock()
+	if !c.settled && c.sent {
+		return Unsettled
+	}
+	rw.settle(c, id, Refused)
+	return c.outcome
+}
+
+// settle sets the outcome of a new job unless it has one; rw.mu is held.
+func (rw *recordWriter) settle(c *creation, id string, outcome Outcome) {
+	if c.settled {
+		return
+	}
+	delete(rw.creations, id)
+	c.settled, c.outcome = true, outcome
+	close(c.done)
+}
+
+// claim returns the writes of a batch without those of settled new jobs, and marks the others
+// as sent.
+func (rw *recordWriter) claim(batch []*recordWrite) (claimed []*recordWrite) {
+	rw.mu.Lock()
+	defer rw.mu.Unlock()
+	for _, w := range batch {
+		if w.creation != nil {
+			if w.creation.settled {
+				continue
+			}
+			w.creation.sent = true
+		}
+		claimed = append(claimed, w)
+	}
+	return claimed
+}
+
+// recordRejection marks the new jobs of a rejected transaction as not sent, unless an earlier
+// one may have stored them.
+func (rw *recordWriter) recordRejection(batch []*recordWrite) {
+	rw.mu.Lock()
+	defer rw.mu.Unlock()
+	for _, w := range batch {
+		if w.creation != nil && !w.uncertain {
+			w.creation.sent = false
+		}
+	}
+}
+
 // create queues a new job, or returns the pending creation with the same identifier.
 func (rw *recordWriter) create(r job.Record, until time.Time) (c *creation, err error) {
 	rw.mu.Lock()
 	defer rw.mu.Unlock()
+	if rw.ended {
+		return nil, errEnded
+	}
 	if c, waiting := rw.creations[r.ID]; waiting {
 		return c, nil
 	}
@@ -270,6 +332,9 @@
 // commit sends the batch as one transaction and returns the writes that have to be
 // repeated.
 func (rw *recordWriter) commit(ctx context.Context, batch []*recordWrite) (remaining []*recordWrite) {
+	if batch = rw.claim(batch); len(batch) == 0 {
+		return nil
+	}
 	t := store.Transaction{Conditions: []store.Condition{rw.owner}}
 	for _, w := range batch {
 		t.Conditions = append(t.Conditions, store.Condition{Key: w.key(), Revision: w.Record.Revision})
@@ -292,6 +357,8 @@
 		for _, w := range batch {
 			w.uncertain = true
 		}
+	default:
+		rw.recordRejection(batch)
 	}
 	event.RecordFailed.Log(log.Fields{"records": len(batch), "error": err.Error()})
 	return batch
@@ -354,20 +421,21 @@
 
 func (rw *recordWriter) finishCreation(w *recordWrite, outcome Outcome) {
 	rw.mu.Lock()
-	delete(rw.creations, w.Record.ID)
-	rw.mu.Unlock()
-	w.creation.outcome = outcome
-	close(w.creation.done)
+	defer rw.mu.Unlock()
+	rw.settle(w.creation, w.Record.ID, outcome)
 }
 
-// abandonCreations ends all pending creations with the outcome Unsettled.
+// abandonCreations ends all pending creations: those that a transaction may have stored with
+// the outcome Unsettled, the others with NotOwner.
 func (rw *recordWriter) abandonCreations() {
 	rw.mu.Lock()
 	defer rw.mu.Unlock()
 	for id, c := range rw.creations {
-		delete(rw.creations, id)
-		c.outcome = Unsettled
-		close(c.done)
+		outcome := NotOwner
+		if c.sent {
+			outcome = Unsettled
+		}
+		rw.settle(c, id, outcome)
 	}
-	rw.queue = nil
+	rw.queue, rw.ended = nil, true
 }
--- a/entry/manager/submit.go
+++ b/entry/manager/submit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/go-faster/errors"
 
 	"github.com/azurepoint/azurepoint/coordination/job"
 	"github.com/azurepoint/azurepoint/coordination/schedule"
@@ -96,15 +97,29 @@
 // ends.
 func (m *Manager) storeNew(ctx context.Context, j job.Job, until time.Time) (r Reply) {
 	c, err := m.recordWriter.create(job.Record{Job: j, State: job.Queued}, until)
-	if err != nil {
+	switch {
+	case errors.Is(err, errEnded):
+		return Reply{Outcome: NotOwner, Reason: err.Error()}
+	case err != nil:
 		return Reply{Outcome: Refused, RetryAfter: refusedRetryDelay, Reason: err.Error()}
 	}
 	select {
 	case <-c.done:
 		return Reply{Outcome: c.outcome, RetryAfter: refusedRetryDelay, Reason: "the store does not take the job"}
 	case <-ctx.Done():
-		return Reply{Outcome: Unsettled, Reason: "the caller's deadline"}
+		return Reply{Outcome: m.recordWriter.withdraw(c, j.ID), RetryAfter: refusedRetryDelay, Reason: "the caller's deadline"}
 	case <-m.over:
+		return m.overReply(c)
+	}
+}
+
+// overReply returns the reply to a submission after the end of the term, by which the record
+// writer has settled its creations.
+func (m *Manager) overReply(c *creation) (r Reply) {
+	select {
+	case <-c.done:
+		return Reply{Outcome: c.outcome, RetryAfter: refusedRetryDelay, Reason: "the term has ended"}
+	default:
 		return Reply{Outcome: Unsettled, Reason: "the term has ended"}
 	}
 }
--- a/entry/node/creation_test.go
+++ b/entry/node/creation_test.go
@@ -35,7 +35,7 @@
 	for found := false; !found; time.Sleep(5 * time.Millisecond) {
 		_, found, _ = f.store.Get(f.t.Context(), manager.JobKey(j.ID))
 	}
-	if r := other.storeDirectly(f.t.Context(), j, false, time.Now().Add(time.Second)); r.Outcome != manager.Accepted {
+	if r := other.storeDirectly(f.t.Context(), j, settlement{}, time.Now().Add(time.Second)); r.Outcome != manager.Accepted {
 		f.t.Fatalf("outcome %s, want accepted", r.Outcome)
 	}
 	return outcome
--- a/entry/node/history_test.go
+++ b/entry/node/history_test.go
@@ -206,7 +206,7 @@
 				time.Sleep(time.Duration(h.rng.below(int(callerTimeout / 2))))
 				ctx, cancel := context.WithTimeout(h.t.Context(), callerTimeout)
 				defer cancel()
-				h.record(v, h.randomEntry().storeDirectly(ctx, j, true, time.Now().Add(refuseAfter)))
+				h.record(v, h.randomEntry().storeDirectly(ctx, j, settlement{mayBeStored: true}, time.Now().Add(refuseAfter)))
 			})
 		}
 		h.record(v, h.randomEntry().Submit(h.t.Context(), j, time.Now().Add(callerTimeout)))
--- a/entry/node/node_test.go
+++ b/entry/node/node_test.go
@@ -171,7 +171,7 @@
 		t.Fatalf("outcome %d, want unsettled", r.Outcome)
 	}
 	lose.Store(false)
-	if r = other.storeDirectly(t.Context(), j, false, time.Now().Add(time.Second)); r.Outcome != manager.Accepted {
+	if r = other.storeDirectly(t.Context(), j, settlement{}, time.Now().Add(time.Second)); r.Outcome != manager.Accepted {
 		t.Fatalf("outcome %d, want accepted", r.Outcome)
 	}
 	f.await(other, id, job.Completed, 5*time.Second)
@@ -284,7 +284,7 @@
 	})
 	for _, id := range []string{id, "2222222222222222"} {
 		j := job.Job{ID: id, Queue: "q", Pool: "p", Spec: "10", Steps: []job.Step{{Count: 1, CPU: 1000}}, AcceptedAt: time.Now().UnixMilli()}
-		if r := other.storeDirectly(t.Context(), j, false, time.Now().Add(time.Second)); r.Outcome != manager.Accepted {
+		if r := other.storeDirectly(t.Context(), j, settlement{}, time.Now().Add(time.Second)); r.Outcome != manager.Accepted {
 			t.Fatalf("outcome %d, want accepted", r.Outcome)
 		}
 		time.Sleep(300 * time.Millisecond)
--- a/entry/node/requests.go
+++ b/entry/node/requests.go
@@ -5,15 +5,12 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/go-faster/errors"
-
 	"github.com/azurepoint/azurepoint/coordination/job"
 	"github.com/azurepoint/azurepoint/coordination/organisation"
 	"github.com/azurepoint/azurepoint/coordination/retry"
 	"github.com/azurepoint/azurepoint/entry/event"
 	"github.com/azurepoint/azurepoint/entry/manager"
 	"github.com/azurepoint/azurepoint/entry/meter"
-	"github.com/azurepoint/azurepoint/entry/peer"
 	"github.com/azurepoint/azurepoint/entry/store"
 )
 
@@ -59,25 +56,18 @@
 	defer cancel()
 	arrived := time.Now()
 	giveUpAt := arrived.Add(ownerWait)
-	uncertain := false
+	var s settlement
 	for ctx.Err() == nil && time.Now().Before(giveUpAt) {
 		r, err := n.submitToOwner(ctx, j, until)
-		if err == nil && r.Outcome != manager.NotOwner {
-			if r.Outcome == manager.Refused && uncertain {
-				r.Outcome = manager.Unsettled
-			}
+		a := ownerAttempt(r, err)
+		s.add(a)
+		if a == ownerAccepted || a == ownerRefused || a == ownerUnsettled {
+			r.Outcome = s.outcome()
 			return n.logSubmission(j, r, "owner")
 		}
-		if err != nil && !errors.Is(err, errNoOwner) && !errors.Is(err, peer.ErrNotSent) {
-			// The call may have reached the owner.
-			uncertain = true
-		}
-		if r.Outcome == manager.Unsettled {
-			uncertain = true
-		}
 		retry.Sleep(ctx, ownerPollInterval)
 	}
-	return n.logSubmission(j, n.storeDirectly(ctx, j, uncertain, arrived.Add(refuseAfter)), "store")
+	return n.logSubmission(j, n.storeDirectly(ctx, j, s, arrived.Add(refuseAfter)), "store")
 }
 
 // logSubmission corrects the outcome for earlier unsettled attempts, counts it, and
@@ -116,42 +106,39 @@
 }
 
 // storeDirectly stores a job with an inbox mark, so that the owner adopts it.
-func (n *Node) storeDirectly(ctx context.Context, j job.Job, uncertain bool, refuseAt time.Time) (r manager.Reply) {
+func (n *Node) storeDirectly(ctx context.Context, j job.Job, s settlement, refuseAt time.Time) (r manager.Reply) {
 	record := job.Record{Job: j, State: job.Queued}
 	value, err := record.Encode()
 	if err != nil {
-		return manager.Reply{Outcome: manager.Refused, Reason: err.Error()}
+		return manager.Reply{Outcome: s.outcome(), RetryAfter: refusedRetryDelay, Reason: err.Error()}
 	}
 	t := store.Transaction{
 		Conditions: []store.Condition{{Key: manager.JobKey(j.ID)}},
 		Puts:       []store.Put{{Key: manager.JobKey(j.ID), Value: value}, {Key: manager.InboxPrefix + j.ID, Value: []byte(j.Queue)}},
 	}
-	if !uncertain && n.storeReach.lost() {
+	if !s.mayBeStored && n.storeReach.lost() {
 		// A write without an answer would leave the caller's job unsettled for
 		// nothing.
 		return manager.Reply{Outcome: manager.Refused, RetryAfter: refusedRetryDelay, Reason: "neither owner nor store can be reached"}
 	}
 	for ctx.Err() == nil {
-		err = n.commit(ctx, t)
-		var conflict *store.ConflictError
-		switch {
-		case err == nil:
+		a := storeAttempt(n.commit(ctx, t))
+		s.add(a)
+		if a == storeCommitted {
 			return manager.Reply{Outcome: manager.Accepted}
-		case errors.As(err, &conflict):
+		}
+		if a == storeFound && len(t.Conditions) > 0 {
 			// The stored record is of the same job. Its writer may have given it up
 			// when no answer came, so the job is marked for the owner in any case.
 			t.Conditions, t.Puts = nil, t.Puts[1:]
-			uncertain = true
 			continue
-		case !errors.Is(err, store.ErrRejected):
-			uncertain = true
 		}
-		if !uncertain && (n.storeReach.lost() || !time.Now().Before(refuseAt)) {
+		if !s.mayBeStored && (n.storeReach.lost() || !time.Now().Before(refuseAt)) {
 			break
 		}
 		retry.Sleep(ctx, ownerPollInterval*2)
 	}
-	if uncertain {
+	if s.mayBeStored {
 		return manager.Reply{Outcome: manager.Unsettled, Reason: "the store does not answer"}
 	}
 	return manager.Reply{Outcome: manager.Refused, RetryAfter: refusedRetryDelay, Reason: "neither owner nor store can be reached"}
--- a/entry/peer/peer.go
+++ b/entry/peer/peer.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -132,11 +134,13 @@
 func (c *Client) Submit(ctx context.Context, address string, j job.Job, until time.Time) (r manager.Reply, err error) {
 	value, err := json.Marshal(&j)
 	if err != nil {
-		return manager.Reply{}, errors.Wrap(err, "peer: encode job")
+		return manager.Reply{}, errors.Wrap(ErrNotSent, err.Error())
 	}
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	reply, err := c.ownerClient(address).Submit(ctx, &jobsrpc.SubmitRequest{Job: value, UntilUnixMillis: until.UnixMilli()})
-	var opErr *net.OpError
-	if errors.As(err, &opErr) && opErr.Op == "dial" {
+	if err != nil && !connected.Load() {
+		// The dial failed, or the context ended before it.
 		return manager.Reply{}, errors.Wrap(ErrNotSent, err.Error())
 	}
 	if err != nil {
