--- a/coordination/admission/pace.go
+++ b/coordination/admission/pace.go
@@ -1,36 +1,43 @@
 package admission
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
-	// paceWindow is the time over which the rate of orders is counted.
-	paceWindow = time.Second
-	// minPaceOrders is how many orders a window needs to tell anything.
-	minPaceOrders = 8
-	// paceRecovery is the factor by which the rate may grow after a window without delay.
-	paceRecovery = 2
+	// paceWindow is the time over which starts are counted.
+	paceWindow = 500 * time.Millisecond
+	// minPaceStarts is how many starts a window needs to tell anything.
+	minPaceStarts = 8
+	// paceGrowth is the factor by which the limit grows after a window without delay.
+	paceGrowth = 2
+	// minPace is the limit, in starts a second, while no start at all is answered.
+	minPace = 1
 )
 
-// Pace measures how many starts the owner can send. As long as orders leave within the
-// interval between plans there is no limit; once they are delayed by the owner itself, the
-// limit is the rate at which they were answered meanwhile. The zero value has no limit.
+// Pace measures how many starts the owner can send. There is no limit as long as most starts
+// are answered within the interval between two plans. Once they are not, whatever the owner
+// lacks, the limit is the rate at which they are answered. Slow endpoints do not matter unless
+// they are the majority. The zero value has no limit.
 type Pace struct {
 	// Interval is the longest time between two plans.
 	Interval time.Duration
 
 	windowEnd time.Time
-	orders    int
-	delay     time.Duration
-	limit     float64
+	// delays holds the times from when starts were due to be planned until they had a result.
+	delays   []time.Duration
+	answered int
+	limit    float64
 }
 
-// Observe records an answered start: from the time at which its plan was due it was delayed
-// by the owner's planning, by the sending and by the handling of the answer, without the time
-// that the endpoint took.
-func (p *Pace) Observe(delay time.Duration, now time.Time) {
+// Observe records a start that was answered, or not, a time after it was due to be planned.
+func (p *Pace) Observe(delay time.Duration, answered bool, now time.Time) {
 	p.advance(now)
-	p.orders++
-	p.delay += delay
+	p.delays = append(p.delays, delay)
+	if answered {
+		p.answered++
+	}
 }
 
 // Limit returns the starts that the owner can send in a second, or 0 if that is not the limit.
@@ -39,6 +46,8 @@
 	return p.limit
 }
 
+// advance ends the window if it is over. A window without enough starts changes nothing: the
+// owner may be unable to send any.
 func (p *Pace) advance(now time.Time) {
 	if p.windowEnd.IsZero() {
 		p.windowEnd = now.Add(paceWindow)
@@ -46,16 +55,18 @@
 	if now.Before(p.windowEnd) {
 		return
 	}
-	length := paceWindow + now.Sub(p.windowEnd)
-	rate := float64(p.orders) / length.Seconds()
-	switch {
-	case p.orders >= minPaceOrders && p.delay/time.Duration(p.orders) > p.Interval:
-		p.limit = rate
-	case p.limit > 0 && rate*paceRecovery < p.limit:
-		// Far fewer starts were due than the owner can send.
-		p.limit = 0
-	case p.limit > 0:
-		p.limit *= paceRecovery
+	rate := float64(p.answered) / paceWindow.Seconds()
+	if len(p.delays) >= minPaceStarts {
+		slices.Sort(p.delays)
+		switch {
+		case p.delays[len(p.delays)/2] > p.Interval:
+			p.limit = max(rate, minPace)
+		case rate*paceGrowth < p.limit:
+			// Far fewer starts were due than the owner can send.
+			p.limit = 0
+		case p.limit > 0:
+			p.limit = paceGrowth * max(p.limit, rate)
+		}
 	}
-	p.orders, p.delay, p.windowEnd = 0, 0, now.Add(paceWindow)
+	p.delays, p.answered, p.windowEnd = p.delays[:0], 0, now.Add(paceWindow)
 }
--- a/coordination/schedule/admit.go
+++ b/coordination/schedule/admit.go
@@ -24,6 +24,9 @@
 	// waitingFactor times the run time of a job is the estimate above which it tells how well
 	// waits are estimated.
 	waitingFactor = 2
+	// overdueFactor times its estimate is how long a job is waited for before its estimate
+	// counts as too low by that factor.
+	overdueFactor = 2
 	// minRate stands for a capacity of none.
 	minRate = 1e-3
 )
@@ -392,7 +395,7 @@
 		case j == nil && now.Sub(e.at) > storeDelay:
 			delete(a.accepted, id)
 		case j == nil:
-		case !j.state.Terminal() && !now.After(e.usefulUntil):
+		case !j.state.Terminal() && !now.After(e.usefulUntil) && now.Sub(e.at) < overdueFactor*e.estimate.Sub(e.at):
 		default:
 			if e.waits && (j.state == job.Completed || !j.state.Terminal()) {
 				c.Observe(e.at, e.estimate, endOr(j, now))
--- a/entry/manager/send.go
+++ b/entry/manager/send.go
@@ -18,10 +18,8 @@
 	order  schedule.Order
 	answer schedule.OrderResult
 	err    error
-	// sendDelay is the time from when the order was due to be planned until it was sent;
-	// answeredAt is zero if it got no answer.
-	sendDelay  time.Duration
-	answeredAt time.Time
+	// planDue is when the order was due to be planned; it is zero if the order was not sent.
+	planDue time.Time
 }
 
 // errUnconfirmed means that an order was not sent because the ownership is unconfirmed.
@@ -56,7 +54,7 @@
 			sent := time.Now()
 			a.answer, a.err = m.callEndpoint(ctx, p, target, o)
 			meter.RecordSince("orders."+o.Action.String(), sent)
-			a.sendDelay, a.answeredAt = sent.Sub(planDue), time.Now()
+			a.planDue = planDue
 		}
 		m.orderResults <- a
 	}()
@@ -95,8 +93,8 @@
 	}
 	m.mu.Lock()
 	now := time.Now()
-	if a.order.Action == schedule.Start && !a.answeredAt.IsZero() {
-		m.pace.Observe(a.sendDelay+now.Sub(a.answeredAt), now)
+	if a.order.Action == schedule.Start && !a.planDue.IsZero() {
+		m.pace.Observe(now.Sub(a.planDue), a.answer != schedule.Unknown && a.answer != schedule.Disconnected, now)
 	}
 	m.scheduler.RecordOrderResult(a.order, a.answer, now)
 	urgent := a.answer == schedule.Disconnected && m.scheduler.HasUrgentWrites()
