--- a/coordination/admission/returns.go
+++ b/coordination/admission/returns.go
@@ -93,5 +93,5 @@
 }
 
 func ceilSecond(d time.Duration) time.Duration {
-	return (d + time.Second - 1) / time.Second * time.Second
+	return (d + time.Second - 1).Truncate(time.Second)
 }
--- a/coordination/schedule/admit_test.go
+++ b/coordination/schedule/admit_test.go
@@ -20,7 +20,7 @@
 type doorSimulation struct {
 	*simulation
 	// all accepts every job.
-	all bool
+	all      bool
 	accepted map[string]bool
 	refused  map[string]int
 	reasons  map[admission.Reason]int
--- a/entry/node/requests.go
+++ b/entry/node/requests.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/apex/log"
+
 	"github.com/azurepoint/azurepoint/coordination/job"
 	"github.com/azurepoint/azurepoint/coordination/organisation"
 	"github.com/azurepoint/azurepoint/coordination/retry"
