--- a/entry/manager/recordwriter.go
+++ b/entry/manager/recordwriter.go
@@ -91,6 +91,9 @@
 	organisation string
 	outcome      Outcome
 	done         chan struct{}
+	// sent is set while a transaction may store the job, and settled once the outcome is
+	// known.
+	sent, settled bool
 }
 
 // recordWriter writes the owner's records in batches, under the condition that the
@@ -112,7 +115,7 @@
 	mu        sync.Mutex
 	creations map[string]*creation
 	queue     []*recordWrite
-	// ended is set once no more transactions are sent.
+	// ended is set once nothing is written any more.
 	ended bool
 
 	wake chan struct{}
@@ -126,21 +129,73 @@
 	}
 }
 
+// errEnded means that the term is over, so that the job is not written.
+var errEnded = errors.New("manager: the term has ended")
+
+// withdraw ends a new job whose submitter no longer waits, and returns its outcome: Refused if
+// no transaction of it was sent.
+func (rw *recordWriter) withdraw(c *creation, id string) (outcome Outcome) {
+	rw.mu.Lock()
+	defer rw.mu.Unlock()
+	if !c.settled && c.sent {
+		return Unsettled
+	}
+	rw.settle(c, id, Refused)
+	return c.outcome
+}
+
+// settle sets the outcome of a new job unless it has one; rw.mu is held.
+func (rw *recordWriter) settle(c *creation, id string, outcome Outcome) {
+	if c.settled {
+		return
+	}
+	delete(rw.creations, id)
+	c.settled, c.outcome = true, outcome
+	close(c.done)
+}
+
+// claim returns the writes of a batch without those of settled new jobs, and marks the others
+// as sent.
+func (rw *recordWriter) claim(batch []*recordWrite) (claimed []*recordWrite) {
+	rw.mu.Lock()
+	defer rw.mu.Unlock()
+	for _, w := range batch {
+		if w.creation != nil {
+			if w.creation.settled {
+				continue
+			}
+			w.creation.sent = true
+		}
+		claimed = append(claimed, w)
+	}
+	return claimed
+}
+
+// recordRejection marks the new jobs of a rejected transaction as not sent, unless an earlier
+// one may have stored them.
+func (rw *recordWriter) recordRejection(batch []*recordWrite) {
+	rw.mu.Lock()
+	defer rw.mu.Unlock()
+	for _, w := range batch {
+		if w.creation != nil && !w.uncertain {
+			w.creation.sent = false
+		}
+	}
+}
+
 // create queues a new job, or returns the pending creation with the same identifier.
 func (rw *recordWriter) create(r job.Record, until time.Time) (c *creation, err error) {
 	rw.mu.Lock()
 	defer rw.mu.Unlock()
+	if rw.ended {
+		return nil, errEnded
+	}
 	if c, waiting := rw.creations[r.ID]; waiting {
 		if !job.MayBeSameJob(c.organisation, r.Organisation) {
 			return nil, errOtherOrganisation
 		}
 		return c, nil
 	}
-	if rw.ended {
-		c = &creation{outcome: NotOwner, done: make(chan struct{})}
-		close(c.done)
-		return c, nil
-	}
 	value, err := r.Encode()
 	if err != nil {
 		return nil, err
@@ -175,7 +230,8 @@
 func (rw *recordWriter) run(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
 	go func() {
-		rw.abandon(rw.commitLoop(ctx))
+		rw.commitLoop(ctx)
+		rw.abandonCreations()
 		ended <- nil
 	}()
 	return ended
@@ -196,11 +252,10 @@
 	return previousFailures + 1, time.Now().Add(min(minCommitRetryDelay<<min(previousFailures, 6), maxCommitRetryDelay))
 }
 
-// commitLoop commits due records until the context ends, and returns the writes that it has
-// not sent or whose outcome is unknown. Several transactions may be
-// in flight, because a slow store takes 300 ms for each; a record is in at most one
-// of them.
-func (rw *recordWriter) commitLoop(ctx context.Context) (pending []*recordWrite) {
+// commitLoop commits due records until the context ends. Several transactions may be in
+// flight, because a slow store takes 300 ms for each; a record is in at most one of them.
+func (rw *recordWriter) commitLoop(ctx context.Context) {
+	var pending []*recordWrite
 	results := make(chan commitResult)
 	inFlight, failures := 0, 0
 	retryAt, lastCommit := time.Time{}, time.Time{}
@@ -245,9 +300,8 @@
 		}
 	}
 	for ; inFlight > 0; inFlight-- {
-		pending = append(pending, (<-results).remaining...)
+		<-results
 	}
-	return pending
 }
 
 // fillBatch adds pending writes to a batch; new jobs and final states come first. It
@@ -283,6 +337,9 @@
 // commit sends the batch as one transaction and returns the writes that have to be
 // repeated.
 func (rw *recordWriter) commit(ctx context.Context, batch []*recordWrite) (remaining []*recordWrite) {
+	if batch = rw.claim(batch); len(batch) == 0 {
+		return nil
+	}
 	t := store.Transaction{Conditions: []store.Condition{rw.owner}}
 	for _, w := range batch {
 		t.Conditions = append(t.Conditions, store.Condition{Key: w.key(), Revision: w.Record.Revision})
@@ -306,6 +363,8 @@
 		for _, w := range batch {
 			w.uncertain = true
 		}
+	default:
+		rw.recordRejection(batch)
 	}
 	event.RecordFailed.Log(log.Fields{"records": len(batch), "error": err.Error()})
 	return batch
@@ -381,21 +440,21 @@
 
 func (rw *recordWriter) finishCreation(w *recordWrite, outcome Outcome) {
 	rw.mu.Lock()
-	delete(rw.creations, w.Record.ID)
-	rw.mu.Unlock()
-	w.creation.outcome = outcome
-	close(w.creation.done)
+	defer rw.mu.Unlock()
+	rw.settle(w.creation, w.Record.ID, outcome)
 }
 
-// abandon ends the writes that remain when the owner stops. A new job that was never sent to
-// the store gets the outcome NotOwner, so that its entry passes it to the next owner.
-func (rw *recordWriter) abandon(pending []*recordWrite) {
+// abandonCreations ends all pending creations: those that a transaction may have stored with
+// the outcome Unsettled, the others with NotOwner.
+func (rw *recordWriter) abandonCreations() {
 	rw.mu.Lock()
-	rw.ended = true
-	pending = append(pending, rw.queue...)
-	rw.queue = nil
-	rw.mu.Unlock()
-	for _, w := range pending {
-		rw.giveUp(w)
+	defer rw.mu.Unlock()
+	for id, c := range rw.creations {
+		outcome := NotOwner
+		if c.sent {
+			outcome = Unsettled
+		}
+		rw.settle(c, id, outcome)
 	}
+	rw.queue, rw.ended = nil, true
 }
--- a/entry/manager/send.go
+++ b/entry/manager/send.go
@@ -18,6 +18,8 @@
 	order  schedule.Order
 	answer schedule.OrderResult
 	err    error
+	// planDue is when the order was due to be planned; it is zero if the order was not sent.
+	planDue time.Time
 }
 
 // errUnconfirmed means that an order was not sent because the ownership is unconfirmed.
@@ -41,6 +43,7 @@
 	}
 	target := Target{ID: status.ID, Address: status.Address}
 	m.ordersInFlight++
+	planDue := m.planDue
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
@@ -51,6 +54,7 @@
 		if m.Term.Confirmed() {
 			a.answer, a.err = m.callEndpoint(ctx, p, target, o, sent.Add(startWithin))
 			meter.RecordSince("orders."+o.Action.String(), sent)
+			a.planDue = planDue
 		}
 		m.orderResults <- a
 	}()
@@ -88,7 +92,11 @@
 		event.OrderRefused.Log(fields)
 	}
 	m.mu.Lock()
-	m.scheduler.RecordOrderResult(a.order, a.answer, time.Now())
+	now := time.Now()
+	if a.order.Action == schedule.Start && !a.planDue.IsZero() {
+		m.pace.Observe(now.Sub(a.planDue), a.answer != schedule.Unknown && a.answer != schedule.Disconnected, now)
+	}
+	m.scheduler.RecordOrderResult(a.order, a.answer, now)
 	urgent := a.answer == schedule.Disconnected && m.scheduler.HasUrgentWrites()
 	m.mu.Unlock()
 	if urgent {
