Size pools in a package of their own, over all pools at once

Pools were sized one by one: instances went from one pool to the spare pool and from there to the next, a single large job counted as a steep rise of demand, and tasks were spread over endpoints that the pool no longer required.

The package sizing holds the decision without I/O. Eight moves are ordered at once.

--- a/coordination/schedule/balance_test.go
+++ b/coordination/schedule/balance_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/azurepoint/azurepoint/coordination/job"
+	"github.com/azurepoint/azurepoint/coordination/sizing"
 )
 
 // Guards against a burst that waits for its own pool while other pools are idle. The
@@ -141,7 +142,7 @@
 	if n := plan(); n > 0 {
 		t.Fatalf("%d moves as soon as there is a surplus", n)
 	}
-	f.now = f.now.Add(shrinkDelay)
+	f.now = f.now.Add(sizing.SurplusDelay)
 	if n := plan(); n != 3 {
 		t.Fatalf("%d moves, want all endpoints but one", n)
 	}
@@ -165,7 +166,7 @@
 	}
 	f.now = f.now.Add(time.Millisecond)
 	plan()
-	f.now = f.now.Add(shrinkDelay)
+	f.now = f.now.Add(sizing.SurplusDelay)
 	if n := plan(); n != 3 {
 		t.Fatalf("%d moves, want all endpoints but one", n)
 	}
--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/azurepoint/azurepoint/coordination/job"
+	"github.com/azurepoint/azurepoint/coordination/sizing"
 )
 
 // Settings holds the time limits that the scheduler assumes. It has no defaults; the
@@ -41,7 +42,7 @@
 	dirty map[string]*jobState
 	// activeJobs holds the jobs of each pool whose state is not final.
 	activeJobs map[string]map[string]*jobState
-	demands    map[string]*demand
+	demands    map[string]*sizing.Demand
 	rankings   map[string]*jobRanking
 	// reservedInstances holds the names of the instances that are reserved for their
 	// maintenance, so that no pool takes them from the spare pool.
@@ -49,6 +50,9 @@
 	// firstBalancedAt is the time of the first call of PlanMoves; firstArrivalAt is
 	// the time at which the first job that is not long-running arrived.
 	firstBalancedAt, firstArrivalAt time.Time
+	// poolSizes and surplusSince are results of the last call of PlanMoves.
+	poolSizes    []sizing.Size
+	surplusSince map[string]time.Time
 	// endpointsByPool caches the endpoints of each pool, sorted by identifier. A pool is
 	// removed when its set of endpoints changes.
 	endpointsByPool map[string][]*endpoint
@@ -103,7 +107,7 @@
 	s.durationEstimates = make(map[string]*durationEstimate)
 	s.dirty = make(map[string]*jobState)
 	s.activeJobs = make(map[string]map[string]*jobState)
-	s.demands = make(map[string]*demand)
+	s.demands = make(map[string]*sizing.Demand)
 	s.rankings = make(map[string]*jobRanking)
 	s.reservedInstances = make(map[string]bool)
 	s.pendingStops = make(map[*run]bool)
--- /dev/null
+++ b/coordination/sizing/pool.go
@@ -0,0 +1,70 @@
+package sizing
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// headroomFactor scales the arriving work to the capacity for it, because tasks do not
+	// fill endpoints exactly.
+	headroomFactor = 1.15
+	// extraEndpoints is the number of endpoints that a pool keeps beside those of its
+	// long-running tasks, to serve the first second of a burst.
+	extraEndpoints = 1
+)
+
+// Endpoint is an endpoint that can move once it is idle.
+type Endpoint struct {
+	ID, Instance string
+	// IdleAt is when the tasks that run on it are expected to end.
+	IdleAt time.Time
+}
+
+// Pool is the observed state of a pool.
+type Pool struct {
+	Name string
+	// EndpointCPU is the CPU of the largest endpoint, in thousandths of a core.
+	EndpointCPU int
+	// Idle are the endpoints that can leave at once, Busy those that can leave once their
+	// tasks have ended. Staying counts the endpoints in service that cannot leave, and
+	// Incoming those that are on their way.
+	Idle, Busy        []Endpoint
+	Staying, Incoming int
+	// LongRunningCPU is the CPU of all long-running tasks, and LongRunningEndpoints the
+	// number of endpoints that run them.
+	LongRunningCPU, LongRunningEndpoints int
+	// ForecastCPU is the CPU that arriving work takes by the time a move is finished.
+	ForecastCPU float64
+	// OnTimeCPU is the CPU that finishes the waiting work of jobs that can meet their
+	// objective within their slack, OnTimeRunningCPU the CPU that their running tasks take,
+	// and LateCPU the CPU for the waiting work of late jobs.
+	OnTimeCPU, OnTimeRunningCPU, LateCPU float64
+	// SurplusSince is the time since which the pool has had more endpoints than it requires.
+	SurplusSince time.Time
+}
+
+// Size is the size of a pool and what its demand requires. RequiredOnTime is what jobs
+// that can meet their objective require.
+type Size struct {
+	Pool                              string
+	Current, Required, RequiredOnTime int
+}
+
+// size returns the current and the required size of the pool.
+func (p *Pool) size() (s Size) {
+	s = Size{Pool: p.Name, Current: len(p.Idle) + len(p.Busy) + p.Staying + p.Incoming}
+	onTime := max(p.ForecastCPU*headroomFactor, p.OnTimeRunningCPU) + p.OnTimeCPU
+	s.RequiredOnTime = max(p.endpointsFor(onTime), p.LongRunningEndpoints+extraEndpoints)
+	s.Required = max(p.endpointsFor(onTime+p.LateCPU), s.RequiredOnTime)
+	return s
+}
+
+// endpointsFor returns how many endpoints carry short tasks of a total CPU beside the
+// long-running tasks of the pool.
+func (p *Pool) endpointsFor(cpu float64) (count int) {
+	if p.EndpointCPU == 0 {
+		return 1
+	}
+	return int(math.Ceil((cpu + float64(p.LongRunningCPU)) / float64(p.EndpointCPU)))
+}
--- a/entry/manager/moves.go
+++ b/entry/manager/moves.go
@@ -22,9 +22,10 @@
 	// platform may carry out an unanswered order up to 12 s later, unless a later
 	// order for the instance fences it.
 	moveTimeout = 13 * time.Second
-	// maxConcurrentMoves bounds the orders in flight. An order takes about 15 ms, so
-	// sending the 100 moves of a flood sequentially would take more than a second.
-	maxConcurrentMoves = 4
+	// maxConcurrentMoves bounds the orders in flight. An order takes about 15 ms, and 200 ms
+	// if the link of the owner is busy, so that sending the 100 moves of a flood one after the
+	// other would take up to 20 s.
+	maxConcurrentMoves = 8
 )
 
 // Pools names the pools that the operators have configured.
@@ -201,7 +202,7 @@
 func (b *balancer) applyMoveResult(a moveResult) {
 	m, v := b.manager, a.move
 	fields := log.Fields{
-		"instance": v.Instance, "endpoint": v.Endpoint, "from": v.From, "to": v.To, "term": m.Term.Number, "answer": a.answer.String(),
+		"instance": v.Instance, "endpoint": v.Endpoint, "from": v.From, "to": v.To, "reason": string(v.Reason), "term": m.Term.Number, "answer": a.answer.String(),
 	}
 	if a.err != nil {
 		fields["error"] = a.err.Error()
