--- a/entry/manager/moves.go
+++ b/entry/manager/moves.go
@@ -8,7 +8,9 @@
 
 	"github.com/azurepoint/azurepoint/coordination/retry"
 	"github.com/azurepoint/azurepoint/coordination/schedule"
+	"github.com/azurepoint/azurepoint/coordination/sizing"
 	"github.com/azurepoint/azurepoint/entry/event"
+	"github.com/azurepoint/azurepoint/entry/meter"
 )
 
 // Intervals and limits of moves.
@@ -91,7 +93,9 @@
 		}
 	}
 	moves := m.scheduler.PlanMoves(free, pools.Serving, pools.Spare, incoming, time.Now())
+	sizes := m.scheduler.PoolSizes()
 	m.mu.Unlock()
+	recordSizes(sizes)
 	if len(moves) == 0 {
 		return
 	}
@@ -108,6 +112,16 @@
 	b.orderMoves(ctx, moves)
 }
 
+// recordSizes sets the gauges of the pools' sizes.
+func recordSizes(sizes []sizing.Size) {
+	for _, o := range sizes {
+		meter.SetGauge("pools."+o.Pool+".size", int64(o.Current))
+		meter.SetGauge("pools."+o.Pool+".required", int64(o.Required))
+		meter.SetGauge("pools."+o.Pool+".requiredOnTime", int64(o.RequiredOnTime))
+		meter.SetGauge("pools."+o.Pool+".kept", int64(o.Kept))
+	}
+}
+
 // orderMoves sends the orders of moves, up to maxConcurrentMoves at a time, and
 // returns once all are answered.
 func (b *balancer) orderMoves(ctx context.Context, moves []schedule.Move) {
--- a/entry/meter/meter.go
+++ b/entry/meter/meter.go
@@ -16,6 +16,11 @@
 	metrics.GetOrRegisterCounter(name, registry).Inc(1)
 }
 
+// SetGauge sets a gauge.
+func SetGauge(name string, value int64) {
+	metrics.GetOrRegisterGauge(name, registry).Update(value)
+}
+
 // RecordSince adds the time since a start to a timer; its histogram is in
 // nanoseconds.
 func RecordSince(name string, since time.Time) {
