Order four moves at once again

The owner is an entry with 0.192 cores; it could not confirm its ownership from second 28 on until another took over at second 42.

--- a/entry/manager/moves.go
+++ b/entry/manager/moves.go
@@ -24,10 +24,10 @@
 	// platform may carry out an unanswered order up to 12 s later, unless a later
 	// order for the instance fences it.
 	moveTimeout = 13 * time.Second
-	// maxConcurrentMoves bounds the orders in flight. An order takes about 15 ms, and 200 ms
-	// if the link of the owner is busy, so that sending the 100 moves of a flood one after the
-	// other would take up to 20 s.
-	maxConcurrentMoves = 8
+	// maxConcurrentMoves bounds the orders in flight. An order takes about 15 ms, so
+	// sending the 100 moves of a flood sequentially would take more than a second. More
+	// at once than four give a small owner more new endpoints than it can serve.
+	maxConcurrentMoves = 4
 )
 
 // Pools names the pools that the operators have configured.
