--- a/coordination/schedule/admit.go
+++ b/coordination/schedule/admit.go
@@ -6,6 +6,7 @@
 
 	"github.com/azurepoint/azurepoint/coordination/admission"
 	"github.com/azurepoint/azurepoint/coordination/job"
+	"github.com/azurepoint/azurepoint/coordination/sizing"
 )
 
 const (
@@ -333,11 +334,10 @@
 		growth := a.instances.Incoming[pool] + a.instances.Spare + idleEndpoints - idle[pool]
 		b := &admission.Backlog{Supplies: []admission.Supply{{From: now, Rate: rateOf(capacity)}}}
 		if growth > 0 {
-			b.Supplies = append(b.Supplies, admission.Supply{From: now.Add(forecastHorizon), Rate: rateOf(capacity.Plus(size.Times(growth)))})
+			b.Supplies = append(b.Supplies, admission.Supply{From: now.Add(sizing.ForecastHorizon), Rate: rateOf(capacity.Plus(size.Times(growth)))})
 		}
 		if d := s.demands[pool]; d != nil {
-			d.decay(now)
-			b.Reserved = admission.Amount{CPU: min(d.shortRate, d.longRate)}
+			b.Reserved = admission.Amount{CPU: d.Sustained(now)}
 		}
 		a.backlogs[pool] = b
 	}
--- a/entry/manager/moves.go
+++ b/entry/manager/moves.go
@@ -8,7 +8,9 @@
 
 	"github.com/azurepoint/azurepoint/coordination/retry"
 	"github.com/azurepoint/azurepoint/coordination/schedule"
+	"github.com/azurepoint/azurepoint/coordination/sizing"
 	"github.com/azurepoint/azurepoint/entry/event"
+	"github.com/azurepoint/azurepoint/entry/meter"
 )
 
 // Intervals and limits of moves.
@@ -23,7 +25,8 @@
 	// order for the instance fences it.
 	moveTimeout = 13 * time.Second
 	// maxConcurrentMoves bounds the orders in flight. An order takes about 15 ms, so
-	// sending the 100 moves of a flood sequentially would take more than a second.
+	// sending the 100 moves of a flood sequentially would take more than a second. More
+	// at once than four give a small owner more new endpoints than it can serve.
 	maxConcurrentMoves = 4
 )
 
@@ -91,7 +94,9 @@
 	}
 	m.scheduler.SetInstances(schedule.Instances{Incoming: incoming, Spare: countSpare(free, pools.Spare)})
 	moves := m.scheduler.PlanMoves(free, pools.Serving, pools.Spare, incoming, time.Now())
+	sizes := m.scheduler.PoolSizes()
 	m.mu.Unlock()
+	recordSizes(sizes)
 	if len(moves) == 0 {
 		return
 	}
@@ -118,6 +123,16 @@
 	return count
 }
 
+// recordSizes sets the gauges of the pools' sizes.
+func recordSizes(sizes []sizing.Size) {
+	for _, o := range sizes {
+		meter.SetGauge("pools."+o.Pool+".size", int64(o.Current))
+		meter.SetGauge("pools."+o.Pool+".required", int64(o.Required))
+		meter.SetGauge("pools."+o.Pool+".requiredOnTime", int64(o.RequiredOnTime))
+		meter.SetGauge("pools."+o.Pool+".kept", int64(o.Kept))
+	}
+}
+
 // orderMoves sends the orders of moves, up to maxConcurrentMoves at a time, and
 // returns once all are answered.
 func (b *balancer) orderMoves(ctx context.Context, moves []schedule.Move) {
@@ -212,7 +227,7 @@
 func (b *balancer) applyMoveResult(a moveResult) {
 	m, v := b.manager, a.move
 	fields := log.Fields{
-		"instance": v.Instance, "endpoint": v.Endpoint, "from": v.From, "to": v.To, "term": m.Term.Number, "answer": a.answer.String(),
+		"instance": v.Instance, "endpoint": v.Endpoint, "from": v.From, "to": v.To, "reason": string(v.Reason), "term": m.Term.Number, "answer": a.answer.String(),
 	}
 	if a.err != nil {
 		fields["error"] = a.err.Error()
--- a/entry/meter/meter.go
+++ b/entry/meter/meter.go
@@ -44,6 +44,11 @@
 	}
 }
 
+// SetGauge sets a gauge.
+func SetGauge(name string, value int64) {
+	metrics.GetOrRegisterGauge(name, registry).Update(value)
+}
+
 // RecordSince adds the time since a start to a timer; its histogram is in
 // nanoseconds.
 func RecordSince(name string, since time.Time) {
