--- a/entry/node/requests.go
+++ b/entry/node/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/apex/log"
@@ -44,14 +45,25 @@
 	pendingCountTTL = 1500 * time.Millisecond
 	// refusedRetryDelay is when a caller may retry a job that was not stored.
 	refusedRetryDelay = time.Second
+	// maxUnreachableRetries is the latest time, in multiples of refusedRetryDelay, at which a
+	// caller may retry that got to an entry which is cut off: the load balancer needs two
+	// failed probes, one second apart, to route it to another entry.
+	maxUnreachableRetries = 2
 )
 
+// unreachableRetryDelay returns when a caller may retry that got to an entry which is cut off.
+// Half of the callers return early, in case the cut is short, and the others later, so that
+// they have attempts left when another entry gets their requests.
+func unreachableRetryDelay() time.Duration {
+	return refusedRetryDelay * time.Duration(1+rand.IntN(maxUnreachableRetries))
+}
+
 // Submit stores a job through the owner or, if no owner answers, directly in the
 // store.
 func (n *Node) Submit(ctx context.Context, j job.Job, until time.Time) (r manager.Reply) {
 	defer meter.RecordSince("submit", time.Now())
 	if n.isolated() {
-		return n.logSubmission(j, manager.Reply{Outcome: manager.Refused, RetryAfter: refusedRetryDelay, Reason: "cut off"}, "breaker")
+		return n.logSubmission(j, manager.Reply{Outcome: manager.Refused, RetryAfter: unreachableRetryDelay(), Reason: "cut off"}, "breaker")
 	}
 	until = until.Add(-responseMargin)
 	ctx, cancel := context.WithDeadline(ctx, until)
@@ -127,7 +139,7 @@
 	if !s.mayBeStored && n.storeReach.lost() {
 		// A write without an answer would leave the caller's job unsettled for
 		// nothing.
-		return manager.Reply{Outcome: manager.Refused, RetryAfter: refusedRetryDelay, Reason: "neither owner nor store can be reached"}
+		return manager.Reply{Outcome: manager.Refused, RetryAfter: unreachableRetryDelay(), Reason: "neither owner nor store can be reached"}
 	}
 	for ctx.Err() == nil {
 		err = n.commit(ctx, t)
@@ -154,7 +166,7 @@
 	if s.mayBeStored {
 		return manager.Reply{Outcome: manager.Unsettled, Reason: "the store does not answer"}
 	}
-	return manager.Reply{Outcome: manager.Refused, RetryAfter: refusedRetryDelay, Reason: "neither owner nor store can be reached"}
+	return manager.Reply{Outcome: manager.Refused, RetryAfter: unreachableRetryDelay(), Reason: "neither owner nor store can be reached"}
 }
 
 func (n *Node) commit(ctx context.Context, t store.Transaction) (err error) {
