Divide by weight only what is beyond the rates, and make admission an option

Cause: with the division of full pools among organisations more jobs began and fewer were in time.

Change: jobs within the rate of their organisation, which its weight grants, go in the order of the least remaining work; what exceeds the rates is divided by weight. Jobs of organisations without a rate are divided as before.

--- a/coordination/schedule/division.go
+++ b/coordination/schedule/division.go
@@ -12,8 +12,8 @@
 // all end late.
 const finishingPart = 20
 
-// dividePool returns how the pool is divided among organisations, and marks the jobs of those
-// that have more than their share. Long-running tasks take no part in it: they start first.
+// dividePool returns how the pool is divided among organisations, and marks the jobs beyond the
+// rates of those that have more than their share. Long-running tasks take no part in it: they start first.
 // Jobs without an organisation together count as one.
 func (s *Scheduler) dividePool(pool string, jobs map[string]*jobState, wall time.Time) (d organisation.Division) {
 	if !s.organisations.ledger.Active() {
@@ -45,15 +45,22 @@
 	}
 	d = s.organisations.ledger.Divide(capacity, uses)
 	for _, j := range jobs {
-		j.overShare = !j.longRunning() && !j.finishing && d.Exceeded(j.Organisation, uses[j.Organisation].Running)
+		j.overShare = !s.withinRate(j) && !j.longRunning() && !j.finishing && d.Exceeded(j.Organisation, uses[j.Organisation].Running)
 	}
 	return d
 }
 
+// withinRate reports whether the rate of its organisation allowed the job.
+func (s *Scheduler) withinRate(j *jobState) bool {
+	t, known := s.organisations.ledger.Terms(j.Organisation)
+	return known && t.Weight > 0 && !j.Surplus
+}
+
 // withholds reports whether a job has to wait until the organisations that have less than
-// their share have had their turn.
+// their share have had their turn. Jobs within the rates of their organisations do not: in the
+// order of the least remaining work more of them are in time.
 func (s *Scheduler) withholds(c *candidates, j *jobState) bool {
-	if j.longRunning() || j.finishing || !c.division.Reached(j.Organisation, s.organisations.pools[poolUser{j.Pool, j.Organisation}]) {
+	if s.withinRate(j) || j.longRunning() || j.finishing || !c.division.Reached(j.Organisation, s.organisations.pools[poolUser{j.Pool, j.Organisation}]) {
 		return false
 	}
 	c.withheld = true
--- a/entry/manager/settings.go
+++ b/entry/manager/settings.go
@@ -22,8 +22,8 @@
 	// MeanDurations makes the scheduler expect of every task the moving average of its queue,
 	// instead of learning from finished runs what their run time depends on.
 	MeanDurations bool
-	// AcceptAll turns off the refusal of jobs that cannot be served in time.
-	AcceptAll bool
+	// RefuseLate makes the owner refuse jobs that cannot be served in time.
+	RefuseLate bool
 }
 
 // Leases, timeouts and intervals.
--- a/entry/manager/submit.go
+++ b/entry/manager/submit.go
@@ -76,7 +76,7 @@
 		return Reply{Outcome: Refused, RetryAfter: refusedRetryDelay, Reason: "too many jobs"}, true
 	}
 	now := time.Now()
-	if m.Settings.AcceptAll {
+	if !m.Settings.RefuseLate {
 		j.Surplus = !m.scheduler.TakeRate(j.Organisation, now)
 		return Reply{}, false
 	}
