Divide a pool only while jobs beyond the rates wait in it

Cause: the division of a pool visits each job for each ranking, also while no job is beyond the rate of its organisation, and takes processor time of the owner.

Change: it is left out then; its result decided nothing.

--- a/coordination/schedule/division.go
+++ b/coordination/schedule/division.go
@@ -16,7 +16,7 @@
 // rates of those that have more than their share. Long-running tasks take no part in it: they start first.
 // Jobs without an organisation together count as one.
 func (s *Scheduler) dividePool(pool string, jobs map[string]*jobState, wall time.Time) (d organisation.Division) {
-	if !s.organisations.ledger.Active() {
+	if !s.organisations.ledger.Active() || !s.anyBeyondRate(jobs) {
 		for _, j := range jobs {
 			j.overShare = false
 		}
@@ -50,6 +50,16 @@
 	return d
 }
 
+// anyBeyondRate reports whether a share matters to any of the jobs.
+func (s *Scheduler) anyBeyondRate(jobs map[string]*jobState) bool {
+	for _, j := range jobs {
+		if !j.longRunning() && !s.withinRate(j) {
+			return true
+		}
+	}
+	return false
+}
+
 // withinRate reports whether the rate of its organisation allowed the job.
 func (s *Scheduler) withinRate(j *jobState) bool {
 	t, known := s.organisations.ledger.Terms(j.Organisation)
