Count the deadline of a start to the lease of its endpoint

Cause: a start lets the endpoint hold the run until the deadline of the order, also if its lease ends before. The scheduler counted the run as ended with the lease, and a busy owner computed the deadline when it sent the order, later than the one that the scheduler assumed.

Change: a start extends the lease that the scheduler assumes, and the order carries the deadline that was planned.

--- a/coordination/schedule/order.go
+++ b/coordination/schedule/order.go
@@ -36,6 +36,9 @@
 	// Spec and Checkpoint belong to a start.
 	Spec       string
 	Checkpoint string
+	// StartBy belongs to a start: the time after which the endpoint must refuse it, and until
+	// which it grants a lease.
+	StartBy time.Time
 	// UsesPolicy belongs to a start: the policy service of the queue has to be asked
 	// first.
 	UsesPolicy bool
@@ -199,6 +202,8 @@
 		startDeadline: now.Add(s.localDuration(s.Settings.StartTimeout)), pace: fullPace, paceSent: fullPace,
 		resumed: t.step.KeepCheckpoints && t.checkpoint != "",
 	}
+	// The endpoint holds the run until the deadline of its start, whatever other lease it has.
+	e.leaseUntil = latest(e.leaseUntil, r.startDeadline)
 	t.lastRun = number
 	if t.isolation(t.stepState()) > 0 {
 		s.isolate(e, t.job)
@@ -213,7 +218,7 @@
 	if j.state == job.Queued {
 		j.state = job.Running
 	}
-	o := Order{Action: Start, Endpoint: e.ID, Task: t.name, Run: number, Job: j.ID, TimeSinceAcceptance: now.Sub(j.acceptedAt), Spec: j.Spec, UsesPolicy: j.UsesPolicy}
+	o := Order{Action: Start, Endpoint: e.ID, Task: t.name, Run: number, Job: j.ID, TimeSinceAcceptance: now.Sub(j.acceptedAt), Spec: j.Spec, UsesPolicy: j.UsesPolicy, StartBy: now.Add(s.Settings.StartTimeout)}
 	if t.step.KeepCheckpoints {
 		o.Checkpoint = t.checkpoint
 	}
--- a/entry/manager/send.go
+++ b/entry/manager/send.go
@@ -52,7 +52,7 @@
 		// may count on the end of this one's lease.
 		sent := time.Now()
 		if m.Term.Confirmed() {
-			a.answer, a.err = m.callEndpoint(ctx, p, target, o, sent.Add(startWithin))
+			a.answer, a.err = m.callEndpoint(ctx, p, target, o)
 			meter.RecordSince("orders."+o.Action.String(), sent)
 			a.planDue = planDue
 		}
@@ -60,7 +60,7 @@
 	}()
 }
 
-func (m *Manager) callEndpoint(ctx context.Context, p *poller, t Target, o schedule.Order, startBy time.Time) (a schedule.OrderResult, err error) {
+func (m *Manager) callEndpoint(ctx context.Context, p *poller, t Target, o schedule.Order) (a schedule.OrderResult, err error) {
 	run := RunCall{Task: o.Task, Run: o.Run, Fence: m.Term.Number, Percent: o.Percent}
 	switch o.Action {
 	case schedule.Stop:
@@ -70,7 +70,7 @@
 	default:
 		return m.Endpoints.Start(ctx, t, StartCall{
 			Task: o.Task, Run: o.Run, Spec: o.Spec, Checkpoint: o.Checkpoint, Fence: m.Term.Number,
-			Until: p.endpointDeadline(startBy),
+			Until: p.endpointDeadline(o.StartBy),
 		})
 	}
 }
