Do not count moving endpoints as reserved for maintenance

Change: endpoints that move count neither as in service nor as reserved. TestMovesDoNotStopWave failed before.

--- a/coordination/schedule/load.go
+++ b/coordination/schedule/load.go
@@ -4,6 +4,8 @@
 
 // poolLoad is the load of a pool.
 type poolLoad struct {
+	// endpoints counts the endpoints in service and those that are reserved for their
+	// maintenance; reserved counts the latter.
 	endpoints, reserved int
 	// waitingWork is the expected work of tasks that could start now, in
 	// milliseconds times thousandths of a core. totalCPU is the CPU of the endpoints
@@ -40,11 +42,11 @@
 			l = &poolLoad{}
 			loads[e.Pool] = l
 		}
-		if !e.listed || e.Draining {
+		if !e.listed || e.Draining || e.moving {
 			continue
 		}
 		l.endpoints++
-		if e.reserved() {
+		if e.reservedForMaintenance {
 			l.reserved++
 			continue
 		}
--- a/coordination/schedule/wave_test.go
+++ b/coordination/schedule/wave_test.go
@@ -52,6 +52,26 @@
 	}
 }
 
+// Guards against a wave that misses its deadline because of moves: a pool shrinks after a burst,
+// its old endpoints stay in the list for seconds after their instances have moved, and counted
+// as reserved, so that no endpoint with a long-running task was reserved until the pool had
+// its final size.
+func TestMovesDoNotStopWave(t *testing.T) {
+	f := newFixture(t, "e1", "e2", "e3", "e4", "e5", "e6")
+	f.s.AddJob(newRecord("j", job.Step{Count: 1, CPU: 1000, LongRunning: true}), f.now)
+	serving := f.planAndAccept()[0].Endpoint
+	for _, n := range []string{"e1", "e2", "e3", "e4", "e5", "e6"} {
+		if n != serving && n != "e6" && n != "e5" {
+			f.s.endpoints[n].moving = true
+		}
+	}
+	v, observed := testWave(f, 2, serving)
+	f.s.PlanWave(v, observed, f.now)
+	if v.Instances[0].Phase != PhaseReserved {
+		t.Fatal("the instance is not reserved although no other one of its pool has its maintenance")
+	}
+}
+
 // Guards against more instances down than the wave allows after a change of owner: an order
 // of the earlier owner may have been carried out although the list does not say so yet.
 func TestInheritedOrderCountsAgainstWave(t *testing.T) {
