Serve a summary of an entry's state

Cause: operators could ask no entry that manages jobs what it holds; event 8006 was listed and never logged. Why tasks of a pool waited had to be put together from logs. Change: /dump on the metrics address: owner, reachability and configuration of the entry, and at the owner jobs by lateness, sizes of pools, and endpoints by data centre with what keeps them from new tasks. It holds no keys of callers.

--- /dev/null
+++ b/entry/node/dump_test.go
@@ -0,0 +1,34 @@
+package node
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/azurepoint/azurepoint/coordination/job"
+)
+
+// Guards against a dump that races with the work of the owner, and against one of another entry
+// that does not name the owner, so that operators do not find the pools.
+func TestDumpShowsOwnerAndPools(t *testing.T) {
+	f := newFleet(t)
+	owner, other := f.startPair()
+	f.submit(other, id, "50", job.Step{Count: 2, CPU: 1000})
+	f.await(other, id, job.Completed, 5*time.Second)
+	for _, e := range []*entry{owner, other} {
+		w := httptest.NewRecorder()
+		e.DumpHandler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/dump", nil))
+		var d Dump
+		if err := json.Unmarshal(w.Body.Bytes(), &d); err != nil {
+			t.Fatal(err)
+		}
+		if d.Owner != owner.Name || d.OwnerTerm < 1 || (d.Manager != nil) != (e == owner) {
+			t.Errorf("dump of %s: %s", e.Name, w.Body)
+		}
+		if m := d.Manager; m != nil && (len(m.Scheduler.Pools) != 1 || m.Scheduler.Pools[0].DataCentres[0].Known != 3) {
+			t.Errorf("dump of the owner: %s, want a pool with three endpoints", w.Body)
+		}
+	}
+}
