Store jobs past an owner without store, and find a cut by the next request

Callers were refused for as long as the owner kept the pools without the store, and an entry that was cut off was ready for a second longer, in which its callers used up their attempts. An owner that has lost the store for 100 ms says so, and entries that reach the store keep the job themselves. A call that takes 200 ms has the store probed and the owner asked. Delays grow with the age of the outage.

--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -27,6 +27,8 @@
 	Number int64
 	// Confirmed reports whether the ownership is confirmed at the moment.
 	Confirmed func() bool
+	// StoreLost reports whether this entry has lost the store, or is nil if nothing tells.
+	StoreLost func() bool
 	// Lost is called once, when the term is found to be over.
 	Lost func()
 }
--- a/entry/manager/submit.go
+++ b/entry/manager/submit.go
@@ -26,11 +26,22 @@
 	// limitRetryDelay is when a caller may retry a job that the limit of its organisation
 	// never admits; only a new configuration can change that.
 	limitRetryDelay = time.Minute
+	// lostStoreRetryDelay is when an entry may ask an owner again that has lost the store: its
+	// lease ends after that time at the latest, and another entry takes over.
+	lostStoreRetryDelay = time.Second
+	// lostStoreCheckInterval is how often a submission that waits checks whether the store is
+	// lost, a tenth of the time that a caller is held at most.
+	lostStoreCheckInterval = 50 * time.Millisecond
 )
 
+// lostStoreReason is the reason given by an owner that has lost the store.
+const lostStoreReason = "the owner has lost the store"
+
 // Reply is the answer to a submission.
 type Reply struct {
-	Outcome    Outcome
+	Outcome Outcome
+	// RetryAfter is when the caller may try again, and with the outcome NotOwner when the entry
+	// may: zero if the owner may be another one in a moment.
 	RetryAfter time.Duration
 	Reason     string
 }
@@ -71,6 +82,9 @@
 		// Another entry may own the pools by now. A write that gets no answer would
 		// leave the job unsettled, so none is attempted.
 		return Reply{Outcome: NotOwner, Reason: "the ownership cannot be confirmed"}, true
+	case m.storeLost():
+		meter.Count("refusals.ownerLostStore")
+		return Reply{Outcome: NotOwner, RetryAfter: lostStoreRetryDelay, Reason: lostStoreReason}, true
 	case m.scheduler.CountActiveJobs() >= maxActiveJobs:
 		meter.Count("refusals.count")
 		return Reply{Outcome: Refused, RetryAfter: refusedRetryDelay, Reason: "too many jobs"}, true
@@ -103,16 +117,40 @@
 	case err != nil:
 		return Reply{Outcome: Refused, RetryAfter: refusedRetryDelay, Reason: err.Error()}
 	}
-	select {
-	case <-c.done:
-		return Reply{Outcome: c.outcome, RetryAfter: refusedRetryDelay, Reason: "the store does not take the job"}
-	case <-ctx.Done():
-		return Reply{Outcome: m.recordWriter.withdraw(c, j.ID), RetryAfter: refusedRetryDelay, Reason: "the caller's deadline"}
-	case <-m.over:
-		return m.overReply(c)
+	check := time.NewTicker(lostStoreCheckInterval)
+	defer check.Stop()
+	for {
+		select {
+		case <-c.done:
+			return Reply{Outcome: c.outcome, RetryAfter: refusedRetryDelay, Reason: "the store does not take the job"}
+		case <-ctx.Done():
+			return Reply{Outcome: m.recordWriter.withdraw(c, j.ID), RetryAfter: refusedRetryDelay, Reason: "the caller's deadline"}
+		case <-m.over:
+			return m.overReply(c)
+		case <-check.C:
+			if m.storeLost() {
+				return m.lostStoreReply(c, j.ID)
+			}
+		}
 	}
 }
 
+// lostStoreReply returns the reply to a submission that waits while the store is lost. An entry
+// that reaches the store can store the job itself, also if a transaction of this owner may do so:
+// both add the same record, and only if there is none.
+func (m *Manager) lostStoreReply(c *creation, id string) (r Reply) {
+	r = Reply{Outcome: m.recordWriter.withdraw(c, id), RetryAfter: lostStoreRetryDelay, Reason: lostStoreReason}
+	if r.Outcome == Refused {
+		meter.Count("refusals.ownerLostStore")
+		r.Outcome = NotOwner
+	}
+	return r
+}
+
+func (m *Manager) storeLost() bool {
+	return m.Term.StoreLost != nil && m.Term.StoreLost()
+}
+
 // overReply returns the reply to a submission after the end of the term, by which the record
 // writer has settled its creations.
 func (m *Manager) overReply(c *creation) (r Reply) {
--- a/entry/node/access.go
+++ b/entry/node/access.go
@@ -18,8 +18,8 @@
 const (
 	// accessCheckInterval is how often the age of the view is checked for logs and metrics.
 	accessCheckInterval = 100 * time.Millisecond
-	// closedRetryDelay is when a caller may retry at an entry whose view is too old: views
-	// are confirmed again within a second of the store's return.
+	// closedRetryDelay is the earliest time at which a caller may retry at an entry whose view
+	// is too old: views are confirmed again within a second of the store's return.
 	closedRetryDelay = time.Second
 )
 
@@ -88,7 +88,7 @@
 		}
 		event.KeyRefused.Log(log.Fields{"queue": a.Queue.Name, "present": key != "", "version": c.Version})
 	case access.Unconfirmed:
-		a.RetryAfter = closedRetryDelay
+		a.RetryAfter = max(closedRetryDelay, n.Returns.After(n.storeReach.lostFor()))
 		meter.Count("access.unconfirmed")
 	}
 	return a
--- a/entry/node/entries.go
+++ b/entry/node/entries.go
@@ -32,6 +32,9 @@
 	// probeInterval is the time between reads that check whether the store answers
 	// again; callers have 3 s and retry about every second.
 	probeInterval = 150 * time.Millisecond
+	// suspectAfter is how long the owner or the store may take to answer before the store is
+	// probed. The owner answers from memory, or when a store that is not slow has answered.
+	suspectAfter = 200 * time.Millisecond
 	// lookupTimeout bounds an owner lookup or a probe; a slow store answers within
 	// 300 ms.
 	lookupTimeout = 300 * time.Millisecond
@@ -172,39 +175,73 @@
 }
 
 // runOwnerLookup asks other entries for the owner while this one cannot reach the
-// store, until the context ends. The owner that this entry last read from the store
+// store, and once if the owner takes suspiciously long, until the context ends. The owner that this entry last read from the store
 // may have ended long before.
 func (n *Node) runOwnerLookup(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
 	go func() {
 		for ctx.Err() == nil {
-			if n.storeReach.lost() {
+			wake := time.NewTimer(lookupInterval)
+			select {
+			case <-ctx.Done():
+			case <-wake.C:
+				if n.storeReach.lost() {
+					n.lookUpOwner(ctx)
+				}
+			case <-n.ownerSuspected:
 				n.lookUpOwner(ctx)
+				retry.Sleep(ctx, probeInterval)
 			}
-			retry.Sleep(ctx, lookupInterval)
+			wake.Stop()
 		}
 		ended <- nil
 	}()
 	return ended
 }
 
-// runStoreProbe reads a key periodically while the store is unreachable, until the
-// context ends. A hanging watch would show only seconds later that the store answers
-// again.
+// runStoreProbe reads a key periodically while the store is unreachable, and once if a call
+// takes suspiciously long, until the context ends. A hanging watch would show only seconds later
+// that the store does not answer, or that it does so again.
 func (n *Node) runStoreProbe(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
 	go func() {
 		for ctx.Err() == nil {
-			if n.storeReach.lost() {
+			wake := time.NewTimer(probeInterval)
+			select {
+			case <-ctx.Done():
+			case <-wake.C:
+				if n.storeReach.lost() {
+					n.probeStore(ctx)
+				}
+			case <-n.suspected:
 				n.probeStore(ctx)
+				retry.Sleep(ctx, probeInterval)
 			}
-			retry.Sleep(ctx, probeInterval)
+			wake.Stop()
 		}
 		ended <- nil
 	}()
 	return ended
 }
 
+// suspect has the store probed, because a call takes suspiciously long.
+func (n *Node) suspect() {
+	wakeUp(n.suspected)
+}
+
+// suspectOwner has the store probed and the owner looked up.
+func (n *Node) suspectOwner() {
+	wakeUp(n.suspected)
+	wakeUp(n.ownerSuspected)
+}
+
+func wakeUp(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 // probeStore reads a key; monitoredStore records whether there was an answer.
 func (n *Node) probeStore(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/azurepoint/azurepoint/coordination/access"
+	"github.com/azurepoint/azurepoint/coordination/outage"
 	"github.com/azurepoint/azurepoint/coordination/retry"
 	"github.com/azurepoint/azurepoint/entry/event"
 	"github.com/azurepoint/azurepoint/entry/manager"
@@ -41,6 +42,8 @@
 	Manager   manager.Settings
 	// Access says for how long a removed key may still be served.
 	Access access.Policy
+	// Returns says when callers return that are turned away in an outage.
+	Returns outage.Returns
 
 	// view is how recent the configuration is.
 	view          access.View
@@ -68,13 +71,16 @@
 	// noHandoverUntil is the time until which the pools are not handed over again; only the
 	// goroutine of a term accesses it.
 	noHandoverUntil time.Time
+	// suspected asks for a probe of the store, and ownerSuspected for a lookup of the owner.
+	suspected, ownerSuspected chan struct{}
 	// cancelsChanged and inboxChanged wake the servers of the marks.
 	cancelsChanged, inboxChanged chan struct{}
 }
 
 // Init prepares the node; it must be called before every other method.
 func (n *Node) Init() {
-	n.Store = monitoredStore{Store: n.Store, reach: &n.storeReach}
+	n.suspected, n.ownerSuspected = make(chan struct{}, 1), make(chan struct{}, 1)
+	n.Store = monitoredStore{Store: n.Store, reach: &n.storeReach, slow: n.suspect}
 	n.ownership = &ownership{
 		store: n.Store, self: ownerRecord{Name: n.Name, Address: n.Address, Process: n.Process}, changed: make(chan struct{}, 1),
 	}
@@ -145,6 +151,7 @@
 			Owner:     store.Condition{Key: manager.OwnerKey, Revision: t.revision},
 			Number:    t.number,
 			Confirmed: func() bool { return n.ownership.confirmed(t) },
+			StoreLost: n.ownerLostStore,
 			Lost:      t.end,
 		},
 	}
@@ -294,14 +301,28 @@
 
 // isolated reports whether this entry reaches neither the store nor an owner that
 // does.
-func (n *Node) isolated() bool {
+func (n *Node) isolated() (isolated bool) {
+	isolated, _ = n.isolation()
+	return isolated
+}
+
+// isolation reports whether this entry reaches neither the store nor an owner that does, and
+// for how long it has known.
+func (n *Node) isolation() (isolated bool, age time.Duration) {
 	if !n.storeReach.lost() {
-		return false
+		return false, 0
 	}
+	age = n.storeReach.lostFor()
 	if m := n.manager(); m != nil {
-		return !m.Term.Confirmed()
+		return !m.Term.Confirmed() || n.ownerLostStore(), age
 	}
-	return n.ownerReach.lost() || n.ownerServes.lost()
+	return n.ownerReach.lost() || n.ownerServes.lost(), min(age, max(n.ownerReach.lostFor(), n.ownerServes.lostFor()))
+}
+
+// ownerLostStore reports whether this entry, as the owner, has lost the store for so long that
+// it takes no new jobs.
+func (n *Node) ownerLostStore() bool {
+	return n.storeReach.lostFor() > ownerStorePatience
 }
 
 // errNoOwner means that no owner of the pools is known or answers.
--- a/entry/node/node_test.go
+++ b/entry/node/node_test.go
@@ -193,6 +193,11 @@
 	})
 	j := job.Job{ID: id, Queue: "q", Pool: "p", Spec: "10", Steps: []job.Step{{Count: 1, CPU: 1000}}, AcceptedAt: time.Now().UnixMilli()}
 	for injected, want := range map[standin.Fault]manager.Outcome{standin.FaultRejected: manager.Refused, standin.FaultLost: manager.Unsettled} {
+		// While the store is known to be lost nothing is written, so the job is refused for certain.
+		fault.Store(int64(standin.FaultNone))
+		for a.storeReach.lost() {
+			time.Sleep(5 * time.Millisecond)
+		}
 		fault.Store(int64(injected))
 		j.ID = "aaaaaaaaaaaaaaa" + string('0'+rune(injected))
 		if r := a.Submit(t.Context(), j, time.Now().Add(900*time.Millisecond)); r.Outcome != want {
--- a/entry/node/owner.go
+++ b/entry/node/owner.go
@@ -52,6 +52,7 @@
 	if !a.Node.storeReach.lost() {
 		v.Record, v.Revision = a.Node.ownership.stored()
 	}
-	v.Serving = a.Node.ownership.serving()
+	// Without the store the owner takes no jobs, and entries without it have nobody else.
+	v.Serving = a.Node.ownership.serving() && !a.Node.ownerLostStore()
 	return v
 }
--- a/entry/node/reachability.go
+++ b/entry/node/reachability.go
@@ -15,6 +15,8 @@
 type reachability struct {
 	mu   sync.Mutex
 	down bool
+	// since is when the first call of those without an answer had failed.
+	since time.Time
 	// retryAt is when the next call may be made while the dependency is down.
 	retryAt time.Time
 }
@@ -36,6 +38,9 @@
 func (r *reachability) record(answered bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.down {
+		r.since = time.Now()
+	}
 	r.down = !answered
 }
 
@@ -46,11 +51,23 @@
 	return r.down
 }
 
+// lostFor returns for how long calls have got no answer, or zero if the last one got one.
+func (r *reachability) lostFor() (age time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.down {
+		return 0
+	}
+	return time.Since(r.since)
+}
+
 // monitoredStore records for each call whether the store answers. Its watches end
 // every few seconds, so they detect when the store answers again.
 type monitoredStore struct {
 	store.Store
 	reach *reachability
+	// slow is called if a transaction takes longer than suspectAfter.
+	slow func()
 }
 
 func (s monitoredStore) record(ctx context.Context, err error) error {
@@ -75,6 +92,8 @@
 
 // Commit applies a transaction.
 func (s monitoredStore) Commit(ctx context.Context, t store.Transaction) (revision int64, err error) {
+	slow := time.AfterFunc(suspectAfter, s.slow)
+	defer slow.Stop()
 	revision, err = s.Store.Commit(ctx, t)
 	return revision, s.record(ctx, err)
 }
--- a/entry/node/requests.go
+++ b/entry/node/requests.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/apex/log"
@@ -36,8 +35,10 @@
 	// ownerPollInterval is the delay before the owner is determined again.
 	ownerPollInterval = 30 * time.Millisecond
 	// responseMargin is reserved from the caller's deadline for the transfer of the
-	// answer.
+	// answer, but at most the part marginPart of the time that is left: callers come back
+	// with little of it, and an owner with a store that is not slow answers in 30 ms.
 	responseMargin = 150 * time.Millisecond
+	marginPart     = 0.3
 	// storeTimeout bounds a direct call to the store.
 	storeTimeout = 600 * time.Millisecond
 	// pendingCountTTL is how long a count of pending jobs may be returned again; it
@@ -45,51 +46,63 @@
 	pendingCountTTL = 1500 * time.Millisecond
 	// refusedRetryDelay is when a caller may retry a job that was not stored.
 	refusedRetryDelay = time.Second
-	// maxUnreachableRetries is the latest time, in multiples of refusedRetryDelay, at which a
-	// caller may retry that got to an entry which is cut off: the load balancer needs two
-	// failed probes, one second apart, to route it to another entry.
-	maxUnreachableRetries = 2
+	// ownerStorePatience is how long an owner that has lost the store keeps new jobs: a
+	// single call that was rejected or has no answer is no reason to send them elsewhere.
+	ownerStorePatience = 100 * time.Millisecond
 )
 
-// unreachableRetryDelay returns when a caller may retry that got to an entry which is cut off.
-// Half of the callers return early, in case the cut is short, and the others later, so that
-// they have attempts left when another entry gets their requests.
-func unreachableRetryDelay() time.Duration {
-	return refusedRetryDelay * time.Duration(1+rand.IntN(maxUnreachableRetries))
+// refuseInOutage returns the refusal of a job that certainly is not stored, because this entry
+// reaches neither the store nor an owner that does. The outage has lasted for a time.
+func (n *Node) refuseInOutage(reason string, age time.Duration) manager.Reply {
+	return manager.Reply{Outcome: manager.Refused, RetryAfter: n.Returns.After(age), Reason: reason}
 }
 
 // Submit stores a job through the owner or, if no owner answers, directly in the
 // store.
 func (n *Node) Submit(ctx context.Context, j job.Job, until time.Time) (r manager.Reply) {
 	defer meter.RecordSince("submit", time.Now())
-	if n.isolated() {
-		return n.logSubmission(j, manager.Reply{Outcome: manager.Refused, RetryAfter: unreachableRetryDelay(), Reason: "cut off"}, "breaker")
+	arrived := time.Now()
+	if isolated, age := n.isolation(); isolated && !n.ownsJob(j.ID) {
+		meter.Count("refusals.cutOff")
+		return n.logSubmission(j, n.refuseInOutage("cut off", age), "breaker", arrived, until)
 	}
-	until = until.Add(-responseMargin)
+	until = until.Add(-min(responseMargin, time.Duration(marginPart*float64(until.Sub(arrived)))))
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
-	arrived := time.Now()
 	giveUpAt := arrived.Add(ownerWait)
 	var s settlement
 	for ctx.Err() == nil && time.Now().Before(giveUpAt) {
 		r, err := n.submitToOwner(ctx, j, until)
 		a := ownerAttempt(r, err)
 		s.add(a)
-		if a == ownerAccepted || a == ownerRefused || a == ownerUnsettled {
+		if a == ownerAccepted || a == ownerRefused || a == ownerUnsettled && n.storeReach.lost() {
 			r.Outcome = s.outcome()
-			return n.logSubmission(j, r, "owner")
+			return n.logSubmission(j, r, "owner", arrived, until)
+		}
+		if a == ownerUnsettled || a == notOwner && r.RetryAfter > 0 {
+			// The owner has lost the store, which this entry may reach.
+			break
 		}
 		retry.Sleep(ctx, ownerPollInterval)
 	}
-	return n.logSubmission(j, n.storeDirectly(ctx, j, s, arrived.Add(refuseAfter)), "store")
+	return n.logSubmission(j, n.storeDirectly(ctx, j, s, arrived.Add(refuseAfter)), "store", arrived, until)
+}
+
+// ownsJob reports whether this entry owns the pools and knows the job, which is stored then.
+func (n *Node) ownsJob(id string) bool {
+	m := n.manager()
+	return m != nil && m.HasJob(id)
 }
 
 // logSubmission corrects the outcome for earlier unsettled attempts, counts it, and
 // logs it unless the owner has accepted the job.
-func (n *Node) logSubmission(j job.Job, r manager.Reply, decidedBy string) manager.Reply {
+func (n *Node) logSubmission(j job.Job, r manager.Reply, decidedBy string, arrived, until time.Time) manager.Reply {
 	r = n.unsettled.correct(j.ID, r)
 	owner, _ := n.ownership.current()
-	fields := log.Fields{"job": j.ID, "queue": j.Queue, "by": decidedBy, "term": owner.Term, "reason": r.Reason}
+	fields := log.Fields{
+		"job": j.ID, "queue": j.Queue, "by": decidedBy, "term": owner.Term, "reason": r.Reason, "retryAfterMillis": r.RetryAfter.Milliseconds(),
+		"heldMillis": time.Since(arrived).Milliseconds(), "timeLeftMillis": time.Until(until).Milliseconds(),
+	}
 	meter.Count("submissions." + r.Outcome.String())
 	switch r.Outcome {
 	case manager.Refused, manager.NotOwner:
@@ -114,6 +127,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
+	slow := time.AfterFunc(suspectAfter, n.suspectOwner)
+	defer slow.Stop()
 	r, err = n.Peers.Submit(ctx, owner.Address, j, until)
 	n.recordOwnerAnswer(owner, err == nil, err == nil && r.Outcome != manager.NotOwner)
 	return r, err
@@ -139,7 +154,8 @@
 	if !s.mayBeStored && n.storeReach.lost() {
 		// A write without an answer would leave the caller's job unsettled for
 		// nothing.
-		return manager.Reply{Outcome: manager.Refused, RetryAfter: unreachableRetryDelay(), Reason: "neither owner nor store can be reached"}
+		meter.Count("refusals.storeLost")
+		return n.refuseInOutage("neither owner nor store can be reached", n.storeReach.lostFor())
 	}
 	for ctx.Err() == nil {
 		err = n.commit(ctx, t)
@@ -163,10 +179,19 @@
 		}
 		retry.Sleep(ctx, ownerPollInterval*2)
 	}
-	if s.mayBeStored {
-		return manager.Reply{Outcome: manager.Unsettled, Reason: "the store does not answer"}
+	switch {
+	case s.mayBeStored:
+		return manager.Reply{Outcome: manager.Unsettled, Reason: "the store does not answer after " + s.String()}
+	case n.storeReach.lost():
+		meter.Count("refusals.storeLost")
+		return n.refuseInOutage("neither owner nor store can be reached", n.storeReach.lostFor())
+	case ctx.Err() != nil:
+		meter.Count("refusals.noTime")
+		return n.refuseInOutage("no time is left", 0)
+	default:
+		meter.Count("refusals.storeBusy")
+		return n.refuseInOutage("the store rejects the job", 0)
 	}
-	return manager.Reply{Outcome: manager.Refused, RetryAfter: unreachableRetryDelay(), Reason: "neither owner nor store can be reached"}
 }
 
 func (n *Node) commit(ctx context.Context, t store.Transaction) (err error) {
@@ -214,6 +239,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
+	slow := time.AfterFunc(suspectAfter, n.suspectOwner)
+	defer slow.Stop()
 	state, known, isOwner, err := n.Peers.State(ctx, owner.Address, id, caller)
 	n.recordOwnerReach(owner, err == nil)
 	if err == nil && !isOwner {
--- a/entry/node/settlement.go
+++ b/entry/node/settlement.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"strings"
+
 	"github.com/go-faster/errors"
 
 	"github.com/azurepoint/azurepoint/entry/manager"
@@ -39,6 +41,8 @@
 	// mayBeStored is set by each attempt that may have stored the job, now or later.
 	mayBeStored bool
 	accepted    bool
+	// possible are the attempts, as bits, that may have stored it.
+	possible uint
 }
 
 // add adds an attempt.
@@ -48,10 +52,25 @@
 		s.accepted = true
 	case ownerUnsettled, noAnswer, storeUnanswered, storeFound:
 		s.mayBeStored = true
+		s.possible |= 1 << a
 	case noOwner, notSent, notOwner, ownerRefused, storeRejected, attemptCount:
 	}
 }
 
+// String names the attempts that may have stored the job.
+func (s *settlement) String() string {
+	var names []string
+	for _, p := range []struct {
+		attempt attempt
+		name    string
+	}{{ownerUnsettled, "an unsettled answer of the owner"}, {noAnswer, "no answer of the owner"}, {storeUnanswered, "no answer of the store"}, {storeFound, "a record that was found"}} {
+		if s.possible&(1<<p.attempt) != 0 {
+			names = append(names, p.name)
+		}
+	}
+	return strings.Join(names, ", ")
+}
+
 // outcome returns what the caller may be told.
 func (s *settlement) outcome() manager.Outcome {
 	switch {
--- a/entry/node/unreliablestore_test.go
+++ b/entry/node/unreliablestore_test.go
@@ -13,6 +13,17 @@
 type unreliableStore struct {
 	store.Store
 	unreachable atomic.Bool
+	// rejects makes transactions and claims fail at once and without effect while the store is
+	// unreachable, as those without a connection do, and hangs lets calls wait for their deadline.
+	rejects, hangs atomic.Bool
+}
+
+// errUnreachable returns the error of a call while the store is unreachable.
+func (s *unreliableStore) errUnreachable() error {
+	if s.rejects.Load() {
+		return store.ErrRejected
+	}
+	return store.ErrNoAnswer
 }
 
 // awaitLoss reports whether the store is unreachable; it then blocks for a while, as a
@@ -21,55 +32,62 @@
 	if !s.unreachable.Load() {
 		return false
 	}
+	wait := 200 * time.Millisecond
+	switch {
+	case s.rejects.Load():
+		return true
+	case s.hangs.Load():
+		wait = time.Minute
+	}
 	select {
 	case <-ctx.Done():
-	case <-time.After(200 * time.Millisecond):
+	case <-time.After(wait):
 	}
 	return true
 }
 
 func (s *unreliableStore) Get(ctx context.Context, key string) (item store.Item, found bool, err error) {
 	if s.awaitLoss(ctx) {
-		return store.Item{}, false, store.ErrNoAnswer
+		return store.Item{}, false, s.errUnreachable()
 	}
 	return s.Store.Get(ctx, key)
 }
 
 func (s *unreliableStore) Range(ctx context.Context, prefix string) (items []store.Item, revision int64, err error) {
 	if s.awaitLoss(ctx) {
-		return nil, 0, store.ErrNoAnswer
+		return nil, 0, s.errUnreachable()
 	}
 	return s.Store.Range(ctx, prefix)
 }
 
 func (s *unreliableStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (changes []store.Change, revision int64, err error) {
 	if s.awaitLoss(ctx) {
-		return nil, 0, store.ErrNoAnswer
+		return nil, 0, s.errUnreachable()
 	}
 	changes, revision, err = s.Store.Watch(ctx, prefix, after, wait)
 	if s.awaitLoss(ctx) {
-		return nil, 0, store.ErrNoAnswer
+		return nil, 0, s.errUnreachable()
 	}
 	return changes, revision, err
 }
 
 func (s *unreliableStore) Commit(ctx context.Context, t store.Transaction) (revision int64, err error) {
 	if s.awaitLoss(ctx) {
-		return 0, store.ErrNoAnswer
+		return 0, s.errUnreachable()
 	}
 	return s.Store.Commit(ctx, t)
 }
 
 func (s *unreliableStore) Grant(ctx context.Context, lifetime time.Duration) (lease int64, err error) {
 	if s.awaitLoss(ctx) {
-		return 0, store.ErrNoAnswer
+		return 0, s.errUnreachable()
 	}
 	return s.Store.Grant(ctx, lifetime)
 }
 
 func (s *unreliableStore) Renew(ctx context.Context, lease int64) (err error) {
 	if s.awaitLoss(ctx) {
-		return store.ErrNoAnswer
+		return s.errUnreachable()
 	}
 	return s.Store.Renew(ctx, lease)
 }
