--- a/entry/node/outages_test.go
+++ b/entry/node/outages_test.go
@@ -107,7 +107,8 @@
 
 // Load: a data centre is cut off for 5.5 s, and the load balancer goes on to other entries after
 // two failed probes, one second apart. Guards against an entry that says for another second that
-// it is ready, in which its callers use up their attempts.
+// it is ready, in which its callers use up their attempts, and against a request that is held to
+// its end although no attempt can succeed any more.
 func TestCutIsFoundByTheNextRequest(t *testing.T) {
 	f := newFleet(t)
 	b := f.start("b")
@@ -126,7 +127,12 @@
 	b.storeLink.unreachable.Store(true)
 	cutAt := time.Now()
 	var callers sync.WaitGroup
-	callers.Go(func() { b.Submit(t.Context(), outageJob(0), cutAt.Add(3*time.Second)) })
+	callers.Go(func() {
+		r := b.Submit(t.Context(), outageJob(0), cutAt.Add(3*time.Second))
+		if held := time.Since(cutAt); r.Outcome != manager.Unsettled || r.RetryAfter <= 0 || held > 1500*time.Millisecond {
+			t.Errorf("the request that the owner may have got: %s after %s, %+v", r.Outcome, held, r)
+		}
+	})
 	for b.Ready() && time.Since(cutAt) < 3*time.Second {
 		time.Sleep(5 * time.Millisecond)
 	}
--- a/entry/node/requests.go
+++ b/entry/node/requests.go
@@ -157,7 +157,8 @@
 		meter.Count("refusals.storeLost")
 		return n.refuseInOutage("neither owner nor store can be reached", n.storeReach.lostFor())
 	}
-	for ctx.Err() == nil {
+	// While this entry is cut off, the caller is better off with its next attempt at another one.
+	for ctx.Err() == nil && !n.isolated() {
 		err = n.commit(ctx, t)
 		a := storeAttempt(err)
 		s.add(a)
@@ -181,7 +182,12 @@
 	}
 	switch {
 	case s.mayBeStored:
-		return manager.Reply{Outcome: manager.Unsettled, Reason: "the store does not answer after " + s.String()}
+		isolated, age := n.isolation()
+		r = manager.Reply{Outcome: manager.Unsettled, Reason: "the store does not answer after " + s.String()}
+		if isolated {
+			r.RetryAfter = n.Returns.After(age)
+		}
+		return r
 	case n.storeReach.lost():
 		meter.Count("refusals.storeLost")
 		return n.refuseInOutage("neither owner nor store can be reached", n.storeReach.lostFor())
