--- a/entry/node/outages_test.go
+++ b/entry/node/outages_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"net"
 	"strconv"
 	"strings"
@@ -152,6 +153,23 @@
 	callers.Wait()
 }
 
+// Guards against a stopping entry, which looks for no owner any more, that holds a request to its
+// end after it has lost the store (thessalon-nav-grown scale-1: 2.2 s).
+func TestStoppingEntryWithoutStoreAnswers(t *testing.T) {
+	f := newFleet(t)
+	_, a := f.startPair()
+	a.Stop()
+	a.storeLink.rejects.Store(true)
+	a.storeLink.unreachable.Store(true)
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	sent := time.Now()
+	r := a.storeDirectly(ctx, outageJob(0), settlement{mayBeStored: true}, sent)
+	if held := time.Since(sent); r.Outcome != manager.Unsettled || held > time.Second {
+		t.Errorf("%s after %s, want an unsettled answer at once", r.Outcome, held)
+	}
+}
+
 // Load: a caller that was turned away comes back with 100 ms left, to an entry that is sound.
 // Guards against a refusal of a job that could be stored in time.
 func TestLittleTimeIsUsed(t *testing.T) {
--- a/entry/node/requests.go
+++ b/entry/node/requests.go
@@ -157,8 +157,9 @@
 		meter.Count("refusals.storeLost")
 		return n.refuseInOutage("neither owner nor store can be reached", n.storeReach.lostFor())
 	}
-	// While this entry is cut off, the caller is better off with its next attempt at another one.
-	for ctx.Err() == nil && !n.isolated() {
+	// While this entry is cut off, the caller is better off with its next attempt at another one;
+	// so it is if a stopping entry, which looks for no owner, has lost the store.
+	for ctx.Err() == nil && !n.isolated() && !(n.stopping.Load() && n.storeReach.lost()) {
 		err = n.commit(ctx, t)
 		a := storeAttempt(err)
 		s.add(a)
