--- a/entry/node/requests.go
+++ b/entry/node/requests.go
@@ -157,9 +157,7 @@
 		meter.Count("refusals.storeLost")
 		return n.refuseInOutage("neither owner nor store can be reached", n.storeReach.lostFor())
 	}
-	// While this entry is cut off, the caller is better off with its next attempt at another one;
-	// so it is if a stopping entry, which looks for no owner, has lost the store.
-	for ctx.Err() == nil && !n.isolated() && !(n.stopping.Load() && n.storeReach.lost()) {
+	for ctx.Err() == nil && !n.cannotStore() {
 		err = n.commit(ctx, t)
 		a := storeAttempt(err)
 		s.add(a)
@@ -181,6 +179,17 @@
 		}
 		retry.Sleep(ctx, ownerPollInterval*2)
 	}
+	return n.notStored(ctx, s)
+}
+
+// cannotStore reports whether this entry is cut off, so that the caller is better off with its
+// next attempt at another one. A stopping entry looks for no owner and only knows of the store.
+func (n *Node) cannotStore() bool {
+	return n.isolated() || n.stopping.Load() && n.storeReach.lost()
+}
+
+// notStored returns the reply to a submission that this entry could not store.
+func (n *Node) notStored(ctx context.Context, s settlement) (r manager.Reply) {
 	switch {
 	case s.mayBeStored:
 		isolated, age := n.isolation()
