--- a/entry/node/entries.go
+++ b/entry/node/entries.go
@@ -35,6 +35,9 @@
 	// suspectAfter is how long the owner or the store may take to answer before the store is
 	// probed. The owner answers from memory, or when a store that is not slow has answered.
 	suspectAfter = 200 * time.Millisecond
+	// suspectTimeout bounds that probe: it may begin an outage for callers, so it waits for a
+	// store that is slower than usual.
+	suspectTimeout = 400 * time.Millisecond
 	// lookupTimeout bounds an owner lookup or a probe; a slow store answers within
 	// 300 ms.
 	lookupTimeout = 300 * time.Millisecond
@@ -211,10 +214,10 @@
 			case <-ctx.Done():
 			case <-wake.C:
 				if n.storeReach.lost() {
-					n.probeStore(ctx)
+					n.probeStore(ctx, lookupTimeout)
 				}
 			case <-n.suspected:
-				n.probeStore(ctx)
+				n.probeStore(ctx, suspectTimeout)
 				retry.Sleep(ctx, probeInterval)
 			}
 			wake.Stop()
@@ -243,10 +246,11 @@
 }
 
 // probeStore reads a key; monitoredStore records whether there was an answer.
-func (n *Node) probeStore(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+func (n *Node) probeStore(ctx context.Context, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	if _, _, err := n.Store.Get(ctx, manager.OwnerKey); err == nil {
+	wasLost := n.storeReach.lost()
+	if _, _, err := n.Store.Get(ctx, manager.OwnerKey); err == nil && wasLost {
 		event.StoreProbed.Log(nil)
 	}
 }
