--- a/entry/node/outages_test.go
+++ b/entry/node/outages_test.go
@@ -153,6 +153,21 @@
 	callers.Wait()
 }
 
+// Guards against a store that is slower than usual being taken for one that is lost: the owner
+// would turn its callers away although each of its transactions succeeds.
+func TestSlowStoreIsNotLost(t *testing.T) {
+	f := newFleet(t)
+	a := f.start("a")
+	f.submit(a, "1111111111111111", "10", job.Step{Count: 1, CPU: 1000})
+	a.storeLink.delay.Store(int64(350 * time.Millisecond))
+	until := time.Now().Add(2 * time.Second)
+	for n := 0; time.Now().Before(until); n++ {
+		if r := a.Submit(t.Context(), outageJob(n), time.Now().Add(3*time.Second)); r.Outcome != manager.Accepted || !a.Ready() {
+			t.Errorf("%s, %s, ready %v", r.Outcome, r.Reason, a.Ready())
+		}
+	}
+}
+
 // Guards against a stopping entry, which looks for no owner any more, that holds a request to its
 // end after it has lost the store (thessalon-nav-grown scale-1: 2.2 s).
 func TestStoppingEntryWithoutStoreAnswers(t *testing.T) {
--- a/entry/node/unreliablestore_test.go
+++ b/entry/node/unreliablestore_test.go
@@ -16,6 +16,8 @@
 	// rejects makes transactions and claims fail at once and without effect while the store is
 	// unreachable, as those without a connection do, and hangs lets calls wait for their deadline.
 	rejects, hangs atomic.Bool
+	// delay is how long reads of a key and transactions take, in nanoseconds.
+	delay atomic.Int64
 }
 
 // errUnreachable returns the error of a call while the store is unreachable.
@@ -46,10 +48,23 @@
 	return true
 }
 
+// awaitDelay returns after the delay, or the error of the context if it ends before.
+func (s *unreliableStore) awaitDelay(ctx context.Context) (err error) {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(time.Duration(s.delay.Load())):
+		return nil
+	}
+}
+
 func (s *unreliableStore) Get(ctx context.Context, key string) (item store.Item, found bool, err error) {
 	if s.awaitLoss(ctx) {
 		return store.Item{}, false, s.errUnreachable()
 	}
+	if s.awaitDelay(ctx) != nil {
+		return store.Item{}, false, store.ErrNoAnswer
+	}
 	return s.Store.Get(ctx, key)
 }
 
@@ -75,6 +90,9 @@
 	if s.awaitLoss(ctx) {
 		return 0, s.errUnreachable()
 	}
+	if s.awaitDelay(ctx) != nil {
+		return 0, store.ErrNoAnswer
+	}
 	return s.Store.Commit(ctx, t)
 }
 
