Confine small jobs to the data centre that received them

Cause: the tasks of nearly every job are spread over all data centres, so that a cut of one and each change of the owner delay nearly every job. The next owner waits for the endpoints of its data centre only.

--- a/coordination/job/job.go
+++ b/coordination/job/job.go
@@ -86,6 +86,12 @@
 	Surplus bool `json:"surplus,omitempty"`
 	// UsesPolicy is set if a policy service restricts the endpoints of the queue's jobs.
 	UsesPolicy bool `json:"advised,omitempty"`
+	// DataCentre is the data centre in which tasks of the job may start; empty means any.
+	// Before the owner has decided on the job, it is that of the entry which received it.
+	DataCentre string `json:"dataCentre,omitempty"`
+	// ConfinedTerm is the term of the owner that confined the job to its data centre; 0 means
+	// that none has.
+	ConfinedTerm int64 `json:"confinedTerm,omitempty"`
 
 	Objective
 }
--- a/coordination/schedule/endpoint.go
+++ b/coordination/schedule/endpoint.go
@@ -135,6 +135,11 @@
 	return e.listed && e.contacted && !e.Draining && !e.reserved() && !e.unresponsive() && len(e.unknownRuns) == 0
 }
 
+// unread reports whether the endpoint may run tasks of an earlier owner that are not known.
+func (e *endpoint) unread(now time.Time) bool {
+	return !e.contacted && now.Before(e.leaseUntil)
+}
+
 // reserved reports whether the endpoint is about to be taken out of service.
 func (e *endpoint) reserved() bool {
 	return e.reservedForMaintenance || e.moving
--- a/coordination/schedule/endpointset.go
+++ b/coordination/schedule/endpointset.go
@@ -26,6 +26,10 @@
 	for _, l := range listed {
 		s.AddInheritedEndpoint(l, now)
 		e := s.endpoints[l.ID]
+		if e.DataCentre != l.DataCentre {
+			// The next owner may read another one than this owner, so that it counts as unknown.
+			l.DataCentre = ""
+		}
 		if e.Pool != l.Pool {
 			delete(s.endpointsByPool, e.Pool)
 			delete(s.endpointsByPool, l.Pool)
--- a/coordination/schedule/evacuate.go
+++ b/coordination/schedule/evacuate.go
@@ -31,7 +31,7 @@
 			continue
 		}
 		st := r.task.stepState()
-		candidates, _ := s.usableEndpoints(e.Pool, now)
+		candidates := s.usableEndpoints(e.Pool, now)
 		if s.chooseEndpoint(st, r.task, candidates, nil) == nil {
 			reserveForLongRunning(st, r.task, candidates)
 			continue
--- a/coordination/schedule/plan.go
+++ b/coordination/schedule/plan.go
@@ -41,6 +41,7 @@
 		orders = append(orders, s.planPool(pool, now, wall)...)
 	}
 	s.updateHolds(now)
+	s.updateAwaited(now)
 	return orders
 }
 
@@ -54,51 +55,20 @@
 	if len(jobs) == 0 {
 		return nil
 	}
-	endpoints, inheritedLeasesExpired := s.usableEndpoints(pool, now)
+	endpoints := s.usableEndpoints(pool, now)
 	if len(endpoints) == 0 {
 		return nil
 	}
-	c := &candidates{endpoints: endpoints}
-	c.updateMaxFree()
+	c := &candidates{room: room{endpoints: endpoints, stale: true}, unread: s.unreadEndpoints(pool, now)}
 	s.rankedJobs(pool, jobs, now, wall).visit(c, func(j *jobState) {
 		if !j.state.Terminal() {
-			orders = append(orders, s.planJob(j, c, !j.inherited || inheritedLeasesExpired, now, wall)...)
+			orders = append(orders, s.planJob(j, c, now, wall)...)
 		}
 	})
+	s.widenWaiting(c, now)
 	return orders
 }
 
-// candidates holds the endpoints of a pool that accept new tasks.
-type candidates struct {
-	endpoints []*endpoint
-	// maxFree holds, for each resource, the most that is free on any one endpoint. A
-	// task that exceeds it is skipped without a search.
-	maxFree Capacity
-	// division is how the pool is divided among organisations. withheld is set once a start
-	// was held back because its organisation has its share.
-	division organisation.Division
-	withheld bool
-}
-
-// updateMaxFree recomputes maxFree.
-func (c *candidates) updateMaxFree() {
-	c.maxFree = Capacity{}
-	for _, e := range c.endpoints {
-		free := e.free()
-		c.maxFree = Capacity{
-			CPU: max(c.maxFree.CPU, free.CPU), MemoryMB: max(c.maxFree.MemoryMB, free.MemoryMB), GPU: max(c.maxFree.GPU, free.GPU),
-		}
-	}
-}
-
-// updateAfterPlacement updates maxFree after a task was placed on an endpoint that
-// had the given free capacity.
-func (c *candidates) updateAfterPlacement(before Capacity) {
-	if before.CPU == c.maxFree.CPU || before.MemoryMB == c.maxFree.MemoryMB || before.GPU == c.maxFree.GPU && before.GPU > 0 {
-		c.updateMaxFree()
-	}
-}
-
 // Limits of the cached ranking of a pool's jobs.
 const (
 	// rankingLifetime is how long the ranking of a long queue is reused, because
@@ -131,20 +101,14 @@
 	return ranking
 }
 
-// usableEndpoints returns the endpoints of a pool that accept new tasks. The second
-// result is false while an endpoint that has not reported to this owner may run
-// tasks of an earlier owner.
-func (s *Scheduler) usableEndpoints(pool string, now time.Time) (usable []*endpoint, inheritedLeasesExpired bool) {
-	inheritedLeasesExpired = true
+// usableEndpoints returns the endpoints of a pool that accept new tasks.
+func (s *Scheduler) usableEndpoints(pool string, now time.Time) (usable []*endpoint) {
 	for _, e := range s.poolEndpoints(pool) {
-		if !e.contacted && now.Before(e.leaseUntil) {
-			inheritedLeasesExpired = false
-		}
 		if e.usable() && !e.cordoned && !now.Before(e.backoffUntil) {
 			usable = append(usable, e)
 		}
 	}
-	return usable, inheritedLeasesExpired
+	return usable
 }
 
 // sortJobs sorts jobs by lateness, then by priority, then by whether their organisation has
@@ -204,6 +168,7 @@
 	if j.Surplus {
 		j.lateness = max(j.lateness, surplus)
 	}
+	j.pressed = 2*age+chain > objective
 	j.remainingWork = work
 }
 
@@ -212,10 +177,14 @@
 	return len(j.Steps) > 0 && j.Steps[0].LongRunning
 }
 
-// planJob starts the tasks of a job that are due and whose dependencies are done.
-// Without mayStartAll, only tasks that allow duplicates are started: an endpoint
-// that has not reported to this owner may run the others.
-func (s *Scheduler) planJob(j *jobState, c *candidates, mayStartAll bool, now, wall time.Time) (orders []Order) {
+// planJob starts the tasks of a job that are due and whose dependencies are done. While an
+// endpoint that has not reported to this owner may run tasks of the job, only those that
+// allow duplicates are started.
+func (s *Scheduler) planJob(j *jobState, c *candidates, now, wall time.Time) (orders []Order) {
+	mayStartAll := !j.mayRunUnseen(c.unread, now)
+	if !mayStartAll {
+		s.countAwaiting(j, wall)
+	}
 	for _, o := range j.occurrences {
 		if o.dueMillis > 0 && wall.UnixMilli() < o.dueMillis {
 			break
@@ -242,12 +211,9 @@
 		if s.withholds(c, t.job) || !s.mayStart(st, 1, now) {
 			break
 		}
-		var e *endpoint
-		if c.maxFree.CanFit(taskSize(st.step)) {
-			e = s.chooseEndpoint(st, t, c.endpoints, nil)
-		}
+		e := s.findEndpoint(st, t, c, now)
 		if e == nil {
-			if t.isolation(st) > 0 && s.holdEndpoint(st, t, c.endpoints, now) {
+			if t.isolation(st) > 0 && s.holdEndpoint(st, t, c.in(t.job.startsIn).endpoints, now) {
 				continue
 			}
 			if st.step.LongRunning && reserveForLongRunning(st, t, c.endpoints) || t.isolation(st) > 0 {
@@ -258,7 +224,7 @@
 		}
 		before := e.free()
 		orders = append(orders, s.startRun(t, e, s.nextRunNumber(t), now))
-		c.updateAfterPlacement(before)
+		c.updateAfterPlacement(e, before)
 	}
 	return orders
 }
@@ -296,21 +262,13 @@
 	if s.withholds(c, st.tasks[0].job) || !s.mayStart(st, len(st.tasks), now) {
 		return nil
 	}
-	usage := make(map[*endpoint]gangUsage)
-	chosen := make([]*endpoint, len(st.tasks))
-	for i, t := range st.tasks {
-		e := s.chooseEndpoint(st, t, c.endpoints, usage)
-		if e == nil {
-			if t.isolation(st) > 0 {
-				s.holdEndpoint(st, t, c.endpoints, now)
-			}
-			return nil
+	r := c.in(st.tasks[0].job.startsIn)
+	chosen, refused := s.chooseForGang(st, r.endpoints, make(map[*endpoint]gangUsage))
+	if refused != nil {
+		if refused.isolation(st) == 0 || !s.holdEndpoint(st, refused, r.endpoints, now) {
+			s.wantRoom(c, st, refused, now)
 		}
-		chosen[i] = e
-		use := usage[e]
-		use.tasks++
-		use.capacity = use.capacity.Plus(taskSize(st.step))
-		usage[e] = use
+		return nil
 	}
 	st.gangRunNumber = runNumber + 1
 	checkpoint := ""
@@ -323,10 +281,27 @@
 		t.checkpoint = checkpoint
 		orders = append(orders, s.startRun(t, chosen[i], st.gangRunNumber, now))
 	}
-	c.updateMaxFree()
+	c.invalidate()
 	return orders
 }
 
+// chooseForGang returns an endpoint for each task of a gang, or the first task for which
+// there is none. It adds what they take to usage.
+func (s *Scheduler) chooseForGang(st *stepState, candidates []*endpoint, usage map[*endpoint]gangUsage) (chosen []*endpoint, refused *task) {
+	for _, t := range st.tasks {
+		e := s.chooseEndpoint(st, t, candidates, usage)
+		if e == nil {
+			return nil, t
+		}
+		chosen = append(chosen, e)
+		use := usage[e]
+		use.tasks++
+		use.capacity = use.capacity.Plus(taskSize(st.step))
+		usage[e] = use
+	}
+	return chosen, nil
+}
+
 // gangUsage is what the tasks of a gang that is being placed take of one endpoint.
 type gangUsage struct {
 	tasks    int
--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -31,6 +31,11 @@
 	// MeanDurations makes the scheduler expect of every task the moving average of its
 	// queue, instead of learning from finished runs what their run time depends on.
 	MeanDurations bool
+	// ConfineJobs lets new jobs be confined to a data centre.
+	ConfineJobs bool
+	// Term is the number of the owner's term. ConfinedSince is the first term from which on
+	// all owners have kept the tasks of confined jobs in their data centres.
+	Term, ConfinedSince int64
 }
 
 // Scheduler holds the jobs and endpoints of the pools of one owner. It is not safe
@@ -72,6 +77,7 @@
 	isolatedEndpoints map[*endpoint]bool
 	organisations     organisations
 	admissions        admissions
+	awaited           awaitedDataCentres
 	// Counts holds the totals for metrics.
 	Counts Counts
 	// OnRunEnd, if set, is called for each run that ends, for logs and metrics.
@@ -86,6 +92,12 @@
 	// OnHeldGang, if set, is called once for each gang that is larger than a limit which was
 	// lowered after its job was accepted.
 	OnHeldGang func(HeldGang)
+	// OnWidened, if set, is called for each confined job whose tasks are to start in other
+	// data centres too.
+	OnWidened func(Widened)
+	// OnAwaited, if set, is called when inherited jobs begin to wait for the endpoints of a
+	// data centre that have not reported, and when they no longer do.
+	OnAwaited func(AwaitedDataCentre)
 }
 
 // Counts holds totals of runs since the scheduler was created.
@@ -93,6 +105,8 @@
 	Started, Done, Failed, Lost, Stopped, Refused, GivenUp int64
 	// HeldByLimit counts the steps of which the limit of an organisation held back a start.
 	HeldByLimit int64
+	// Widened counts the confined jobs that were widened.
+	Widened int64
 }
 
 // RunEnd describes a run that has ended; Reason is meant for logs and metrics.
@@ -140,6 +154,7 @@
 	}
 	j := newJobState(r, now)
 	j.inherited = inherited
+	s.loadDataCentre(j)
 	s.jobs[r.ID] = j
 	if r.State.Terminal() {
 		return
@@ -289,13 +304,15 @@
 	return false
 }
 
-// ConfirmWrite records that a write was stored as a revision.
-func (s *Scheduler) ConfirmWrite(w Write, revision int64) {
+// ConfirmWrite records that a write was stored as a revision. It reports whether tasks of the
+// job may start in any data centre from now on.
+func (s *Scheduler) ConfirmWrite(w Write, revision int64) (widened bool) {
 	j, known := s.jobs[w.Record.ID]
 	if !known {
-		return
+		return false
 	}
 	j.writing = false
+	widened = j.confirmDataCentre(w.Record.DataCentre)
 	j.storedVersion = max(j.storedVersion, w.Version)
 	j.storedState, j.storedRevision = w.Record.State, revision
 	if j.storedVersion == j.version {
@@ -306,6 +323,7 @@
 	for e := range s.unstoredEndpoints {
 		s.advanceLastStoredEnd(e)
 	}
+	return widened
 }
 
 // FailWrite records that a write failed, so that Writes returns the record again.
--- a/coordination/schedule/task.go
+++ b/coordination/schedule/task.go
@@ -174,6 +174,11 @@
 	// finishing is set if the job has started and needs little of the pool to go on, so that
 	// it does not wait for the shares of others.
 	finishing bool
+	// startsIn is the data centre in which tasks may start by the stored record, and
+	// inheritedIn the one in which earlier owners may have started tasks; empty means any.
+	startsIn, inheritedIn string
+	// pressed is set once the job has spent half of the time that it may wait.
+	pressed bool
 }
 
 func newJobState(r job.Record, now time.Time) *jobState {
--- a/coordination/schedule/unseen.go
+++ b/coordination/schedule/unseen.go
@@ -16,8 +16,8 @@
 )
 
 // updateUnseen estimates what runs of an earlier owner take that no endpoint has reported
-// yet: each task of an inherited job may be running, but those of a pool together take no
-// more than its unread endpoints have. The estimate may be too high, and never too low,
+// yet: each task of an inherited job may be running where mayRunUnseen says so, but those of a
+// pool together take no more than its unread endpoints have. The estimate may be too high, and never too low,
 // because an endpoint that has reported executes no order of an earlier owner any more.
 func (s *Scheduler) updateUnseen(now, wall time.Time) {
 	o := &s.organisations
@@ -29,10 +29,11 @@
 		return
 	}
 	o.unseenAt, o.unseen = now, nil
-	unread := make(map[string]Capacity)
+	unread, unreadEndpoints := make(map[string]Capacity), make(map[string][]*endpoint)
 	for _, e := range s.endpoints {
-		if !e.contacted && now.Before(e.leaseUntil) {
+		if e.unread(now) {
 			unread[e.Pool] = unread[e.Pool].Plus(e.Capacity)
+			unreadEndpoints[e.Pool] = append(unreadEndpoints[e.Pool], e)
 		}
 	}
 	if len(unread) == 0 {
@@ -40,7 +41,7 @@
 	}
 	reserved, bestEffort := make(map[poolUser]Capacity), make(map[poolUser]Capacity)
 	for _, j := range s.jobs {
-		if _, mayRun := unread[j.Pool]; mayRun && j.inherited && j.Organisation != "" {
+		if j.Organisation != "" && j.mayRunUnseen(unreadEndpoints[j.Pool], now) {
 			key := poolUser{j.Pool, j.Organisation}
 			r, b := j.unseenRuns(wall)
 			reserved[key], bestEffort[key] = reserved[key].Plus(r), bestEffort[key].Plus(b)
--- a/entry/event/event.go
+++ b/entry/event/event.go
@@ -50,6 +50,8 @@
 	OwnershipConfirmed   = Event{Number: 8206, Level: log.InfoLevel, Text: "ownership confirmed again"}
 	ClaimFailed          = Event{Number: 8207, Level: log.InfoLevel, Text: "claiming the pools failed"}
 	OwnershipHandedOver  = Event{Number: 8209, Level: log.InfoLevel, Text: "giving the pools up to a stronger entry"}
+	DataCentreAwaited    = Event{Number: 8210, Level: log.InfoLevel, Text: "inherited jobs wait for endpoints that have not reported"}
+	DataCentreNotAwaited = Event{Number: 8211, Level: log.InfoLevel, Text: "inherited jobs no longer wait for endpoints"}
 	OwnerReported        = Event{Number: 8208, Level: log.InfoLevel, Text: "another entry reported a newer owner of the pools"}
 )
 
@@ -68,6 +70,7 @@
 	LimitLeft          = Event{Number: 8312, Level: log.InfoLevel, Text: "tasks of an organisation no longer wait for its limit"}
 	GangAboveLimit     = Event{Number: 8313, Level: log.WarnLevel, Text: "gang is larger than the limit of its organisation; it waits for a higher limit"}
 	DurationsInvalid   = Event{Number: 8314, Level: log.WarnLevel, Text: "stored run times cannot be read; they are learned again"}
+	JobWidened         = Event{Number: 8315, Level: log.InfoLevel, Text: "tasks of a job may start outside its data centre"}
 	RecordInvalid      = Event{Number: 8309, Level: log.ErrorLevel, Text: "stored record cannot be read"}
 )
 
--- a/entry/event/writer.go
+++ b/entry/event/writer.go
@@ -36,6 +36,7 @@
 	KeyRefusedLimited = KeyRefused.WithRateLimit(maxRunLinesPerSecond, &rateLimitedLines)
 
 	LimitReachedLimited = LimitReached.WithRateLimit(maxRunLinesPerSecond, &rateLimitedLines)
+	JobWidenedLimited   = JobWidened.WithRateLimit(maxRunLinesPerSecond, &rateLimitedLines)
 	LimitLeftLimited    = LimitLeft.WithRateLimit(maxRunLinesPerSecond, &rateLimitedLines)
 )
 
--- a/entry/manager/keys.go
+++ b/entry/manager/keys.go
@@ -15,6 +15,9 @@
 	EntryPrefix = ControlPrefix + "entries/"
 	// TermKey counts the terms; its value is the fencing token of the latest owner.
 	TermKey = "azurepoint/term"
+	// ConfinementKey holds since which term all owners have kept the tasks of confined jobs
+	// in their data centres. It begins with TermKey, so that a claim reads both at once.
+	ConfinementKey = TermKey + "/confinement"
 	// endpointsPrefix is the prefix of the endpoints on which the owner may have started
 	// tasks, in groups. Earlier releases stored all of them under the prefix itself.
 	endpointsPrefix = "azurepoint/endpoints"
--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -1,6 +1,7 @@
 package manager
 
 import (
+	"cmp"
 	"context"
 	"strings"
 	"sync"
@@ -25,6 +26,9 @@
 	Owner store.Condition
 	// Number counts the terms from 1; it is the fencing token of the term's orders.
 	Number int64
+	// ConfinedSince is the first term from which on all owners have kept the tasks of
+	// confined jobs in their data centres; 0 stands for Number.
+	ConfinedSince int64
 	// Confirmed reports whether the ownership is confirmed at the moment.
 	Confirmed func() bool
 	// Lost is called once, when the term is found to be over.
@@ -110,6 +114,8 @@
 	m.unlisted = make(map[string]time.Time)
 	m.waiters = make(map[string][]chan struct{})
 	m.scheduler.Settings = m.Settings.schedulerSettings(int(m.Term.Number))
+	m.scheduler.Settings.ConfinedSince = cmp.Or(m.Term.ConfinedSince, m.Term.Number)
+	m.scheduler.OnWidened, m.scheduler.OnAwaited = logWidened, logAwaited
 	m.scheduler.OnRunEnd, m.scheduler.OnEndpointLoss, m.scheduler.OnCrash = logRunEnd, logEndpointLoss, logCrash
 	m.scheduler.OnOrganisationLimit, m.scheduler.OnHeldGang = logOrganisationLimit, logHeldGang
 	m.recordWriter = &recordWriter{
@@ -266,7 +272,12 @@
 	if !m.updateOrganisations(now) {
 		return nil
 	}
-	return m.scheduler.Plan(now, now)
+	before := m.scheduler.Counts.Widened
+	orders = m.scheduler.Plan(now, now)
+	if m.scheduler.Counts.Widened > before {
+		m.recordWriter.trigger()
+	}
+	return orders
 }
 
 // trigger makes runPlanner plan soon.
@@ -301,12 +312,15 @@
 func (m *Manager) recordStored(w schedule.Write, revision int64) {
 	id, state := w.Record.ID, w.Record.State
 	m.mu.Lock()
-	m.scheduler.ConfirmWrite(w, revision)
+	widened := m.scheduler.ConfirmWrite(w, revision)
 	waiters := m.waiters[id]
 	if state.Terminal() {
 		delete(m.waiters, id)
 	}
 	m.mu.Unlock()
+	if widened {
+		m.trigger()
+	}
 	if state.Terminal() {
 		meter.Count("jobs." + string(state))
 		event.JobEnded.Log(log.Fields{"job": id, "state": string(state), "term": m.Term.Number})
@@ -328,6 +342,10 @@
 	if r.Organisation != "" {
 		fields["organisation"], fields["surplus"] = r.Organisation, r.Surplus
 	}
+	if r.DataCentre != "" {
+		fields["dataCentre"] = r.DataCentre
+		meter.Count("placement.confined")
+	}
 	event.JobAccepted.Log(fields)
 	m.trigger()
 }
--- a/entry/manager/settings.go
+++ b/entry/manager/settings.go
@@ -24,6 +24,11 @@
 	MeanDurations bool
 	// RefuseLate makes the owner refuse jobs that cannot be served in time.
 	RefuseLate bool
+	// DataCentreLosses is how many data centres may be lost at a time while the jobs of the
+	// others are served. If it is not 0, new jobs are confined to a data centre where that is
+	// possible, unless WideJobs is set.
+	DataCentreLosses int
+	WideJobs         bool
 }
 
 // Leases, timeouts and intervals.
@@ -97,5 +102,7 @@
 		MaxClockRatio:  maxClockRatio,
 		RunNumberBase:  (number - 1) * runsPerTerm,
 		MeanDurations:  s.MeanDurations,
+		ConfineJobs:    s.DataCentreLosses > 0 && !s.WideJobs,
+		Term:           int64(number),
 	}
 }
--- a/entry/manager/submit.go
+++ b/entry/manager/submit.go
@@ -78,10 +78,12 @@
 	now := time.Now()
 	if !m.Settings.RefuseLate {
 		j.Surplus = !m.scheduler.TakeRate(j.Organisation, now)
+		m.scheduler.Confine(j)
 		return Reply{}, false
 	}
 	refusal, accepted := m.scheduler.Admit(j, m.pace.Limit(now), now)
 	if accepted {
+		m.scheduler.Confine(j)
 		return Reply{}, false
 	}
 	meter.Count("refusals." + string(refusal.Reason))
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -26,6 +26,9 @@
 	// reach it.
 	Name    string
 	Address string
+	// DataCentre is the data centre of the instance; new jobs of its callers may be confined
+	// to it.
+	DataCentre string
 	// Process is the start time of the process in Unix nanoseconds.
 	Process int64
 	// Cores is the CPU that the instance has.
@@ -142,8 +145,8 @@
 		Settings: n.managerSettings(), Store: n.Store, Endpoints: n.Endpoints, Directory: n.Directory, Machines: n.Machines, Reports: n.Reports, Holder: n.Name,
 		Pools: n.pools, Organisations: n.organisations,
 		Term: manager.Term{
-			Owner:     store.Condition{Key: manager.OwnerKey, Revision: t.revision},
-			Number:    t.number,
+			Owner:  store.Condition{Key: manager.OwnerKey, Revision: t.revision},
+			Number: t.number, ConfinedSince: t.confinedSince,
 			Confirmed: func() bool { return n.ownership.confirmed(t) },
 			Lost:      t.end,
 		},
--- a/entry/node/ownership.go
+++ b/entry/node/ownership.go
@@ -82,9 +82,12 @@
 
 // heldTerm is a term of this process.
 type heldTerm struct {
-	number   int64
-	revision int64
-	lease    int64
+	number int64
+	// confinedSince is the first term from which on all owners have kept the tasks of
+	// confined jobs in their data centres.
+	confinedSince int64
+	revision      int64
+	lease         int64
 	// confirmedUntil is the boot time until which the lease is certain to last.
 	confirmedUntil time.Duration
 	confirmed      bool
@@ -213,17 +216,18 @@
 	defer fault.Annotate(&err, "node: claim the pools")
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	term, found, err := o.store.Get(ctx, manager.TermKey)
+	items, _, err := o.store.Range(ctx, manager.TermKey)
 	if err != nil {
 		return nil, err
 	}
-	number := int64(0)
-	if found {
-		if number, err = strconv.ParseInt(string(term.Value), 10, 64); err != nil {
-			return nil, err
-		}
+	number, termRevision, since, err := nextTerm(items)
+	if err != nil {
+		return nil, err
+	}
+	confinement, err := json.Marshal(confinementRecord{Since: since, Term: number})
+	if err != nil {
+		return nil, err
 	}
-	number++
 	granted := bootTime()
 	lease, err := o.store.Grant(ctx, ownerLease)
 	if err != nil {
@@ -236,17 +240,18 @@
 		return nil, err
 	}
 	written, err := o.store.Commit(ctx, store.Transaction{
-		Conditions: []store.Condition{{Key: manager.OwnerKey, Revision: revision}, {Key: manager.TermKey, Revision: term.Revision}},
+		Conditions: []store.Condition{{Key: manager.OwnerKey, Revision: revision}, {Key: manager.TermKey, Revision: termRevision}},
 		Puts: []store.Put{
 			{Key: manager.OwnerKey, Value: value, Lease: lease},
 			{Key: manager.TermKey, Value: []byte(strconv.FormatInt(number, 10))},
+			{Key: manager.ConfinementKey, Value: confinement},
 		},
 	})
 	if err != nil {
 		return nil, err
 	}
 	t = &heldTerm{
-		number: number, revision: written, lease: lease, confirmed: true,
+		number: number, confinedSince: since, revision: written, lease: lease, confirmed: true,
 		confirmedUntil: granted + ownerLease - ownerLeaseMargin, lost: make(chan struct{}),
 	}
 	o.mu.Lock()
@@ -261,6 +266,38 @@
 	return t, nil
 }
 
+// confinementRecord is the value of manager.ConfinementKey. Every owner writes it with its
+// claim; one of an earlier release does not, so that Term is not the latest term.
+type confinementRecord struct {
+	Since int64 `json:"since"`
+	Term  int64 `json:"term"`
+}
+
+// nextTerm returns the number of the next term and the revision of the previous one, by the
+// keys that begin with manager.TermKey, and the first term from which on all owners have kept
+// the tasks of confined jobs in their data centres.
+func nextTerm(items []store.Item) (number, revision, confinedSince int64, err error) {
+	var c confinementRecord
+	for _, i := range items {
+		switch i.Key {
+		case manager.TermKey:
+			revision = i.Revision
+			if number, err = strconv.ParseInt(string(i.Value), 10, 64); err != nil {
+				return 0, 0, 0, err
+			}
+		case manager.ConfinementKey:
+			if e := json.Unmarshal(i.Value, &c); e != nil {
+				event.RecordInvalid.Log(log.Fields{"key": i.Key, "error": e.Error()})
+				c = confinementRecord{}
+			}
+		}
+	}
+	if c.Term == number && c.Since > 0 {
+		return number + 1, revision, c.Since, nil
+	}
+	return number + 1, revision, number + 1, nil
+}
+
 // serving reports whether this process owns the pools with a confirmed lease; it may
 // still be loading the jobs.
 func (o *ownership) serving() bool {
--- a/entry/node/requests.go
+++ b/entry/node/requests.go
@@ -65,6 +65,7 @@
 	if n.isolated() {
 		return n.logSubmission(j, manager.Reply{Outcome: manager.Refused, RetryAfter: unreachableRetryDelay(), Reason: "cut off"}, "breaker")
 	}
+	j.DataCentre = n.DataCentre
 	until = until.Add(-responseMargin)
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
@@ -128,6 +129,7 @@
 // storeDirectly stores a job with an inbox mark, so that the owner adopts it.
 func (n *Node) storeDirectly(ctx context.Context, j job.Job, s settlement, refuseAt time.Time) (r manager.Reply) {
 	record := job.Record{Job: j, State: job.Queued}
+	record.DataCentre = ""
 	value, err := record.Encode()
 	if err != nil {
 		return manager.Reply{Outcome: s.outcome(), RetryAfter: refusedRetryDelay, Reason: err.Error()}
