Test the data centres of jobs

The stand-in of the endpoints counted a run as active that had ended while nobody asked its endpoint; it now updates each endpoint before the comparison, so that it reports runs that really overlap. Waits of inherited jobs are reported after a second.

--- a/coordination/schedule/awaited.go
+++ b/coordination/schedule/awaited.go
@@ -2,17 +2,22 @@
 
 import "time"
 
+// minAwaited is how long jobs have to wait until it is reported. An endpoint that was just
+// listed is waited for until its first report.
+const minAwaited = time.Second
+
 // AwaitedDataCentre describes a wait of inherited jobs for endpoints that have not reported to
 // this owner; it is meant for logs and metrics.
 type AwaitedDataCentre struct {
 	// DataCentre is the one that the jobs are confined to; empty for jobs that are not
 	// confined and wait for all.
 	DataCentre string
-	// Jobs is the highest number of jobs that waited at a time.
-	Jobs int
-	// Ended is set once no job waits any more, after the time Waited.
-	Ended  bool
+	// Jobs is the highest number of jobs that waited at a time, and Waited for how long one
+	// has waited so far.
+	Jobs   int
 	Waited time.Duration
+	// Ended is set once no job waits any more.
+	Ended bool
 }
 
 // awaitedDataCentres counts the inherited jobs that wait for unread endpoints.
@@ -23,8 +28,9 @@
 }
 
 type awaitedDataCentre struct {
-	since time.Time
-	jobs  int
+	since    time.Time
+	jobs     int
+	reported bool
 }
 
 // countAwaiting counts a job that may not start tasks because an unread endpoint may run them.
@@ -52,13 +58,20 @@
 		if w == nil {
 			w = &awaitedDataCentre{since: now}
 			a.current[name] = w
-			s.reportAwaited(AwaitedDataCentre{DataCentre: name, Jobs: a.waiting[name]})
 		}
 		w.jobs = max(w.jobs, a.waiting[name])
+		if !w.reported && now.Sub(w.since) >= minAwaited {
+			w.reported = true
+			s.reportAwaited(AwaitedDataCentre{DataCentre: name, Jobs: w.jobs, Waited: now.Sub(w.since)})
+		}
 	}
 	for _, name := range sortedKeys(a.current) {
-		if w := a.current[name]; a.waiting[name] == 0 {
-			delete(a.current, name)
+		w := a.current[name]
+		if a.waiting[name] > 0 {
+			continue
+		}
+		delete(a.current, name)
+		if w.reported {
 			s.reportAwaited(AwaitedDataCentre{DataCentre: name, Jobs: w.jobs, Ended: true, Waited: now.Sub(w.since)})
 		}
 	}
--- a/coordination/schedule/bench_test.go
+++ b/coordination/schedule/bench_test.go
@@ -12,25 +12,30 @@
 // BenchmarkBurst measures the scheduler's time per task in a burst in one pool, with
 // as many endpoints as in the largest deployments.
 func BenchmarkBurst(b *testing.B) {
-	benchmarkScheduler(b, 0, false)
+	benchmarkScheduler(b, 0, false, false)
 }
 
 // BenchmarkBacklog is BenchmarkFlood with 1,000 waiting jobs.
 func BenchmarkBacklog(b *testing.B) {
-	benchmarkScheduler(b, 1000, false)
+	benchmarkScheduler(b, 1000, false, false)
 }
 
 // BenchmarkBurstMeanDurations is BenchmarkBurst without learned durations.
 func BenchmarkBurstMeanDurations(b *testing.B) {
-	benchmarkScheduler(b, 0, true)
+	benchmarkScheduler(b, 0, true, false)
 }
 
 // BenchmarkBacklogMeanDurations is BenchmarkBacklog without learned durations.
 func BenchmarkBacklogMeanDurations(b *testing.B) {
-	benchmarkScheduler(b, 1000, true)
+	benchmarkScheduler(b, 1000, true, false)
 }
 
-func benchmarkScheduler(b *testing.B, backlog int, meanDurations bool) {
+// BenchmarkBacklogConfined is BenchmarkBacklog with jobs that are confined to data centres.
+func BenchmarkBacklogConfined(b *testing.B) {
+	benchmarkScheduler(b, 1000, false, true)
+}
+
+func benchmarkScheduler(b *testing.B, backlog int, meanDurations, confined bool) {
 	b.Helper()
 	s := &Scheduler{Settings: testSettings}
 	s.Settings.MeanDurations = meanDurations
@@ -38,7 +43,7 @@
 	var listed []Endpoint
 	for i := range 349 {
 		listed = append(listed, Endpoint{
-			ID: fmt.Sprintf("e%03d", i), Pool: fmt.Sprintf("p%d", i%5), Capacity: Capacity{CPU: 32000, MemoryMB: 131072},
+			ID: fmt.Sprintf("e%03d", i), Pool: fmt.Sprintf("p%d", i%5), DataCentre: string(rune('A' + i%4)), Capacity: Capacity{CPU: 32000, MemoryMB: 131072},
 		})
 	}
 	s.SetEndpoints(listed, now)
@@ -48,9 +53,14 @@
 	numbers := make(map[string]int64)
 	var running []Order
 	jobs, ended := 0, 0
+	place := func(r *job.Record) {
+		if r.Pool = "p0"; confined {
+			r.DataCentre, r.ConfinedTerm = string(rune('A'+jobs%4)), 1
+		}
+	}
 	for range backlog {
 		r := newRecord(fmt.Sprintf("b%015x", jobs), job.Step{Count: 8, CPU: 3100, MemoryMB: 4000, EstimateMillis: 640})
-		r.Pool = "p0"
+		place(&r)
 		s.AddJob(r, now)
 		jobs++
 	}
@@ -59,7 +69,7 @@
 		now = now.Add(10 * time.Millisecond)
 		for range 2 {
 			r := newRecord(fmt.Sprintf("%016x", jobs), job.Step{Count: 8, CPU: 3100, MemoryMB: 4000, EstimateMillis: 640})
-			r.Pool = "p0"
+			place(&r)
 			s.AddJob(r, now)
 			jobs++
 		}
--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -95,8 +95,8 @@
 	// OnWidened, if set, is called for each confined job whose tasks are to start in other
 	// data centres too.
 	OnWidened func(Widened)
-	// OnAwaited, if set, is called when inherited jobs begin to wait for the endpoints of a
-	// data centre that have not reported, and when they no longer do.
+	// OnAwaited, if set, is called when inherited jobs have waited for a second for endpoints
+	// that have not reported, and when they no longer do.
 	OnAwaited func(AwaitedDataCentre)
 }
 
--- a/entry/node/fleet_test.go
+++ b/entry/node/fleet_test.go
@@ -39,6 +39,9 @@
 	store     *standin.Store
 	endpoints *standin.Endpoints
 	directory manager.Directory
+	// dataCentres holds the data centres of the entries by name; without them no job is
+	// confined to one.
+	dataCentres map[string]string
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -82,9 +85,9 @@
 	}
 	link := &unreliableStore{Store: f.store}
 	n := &Node{
-		Name: name, Address: listener.Addr().String(), Cores: cores, Process: time.Now().UnixNano(), Store: link,
+		Name: name, Address: listener.Addr().String(), DataCentre: f.dataCentres[name], Cores: cores, Process: time.Now().UnixNano(), Store: link,
 		Peers: peer.NewClient(), Endpoints: f.endpoints, Directory: f.directory, Machines: standin.Machines{},
-		Manager: manager.Settings{MaxLease: 10 * time.Second, StateRetention: time.Minute},
+		Manager: manager.Settings{MaxLease: 10 * time.Second, StateRetention: time.Minute, DataCentreLosses: min(1, len(f.dataCentres))},
 	}
 	n.Init()
 	n.SetConfiguration(&queue.Configuration{Version: 1, Queues: []queue.Queue{testQueue}, Pools: []queue.Pool{{Name: "p"}}})
--- a/entry/standin/endpoint.go
+++ b/entry/standin/endpoint.go
@@ -295,8 +295,9 @@
 	if c.Run <= f.highestRun[c.Task] {
 		return schedule.AlreadyEnded, nil
 	}
-	for other, o := range e.endpoints {
-		if o.runs[c.Task] != nil {
+	for other := range e.endpoints {
+		// Runs also end while nobody asks their endpoint.
+		if e.endpoint(other).runs[c.Task] != nil {
 			e.violations = append(e.violations, c.Task+" starts on "+t.ID+" while it runs on "+other)
 		}
 	}
