--- a/coordination/schedule/placement.go
+++ b/coordination/schedule/placement.go
@@ -44,7 +44,8 @@
 		}
 		inService, endpoints, others := Capacity{}, 0, false
 		for _, e := range s.poolEndpoints(j.Pool) {
-			if !e.usable() || !e.hasLabel(st.RequiredLabel) {
+			// Those that have not reported to a new owner yet count too.
+			if !e.listed || e.Draining || e.reserved() || e.unresponsive() || !e.hasLabel(st.RequiredLabel) {
 				continue
 			}
 			if e.DataCentre != j.DataCentre {
