Bound the endpoints that are held for suspected tasks by the pool, not by the data centre

Found when reading the callers of the candidates of a data centre: with the bound for each data centre, a pool of four endpoints in two of them held two instead of one.

--- a/coordination/schedule/isolate.go
+++ b/coordination/schedule/isolate.go
@@ -119,7 +119,7 @@
 			return true
 		case e.heldFor != nil:
 			held++
-		case e.closedTo(t.job) || !e.freeFor(st).CanFit(need) || !e.permits(st, t, 0):
+		case !t.job.mayStartIn(e.DataCentre) || e.closedTo(t.job) || !e.freeFor(st).CanFit(need) || !e.permits(st, t, 0):
 		case best == nil || len(e.runs) < len(best.runs):
 			best = e
 		}
--- a/coordination/schedule/placement.go
+++ b/coordination/schedule/placement.go
@@ -83,6 +83,11 @@
 	return widened
 }
 
+// mayStartIn reports whether tasks of the job may start in a data centre.
+func (j *jobState) mayStartIn(dataCentre string) bool {
+	return j.startsIn == "" || j.startsIn == dataCentre
+}
+
 // widen lets tasks of a confined job start in any data centre, once its record is stored so.
 func (s *Scheduler) widen(j *jobState, now time.Time) {
 	if j.DataCentre == "" {
--- a/coordination/schedule/plan.go
+++ b/coordination/schedule/plan.go
@@ -213,7 +213,7 @@
 		}
 		e := s.findEndpoint(st, t, c, now)
 		if e == nil {
-			if t.isolation(st) > 0 && s.holdEndpoint(st, t, c.in(t.job.startsIn).endpoints, now) {
+			if t.isolation(st) > 0 && s.holdEndpoint(st, t, c.endpoints, now) {
 				continue
 			}
 			if st.step.LongRunning && reserveForLongRunning(st, t, c.endpoints) || t.isolation(st) > 0 {
@@ -265,7 +265,7 @@
 	r := c.in(st.tasks[0].job.startsIn)
 	chosen, refused := s.chooseForGang(st, r.endpoints, make(map[*endpoint]gangUsage))
 	if refused != nil {
-		if refused.isolation(st) == 0 || !s.holdEndpoint(st, refused, r.endpoints, now) {
+		if refused.isolation(st) == 0 || !s.holdEndpoint(st, refused, c.endpoints, now) {
 			s.wantRoom(c, st, refused, now)
 		}
 		return nil
