--- a/entry/node/requests.go
+++ b/entry/node/requests.go
@@ -66,6 +66,7 @@
 		meter.Count("refusals.cutOff")
 		return n.logSubmission(j, n.refuseInOutage("cut off", age), "breaker", arrived, until)
 	}
+	j.DataCentre = n.DataCentre
 	until = until.Add(-min(responseMargin, time.Duration(marginPart*float64(until.Sub(arrived)))))
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
@@ -143,6 +144,7 @@
 // storeDirectly stores a job with an inbox mark, so that the owner adopts it.
 func (n *Node) storeDirectly(ctx context.Context, j job.Job, s settlement, refuseAt time.Time) (r manager.Reply) {
 	record := job.Record{Job: j, State: job.Queued}
+	record.DataCentre = ""
 	value, err := record.Encode()
 	if err != nil {
 		return manager.Reply{Outcome: s.outcome(), RetryAfter: refusedRetryDelay, Reason: err.Error()}
