Decide the same by the same inputs

Sums over jobs, the order in which expired endpoints are ended and in which accepted jobs are compared with their estimates followed the order of maps. Active jobs are kept in the order in which they were added; the rest is sorted where it is short. The simulation of the tests listed runs and their ends by the order of a map as well, which alone made its figures differ.

--- a/coordination/duration/estimator.go
+++ b/coordination/duration/estimator.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"time"
 )
 
@@ -85,7 +86,7 @@
 	q, known := e.queues[name]
 	if !known {
 		if len(e.queues) >= maxQueues {
-			removeOldest(e.queues, func(q *queueHistory) time.Time { return q.updatedAt })
+			removeOldest(e.queues, func(q *queueHistory) time.Time { return q.updatedAt }, strings.Compare)
 		}
 		q = newQueueHistory()
 		e.queues[name] = q
@@ -94,13 +95,14 @@
 	return q
 }
 
-// removeOldest removes the entry of a map with the earliest time.
-func removeOldest[K comparable, V any](m map[K]V, at func(V) time.Time) {
+// removeOldest removes the entry of a map with the earliest time, the first one by its key
+// among equals.
+func removeOldest[K comparable, V any](m map[K]V, at func(V) time.Time, compare func(a, b K) int) {
 	var oldest K
 	var oldestAt time.Time
 	first := true
 	for k, v := range m {
-		if t := at(v); first || t.Before(oldestAt) {
+		if t := at(v); first || t.Before(oldestAt) || t.Equal(oldestAt) && compare(k, oldest) < 0 {
 			oldest, oldestAt, first = k, t, false
 		}
 	}
--- a/coordination/duration/history.go
+++ b/coordination/duration/history.go
@@ -1,6 +1,7 @@
 package duration
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -97,6 +98,10 @@
 	other  int
 }
 
+func (k levelKey) compare(o levelKey) int {
+	return cmp.Or(cmp.Compare(k.text, o.text), cmp.Compare(k.number, o.number), cmp.Compare(k.other, o.other))
+}
+
 // levelKeyOf returns the key of a task in a level, and false if the level says nothing more
 // than the queue.
 func (k Key) levelKeyOf(l level) (key levelKey, applies bool) {
@@ -247,7 +252,7 @@
 				q.keys[l] = make(map[levelKey]*location)
 			}
 			if len(q.keys[l]) >= maxKeys {
-				removeOldest(q.keys[l], func(o *location) time.Time { return o.updatedAt })
+				removeOldest(q.keys[l], func(o *location) time.Time { return o.updatedAt }, levelKey.compare)
 			}
 			own = &location{}
 			q.keys[l][key] = own
--- a/coordination/schedule/admit.go
+++ b/coordination/schedule/admit.go
@@ -1,7 +1,9 @@
 package schedule
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/azurepoint/azurepoint/coordination/admission"
@@ -238,9 +240,9 @@
 	}
 	s.addSupplies(now)
 	held := make(map[string]Capacity)
-	for pool, jobs := range s.activeJobs {
+	for _, pool := range sortedKeys(s.activeJobs) {
 		a.overShare[pool] = make(map[string]bool)
-		for _, j := range jobs {
+		for _, j := range s.activeJobs[pool] {
 			if j.longRunning() {
 				for _, o := range j.occurrences {
 					for _, st := range o.steps {
@@ -255,10 +257,9 @@
 			s.loadBacklog(pool, j.Organisation, rank, s.workLeft(j, now))
 		}
 	}
-	for id, e := range a.accepted {
-		if !s.HasJob(id) {
-			s.loadBacklog(e.pool, e.organisation, e.rank, e.work)
-		}
+	for _, id := range a.acceptedWhere(func(id string, _ *acceptedJob) bool { return !s.HasJob(id) }) {
+		e := a.accepted[id]
+		s.loadBacklog(e.pool, e.organisation, e.rank, e.work)
 	}
 	s.addLimits(held, now)
 }
@@ -315,12 +316,8 @@
 		}
 		a.rooms[e.Pool] = a.rooms[e.Pool].Plus(e.Capacity)
 		short[e.Pool] = short[e.Pool].Plus(e.Capacity.Minus(e.longRunningUsage()))
-		if e.Capacity.CPU > largest[e.Pool].CPU {
-			largest[e.Pool] = e.Capacity
-		}
-		if e.Capacity.CPU > anyLargest.CPU {
-			anyLargest = e.Capacity
-		}
+		largest[e.Pool] = larger(largest[e.Pool], e.Capacity)
+		anyLargest = larger(anyLargest, e.Capacity)
 		if e.usable() && len(e.runs) == 0 {
 			idle[e.Pool]++
 			idleEndpoints++
@@ -343,6 +340,14 @@
 	}
 }
 
+// larger returns the capacity with more CPU, or among equals with more of the rest.
+func larger(a, b Capacity) Capacity {
+	if cmp.Or(cmp.Compare(b.CPU, a.CPU), cmp.Compare(b.MemoryMB, a.MemoryMB), cmp.Compare(b.GPU, a.GPU)) > 0 {
+		return b
+	}
+	return a
+}
+
 // addLimits sets what each organisation may have running beside its long-running tasks, and
 // removes the backlogs of organisations without a limit.
 func (s *Scheduler) addLimits(held map[string]Capacity, now time.Time) {
@@ -384,25 +389,40 @@
 	if a.calibrations == nil {
 		a.calibrations = make(map[string]*admission.Calibration)
 	}
-	for id, e := range a.accepted {
+	for _, id := range a.acceptedWhere(func(id string, e *acceptedJob) bool { return s.estimateOver(id, e, now) }) {
+		e, j := a.accepted[id], s.jobs[id]
+		delete(a.accepted, id)
+		if j == nil || !e.waits || j.state != job.Completed && j.state.Terminal() {
+			continue
+		}
 		c := a.calibrations[e.pool]
 		if c == nil {
 			c = &admission.Calibration{}
 			a.calibrations[e.pool] = c
 		}
-		j := s.jobs[id]
-		switch {
-		case j == nil && now.Sub(e.at) > storeDelay:
-			delete(a.accepted, id)
-		case j == nil:
-		case !j.state.Terminal() && !now.After(e.usefulUntil) && now.Sub(e.at) < overdueFactor*e.estimate.Sub(e.at):
-		default:
-			if e.waits && (j.state == job.Completed || !j.state.Terminal()) {
-				c.Observe(e.at, e.estimate, endOr(j, now))
-			}
-			delete(a.accepted, id)
+		c.Observe(e.at, e.estimate, endOr(j, now))
+	}
+}
+
+// estimateOver reports whether an accepted job no longer has to be compared with its estimate:
+// it has ended, is overdue, or was not stored.
+func (s *Scheduler) estimateOver(id string, e *acceptedJob, now time.Time) bool {
+	j := s.jobs[id]
+	if j == nil {
+		return now.Sub(e.at) > storeDelay
+	}
+	return j.state.Terminal() || now.After(e.usefulUntil) || now.Sub(e.at) >= overdueFactor*e.estimate.Sub(e.at)
+}
+
+// acceptedWhere returns the identifiers of the accepted jobs that match, sorted.
+func (a *admissions) acceptedWhere(matches func(id string, e *acceptedJob) bool) (ids []string) {
+	for id, e := range a.accepted {
+		if matches(id, e) {
+			ids = append(ids, id)
 		}
 	}
+	slices.Sort(ids)
+	return ids
 }
 
 // endOr returns when a job has ended, or the time given if it has not.
--- a/coordination/schedule/burst_test.go
+++ b/coordination/schedule/burst_test.go
@@ -177,7 +177,8 @@
 }
 
 func (sim *simulation) endDueRuns(id string) {
-	for _, r := range sim.running[id] {
+	for _, name := range sortedKeys(sim.running[id]) {
+		r := sim.running[id][name]
 		if !sim.now.Before(r.endsAt) {
 			sim.endRun(id, r.listing, EndDone)
 		}
@@ -192,7 +193,8 @@
 
 func (sim *simulation) poll(id string) {
 	r := Report{SentAt: sim.now.Add(-5 * time.Millisecond), ReceivedAt: sim.now, Incarnation: 1, Ended: sim.ended[id]}
-	for _, v := range sim.running[id] {
+	for _, name := range sortedKeys(sim.running[id]) {
+		v := sim.running[id][name]
 		v.listing.Percent = int(100 * sim.now.Sub(v.startedAt) / v.endsAt.Sub(v.startedAt))
 		r.Running = append(r.Running, v.listing)
 	}
--- a/coordination/schedule/division.go
+++ b/coordination/schedule/division.go
@@ -15,7 +15,7 @@
 // dividePool returns how the pool is divided among organisations, and marks the jobs beyond the
 // rates of those that have more than their share. Long-running tasks take no part in it: they start first.
 // Jobs without an organisation together count as one.
-func (s *Scheduler) dividePool(pool string, jobs map[string]*jobState, wall time.Time) (d organisation.Division) {
+func (s *Scheduler) dividePool(pool string, jobs []*jobState, wall time.Time) (d organisation.Division) {
 	if !s.organisations.ledger.Active() || !s.anyBeyondRate(jobs) {
 		for _, j := range jobs {
 			j.overShare = false
@@ -51,7 +51,7 @@
 }
 
 // anyBeyondRate reports whether a share matters to any of the jobs.
-func (s *Scheduler) anyBeyondRate(jobs map[string]*jobState) bool {
+func (s *Scheduler) anyBeyondRate(jobs []*jobState) bool {
 	for _, j := range jobs {
 		if !j.longRunning() && !s.withinRate(j) {
 			return true
--- a/coordination/schedule/endpointset.go
+++ b/coordination/schedule/endpointset.go
@@ -168,10 +168,10 @@
 	if by.Instance == "" {
 		return
 	}
-	for id, e := range s.endpoints {
-		if e.Instance == by.Instance && e.joinedAt.Before(by.joinedAt) && (e.unresponsive() || !e.contacted) {
-			s.RecordTermination(id, LossReplaced, now)
-		}
+	for _, e := range s.endpointsWhere(func(e *endpoint) bool {
+		return e.Instance == by.Instance && e.joinedAt.Before(by.joinedAt) && (e.unresponsive() || !e.contacted)
+	}) {
+		s.RecordTermination(e.ID, LossReplaced, now)
 	}
 	s.resolveReplacedCrashes(by, now)
 }
@@ -189,10 +189,9 @@
 // ExpireLeases ends the runs of endpoints whose leases have expired, and removes expired
 // endpoints that are no longer listed.
 func (s *Scheduler) ExpireLeases(now time.Time) {
-	for _, e := range s.endpoints {
-		if now.Before(e.leaseUntil) || (e.contacted && !e.unresponsive() && e.listed) {
-			continue
-		}
+	for _, e := range s.endpointsWhere(func(e *endpoint) bool {
+		return !now.Before(e.leaseUntil) && (!e.contacted || e.unresponsive() || !e.listed)
+	}) {
 		if e.unresponsive() {
 			s.suspectRuns(e, now)
 		}
@@ -205,18 +204,28 @@
 	}
 }
 
+// endpointsWhere returns the endpoints that match, sorted by identifier.
+func (s *Scheduler) endpointsWhere(matches func(e *endpoint) bool) (endpoints []*endpoint) {
+	for _, e := range s.endpoints {
+		if matches(e) {
+			endpoints = append(endpoints, e)
+		}
+	}
+	sortEndpoints(endpoints)
+	return endpoints
+}
+
+func sortEndpoints(endpoints []*endpoint) {
+	slices.SortFunc(endpoints, func(a, b *endpoint) int { return cmp.Compare(a.ID, b.ID) })
+}
+
 // poolEndpoints returns the endpoints of a pool, sorted by identifier.
 func (s *Scheduler) poolEndpoints(pool string) (endpoints []*endpoint) {
 	endpoints, cached := s.endpointsByPool[pool]
 	if cached || len(s.endpoints) == 0 {
 		return endpoints
 	}
-	for _, e := range s.endpoints {
-		if e.Pool == pool {
-			endpoints = append(endpoints, e)
-		}
-	}
-	slices.SortFunc(endpoints, func(a, b *endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	endpoints = s.endpointsWhere(func(e *endpoint) bool { return e.Pool == pool })
 	s.endpointsByPool[pool] = endpoints
 	return endpoints
 }
--- a/coordination/schedule/isolate.go
+++ b/coordination/schedule/isolate.go
@@ -51,7 +51,8 @@
 			delete(s.unconfirmedCrashes, id)
 		}
 	}
-	for t := range s.suspectTasks {
+	// Of two suspected tasks on an endpoint, the last one by name has it for its job.
+	for _, t := range sortedTasks(s.suspectTasks) {
 		if t.done || t.job.state.Terminal() {
 			delete(s.suspectTasks, t)
 			continue
--- a/coordination/schedule/order.go
+++ b/coordination/schedule/order.go
@@ -154,10 +154,7 @@
 // stopOrders returns the orders that stop runs of unknown tasks, runs that are to be
 // stopped, and runs whose start got no answer.
 func (s *Scheduler) stopOrders(now time.Time) (orders []Order) {
-	for _, e := range s.endpoints {
-		if len(e.unknownRuns) == 0 || !e.contacted || e.unresponsive() {
-			continue
-		}
+	for _, e := range s.endpointsWhere(func(e *endpoint) bool { return len(e.unknownRuns) > 0 && e.contacted && !e.unresponsive() }) {
 		for _, name := range sortedKeys(e.unknownRuns) {
 			u := e.unknownRuns[name]
 			if !u.stopSent {
@@ -190,7 +187,7 @@
 		runs = append(runs, r)
 	}
 	slices.SortFunc(runs, func(a, b *run) int {
-		return cmp.Or(cmp.Compare(a.task.name, b.task.name), cmp.Compare(a.number, b.number))
+		return cmp.Or(cmp.Compare(a.task.name, b.task.name), cmp.Compare(a.number, b.number), cmp.Compare(a.endpoint.ID, b.endpoint.ID))
 	})
 	return runs
 }
--- a/coordination/schedule/plan.go
+++ b/coordination/schedule/plan.go
@@ -117,7 +117,7 @@
 }
 
 // rankedJobs returns the pool's jobs in the order in which they are placed.
-func (s *Scheduler) rankedJobs(pool string, jobs map[string]*jobState, now, wall time.Time) *jobRanking {
+func (s *Scheduler) rankedJobs(pool string, jobs []*jobState, now, wall time.Time) *jobRanking {
 	ranking := s.rankings[pool]
 	if ranking == nil {
 		ranking = &jobRanking{}
@@ -150,10 +150,10 @@
 // sortJobs sorts jobs by lateness, then by priority, then by whether their organisation has
 // more than its share, then by remaining work. Jobs with little work left go first so that
 // as many jobs as possible meet their objective; late jobs follow.
-func (s *Scheduler) sortJobs(jobs map[string]*jobState, now time.Time) (sorted []*jobState) {
-	for _, j := range jobs {
+func (s *Scheduler) sortJobs(jobs []*jobState, now time.Time) (sorted []*jobState) {
+	sorted = slices.Clone(jobs)
+	for _, j := range sorted {
 		s.rank(j, now)
-		sorted = append(sorted, j)
 	}
 	slices.SortFunc(sorted, func(a, b *jobState) int {
 		switch {
--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -44,8 +44,11 @@
 	durations         learnedDurations
 	// dirty holds the jobs whose record differs from the stored one.
 	dirty map[string]*jobState
-	// activeJobs holds the jobs of each pool whose state is not final.
-	activeJobs map[string]map[string]*jobState
+	// activeJobs holds the jobs of each pool whose state is not final, in the order in which
+	// they were added, so that sums over them do not depend on the order of a map.
+	activeJobs map[string][]*jobState
+	// addedJobs counts the jobs that were added.
+	addedJobs int64
 	demands    map[string]*sizing.Demand
 	rankings   map[string]*jobRanking
 	// reservedInstances holds the names of the instances that are reserved for their
@@ -110,7 +113,7 @@
 	s.endpoints = make(map[string]*endpoint)
 	s.durationEstimates = make(map[string]*durationEstimate)
 	s.dirty = make(map[string]*jobState)
-	s.activeJobs = make(map[string]map[string]*jobState)
+	s.activeJobs = make(map[string][]*jobState)
 	s.demands = make(map[string]*sizing.Demand)
 	s.rankings = make(map[string]*jobRanking)
 	s.reservedInstances = make(map[string]bool)
@@ -144,10 +147,9 @@
 	if r.State.Terminal() {
 		return
 	}
-	if s.activeJobs[j.Pool] == nil {
-		s.activeJobs[j.Pool] = make(map[string]*jobState)
-	}
-	s.activeJobs[j.Pool][j.ID] = j
+	s.addedJobs++
+	j.number = s.addedJobs
+	s.activeJobs[j.Pool] = append(s.activeJobs[j.Pool], j)
 	if !inherited {
 		s.recordArrival(j, now)
 	}
@@ -214,7 +216,7 @@
 	j.state = state
 	j.endedAt = now.UnixMilli()
 	s.markDirty(j, now, true)
-	delete(s.activeJobs[j.Pool], j.ID)
+	s.removeActiveJob(j)
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
 			for _, t := range st.tasks {
@@ -226,6 +228,15 @@
 	}
 }
 
+// removeActiveJob removes a job from activeJobs.
+func (s *Scheduler) removeActiveJob(j *jobState) {
+	jobs := s.activeJobs[j.Pool]
+	i, found := slices.BinarySearchFunc(jobs, j.number, func(o *jobState, number int64) int { return cmp.Compare(o.number, number) })
+	if found {
+		s.activeJobs[j.Pool] = slices.Delete(jobs, i, i+1)
+	}
+}
+
 // markDirty marks the record of a job for storing; urgent records are written first
 // and without delay.
 func (s *Scheduler) markDirty(j *jobState, now time.Time, urgent bool) {
--- a/coordination/schedule/task.go
+++ b/coordination/schedule/task.go
@@ -140,6 +140,8 @@
 type jobState struct {
 	job.Job
 
+	// number counts the jobs of the scheduler in the order in which they were added.
+	number      int64
 	state       job.State
 	occurrences []*occurrence
 	endedAt     int64
