--- a/coordination/duration/distribution.go
+++ b/coordination/duration/distribution.go
@@ -1,7 +1,10 @@
 package duration
 
 import (
+	"cmp"
 	"math"
+	"slices"
+	"sort"
 	"time"
 
 	"github.com/DataDog/sketches-go/ddsketch"
@@ -36,6 +39,35 @@
 type shape struct {
 	sketch  *ddsketch.DDSketchWithExactSummaryStatistics
 	fadedAt time.Time
+	// tails holds what remains above each ratio of the sketch, in ascending order, since its
+	// last change; it is empty until it is needed.
+	tails []tail
+}
+
+// tail is the weight of the ratios from a value on, and their sum by weight.
+type tail struct {
+	value, weight, sum float64
+}
+
+// remaining returns the weight of the ratios above a value, and their sum by weight. Plans ask
+// for it far more often than the sketch changes.
+func (s *shape) remaining(above float64) (weight, sum float64) {
+	if len(s.tails) == 0 {
+		s.sketch.ForEach(func(value, weight float64) (stop bool) {
+			s.tails = append(s.tails, tail{value: value, weight: weight, sum: value * weight})
+			return false
+		})
+		slices.SortFunc(s.tails, func(a, b tail) int { return cmp.Compare(a.value, b.value) })
+		for i := len(s.tails) - 2; i >= 0; i-- {
+			s.tails[i].weight += s.tails[i+1].weight
+			s.tails[i].sum += s.tails[i+1].sum
+		}
+	}
+	i := sort.Search(len(s.tails), func(i int) bool { return s.tails[i].value > above })
+	if i == len(s.tails) {
+		return 0, 0
+	}
+	return s.tails[i].weight, s.tails[i].sum
 }
 
 // newShape returns the shape of a queue without runs.
@@ -55,7 +87,9 @@
 	for i := range points {
 		_ = sketch.AddWithCount(math.Exp(deviation*normalQuantile((float64(i)+0.5)/points))*points/sum, count/points)
 	}
-	return &shape{sketch: sketch}
+	s := &shape{sketch: sketch}
+	s.remaining(0)
+	return s
 }
 
 func normalQuantile(p float64) float64 {
@@ -73,6 +107,7 @@
 		s.fadedAt = now
 	}
 	_ = s.sketch.Add(math.Exp(bounded(logRatio, math.Log(maxRatio))))
+	s.tails = s.tails[:0]
 }
 
 // Distribution is the distribution of the run time of a task.
@@ -102,18 +137,11 @@
 // mean run time if the run has lasted longer than all known ones.
 func (d Distribution) Remaining(elapsed time.Duration) time.Duration {
 	ratio := float64(max(elapsed, 0)) / float64(time.Millisecond) / d.scale
-	sum, count := 0.0, 0.0
-	d.shape.sketch.ForEach(func(value, weight float64) (stop bool) {
-		if value > ratio {
-			sum += (value - ratio) * weight
-			count += weight
-		}
-		return false
-	})
-	if count == 0 {
+	weight, sum := d.shape.remaining(ratio)
+	if weight == 0 {
 		return d.Mean()
 	}
-	return toDuration(d.scale * sum / count)
+	return toDuration(d.scale * max(0, sum/weight-ratio))
 }
 
 // quantile returns a quantile of the ratio. The sketch's own quantiles leave out a whole run,
--- a/coordination/schedule/endpointset.go
+++ b/coordination/schedule/endpointset.go
@@ -104,6 +104,15 @@
 	return e.status(), true
 }
 
+// EndpointAddress returns the address of an endpoint.
+func (s *Scheduler) EndpointAddress(id string) (address string, known bool) {
+	e, known := s.endpoints[id]
+	if !known {
+		return "", false
+	}
+	return e.Address, true
+}
+
 func (e *endpoint) status() EndpointStatus {
 	return EndpointStatus{
 		Endpoint: e.Endpoint, Listed: e.listed, Contacted: e.contacted, Unresponsive: e.unresponsive(), HasUncertainRun: e.hasUncertainRun(), HasWarmingTask: e.hasWarmingTask(),
--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -77,9 +77,8 @@
 	over        chan struct{}
 	wake        chan struct{}
 	listChanged chan struct{}
-	// orderResults receives the results of the orders in flight.
-	orderResults   chan orderResult
-	ordersInFlight int
+	// ordersInFlight counts the orders that have no result yet.
+	ordersInFlight sync.WaitGroup
 	// usesMeteredAt is when the use of the organisations was last put into the metrics, and
 	// heldMetered the part of the scheduler's count that the metrics have.
 	usesMeteredAt time.Time
@@ -103,7 +102,6 @@
 func (m *Manager) Run(ctx context.Context) <-chan error {
 	m.wake = make(chan struct{}, 1)
 	m.listChanged = make(chan struct{}, 1)
-	m.orderResults = make(chan orderResult)
 	m.pollers = make(map[string]*poller)
 	m.recorded = make(map[string]schedule.Endpoint)
 	m.pollersDue = make(map[string]bool)
@@ -137,9 +135,7 @@
 	components := []<-chan error{m.recordWriter.run(ctx), m.Directory.Follow(ctx, m.resetEndpoints, m.applyListChange), m.runWaves(ctx), m.runMoves(ctx), m.runEndpointRecording(ctx), m.runCleanup(ctx), m.runDurations(ctx)}
 	m.runPlanner(ctx)
 	cancel()
-	for ; m.ordersInFlight > 0; m.ordersInFlight-- {
-		<-m.orderResults
-	}
+	m.ordersInFlight.Wait()
 	for _, p := range components {
 		if e := <-p; e != nil && err == nil {
 			err = e
@@ -228,10 +224,6 @@
 		select {
 		case <-ctx.Done():
 			return
-		case a := <-m.orderResults:
-			m.ordersInFlight--
-			m.applyOrderResult(a)
-			continue
 		case <-m.wake:
 			wait := max(0, minPlanInterval-time.Since(lastPlan))
 			due.Reset(wait)
@@ -253,7 +245,7 @@
 
 // dueOrders returns the orders to send now, or none while the ownership is not
 // confirmed.
-func (m *Manager) dueOrders() (orders []schedule.Order) {
+func (m *Manager) dueOrders() (orders []plannedOrder) {
 	confirmed := m.Term.Confirmed()
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -266,7 +258,14 @@
 	if !m.updateOrganisations(now) {
 		return nil
 	}
-	return m.scheduler.Plan(now, now)
+	for _, o := range m.scheduler.Plan(now, now) {
+		p := plannedOrder{Order: o}
+		if address, known := m.scheduler.EndpointAddress(o.Endpoint); known {
+			p.poller, p.target = m.pollers[o.Endpoint], Target{ID: o.Endpoint, Address: address}
+		}
+		orders = append(orders, p)
+	}
+	return orders
 }
 
 // trigger makes runPlanner plan soon.
--- a/entry/manager/ownedrecord_test.go
+++ b/entry/manager/ownedrecord_test.go
@@ -86,11 +86,9 @@
 		endpoints := &fakeEndpoints{}
 		m := &Manager{
 			Term: Term{Number: 1, Confirmed: func() bool { return confirmed }}, Endpoints: endpoints,
-			pollers: map[string]*poller{"e": {}}, orderResults: make(chan orderResult, 1),
 		}
-		m.scheduler.AddNewEndpoint(schedule.Endpoint{ID: "e", Pool: "p"}, time.Now())
-		m.sendOrder(t.Context(), schedule.Order{Action: schedule.Start, Endpoint: "e", Task: "j.0.0.0", Run: 65, Spec: "10"})
-		if result := <-m.orderResults; (result.answer == schedule.Accepted) != confirmed || (endpoints.starts > 0) != confirmed {
+		o := schedule.Order{Action: schedule.Start, Endpoint: "e", Task: "j.0.0.0", Run: 65, Spec: "10"}
+		if result := m.carryOut(t.Context(), plannedOrder{Order: o, poller: &poller{}}); (result.answer == schedule.Accepted) != confirmed || (endpoints.starts > 0) != confirmed {
 			t.Errorf("confirmed %v: answer %d, %d starts", confirmed, result.answer, endpoints.starts)
 		}
 	}
--- a/entry/manager/poll.go
+++ b/entry/manager/poll.go
@@ -136,6 +136,15 @@
 	return p.clock + deadline.Sub(p.clockAt).Milliseconds()
 }
 
+// startDeadline returns the deadline of a start on the endpoint's clock, which may have been
+// slow since it was reported. The scheduler allows for that only from the start on.
+func (p *poller) startDeadline(deadline time.Time) (millis int64) {
+	p.mu.Lock()
+	age := time.Since(p.clockAt)
+	p.mu.Unlock()
+	return p.endpointDeadline(deadline.Add(-time.Duration(float64(age) * (maxClockRatio - 1))))
+}
+
 // recordFailure handles a failed poll: it ends the term if the endpoint has a higher
 // fencing token, and marks the endpoint as ended if another one has its address.
 func (p *poller) recordFailure(err error, failures int) {
--- a/entry/manager/send.go
+++ b/entry/manager/send.go
@@ -22,17 +22,25 @@
 	planDue time.Time
 }
 
+// orderMetrics names the timers of the orders by their action.
+var orderMetrics = [...]string{schedule.Start: "orders.start", schedule.Stop: "orders.stop", schedule.Pace: "orders.pace"}
+
 // errUnconfirmed means that an order was not sent because the ownership is unconfirmed.
 var errUnconfirmed = errors.New("manager: the ownership cannot be confirmed")
 
-// sendOrder sends an order to its endpoint and delivers the result on m.orderResults.
-func (m *Manager) sendOrder(ctx context.Context, o schedule.Order) {
-	m.mu.Lock()
-	p := m.pollers[o.Endpoint]
-	status, known := m.scheduler.EndpointStatus(o.Endpoint)
-	m.mu.Unlock()
-	if p == nil || !known {
-		m.applyOrderResult(orderResult{order: o, answer: schedule.NotExecuted})
+// plannedOrder is an order with its target and the poller of its endpoint, which is nil if the
+// endpoint has none.
+type plannedOrder struct {
+	schedule.Order
+
+	poller *poller
+	target Target
+}
+
+// sendOrder sends an order to its endpoint and records the result.
+func (m *Manager) sendOrder(ctx context.Context, o plannedOrder) {
+	if o.poller == nil {
+		m.applyOrderResult(orderResult{order: o.Order, answer: schedule.NotExecuted})
 		return
 	}
 	if o.Action == schedule.Start && event.RunStartedLimited.Allow() {
@@ -41,26 +49,36 @@
 			"waitedMillis": o.TimeSinceAcceptance.Milliseconds(), "term": m.Term.Number,
 		})
 	}
-	target := Target{ID: status.ID, Address: status.Address}
-	m.ordersInFlight++
 	planDue := m.planDue
-	go func() {
-		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-		defer cancel()
-		a := orderResult{order: o, answer: schedule.NotExecuted, err: errUnconfirmed}
-		// The process may have been suspended since the order was planned. Another owner
-		// may count on the end of this one's lease.
-		sent := time.Now()
-		if m.Term.Confirmed() {
-			a.answer, a.err = m.callEndpoint(ctx, p, target, o)
-			meter.RecordSince("orders."+o.Action.String(), sent)
-			a.planDue = planDue
+	m.ordersInFlight.Go(func() {
+		a := m.carryOut(ctx, o)
+		// Nothing is made of the results of a term that has ended.
+		if ctx.Err() == nil {
+			if !errors.Is(a.err, errUnconfirmed) {
+				a.planDue = planDue
+			}
+			m.applyOrderResult(a)
 		}
-		m.orderResults <- a
-	}()
+	})
 }
 
-func (m *Manager) callEndpoint(ctx context.Context, p *poller, t Target, o schedule.Order) (a schedule.OrderResult, err error) {
+// carryOut sends an order and returns its result.
+func (m *Manager) carryOut(ctx context.Context, o plannedOrder) (a orderResult) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	a = orderResult{order: o.Order, answer: schedule.NotExecuted, err: errUnconfirmed}
+	// The process may have been suspended since the order was planned. Another owner
+	// may count on the end of this one's lease.
+	sent := time.Now()
+	if m.Term.Confirmed() {
+		a.answer, a.err = m.callEndpoint(ctx, o)
+		meter.RecordSince(orderMetrics[o.Action], sent)
+	}
+	return a
+}
+
+func (m *Manager) callEndpoint(ctx context.Context, o plannedOrder) (a schedule.OrderResult, err error) {
+	t := o.target
 	run := RunCall{Task: o.Task, Run: o.Run, Fence: m.Term.Number, Percent: o.Percent}
 	switch o.Action {
 	case schedule.Stop:
@@ -70,14 +88,13 @@
 	default:
 		return m.Endpoints.Start(ctx, t, StartCall{
 			Task: o.Task, Run: o.Run, Spec: o.Spec, Checkpoint: o.Checkpoint, Fence: m.Term.Number,
-			Until: p.endpointDeadline(o.StartBy),
+			Until: o.poller.startDeadline(o.StartBy),
 		})
 	}
 }
 
 // applyOrderResult records the result of an order.
 func (m *Manager) applyOrderResult(a orderResult) {
-	fields := log.Fields{"task": a.order.Task, "run": a.order.Run, "endpoint": a.order.Endpoint, "action": a.order.Action.String()}
 	switch {
 	case errors.Is(a.err, ErrFenced):
 		event.OrderFenced.Log(log.Fields{"endpoint": a.order.Endpoint, "term": m.Term.Number})
@@ -85,11 +102,9 @@
 	case errors.Is(a.err, ErrOtherEndpoint):
 		m.endpointEnded(a.order.Endpoint, schedule.LossReplaced)
 	case a.answer == schedule.Unknown || a.answer == schedule.Disconnected:
-		fields["error"] = errorText(a.err)
-		event.OrderUnanswered.Log(fields)
+		event.OrderUnanswered.Log(a.fields("error"))
 	case a.answer != schedule.Accepted:
-		fields["reason"] = errorText(a.err)
-		event.OrderRefused.Log(fields)
+		event.OrderRefused.Log(a.fields("reason"))
 	}
 	m.mu.Lock()
 	now := time.Now()
@@ -104,6 +119,13 @@
 	}
 }
 
+// fields returns the fields of a log event with the error under a name.
+func (a orderResult) fields(errorName string) log.Fields {
+	return log.Fields{
+		"task": a.order.Task, "run": a.order.Run, "endpoint": a.order.Endpoint, "action": a.order.Action.String(), errorName: errorText(a.err),
+	}
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
