Bound the starts of one plan and the polls of idle endpoints

A plan returns at most 64 starts, and the next one, 8 ms later, begins with the pools that had none, so that the renewal of the owner's lease and the polls have their turn within a burst. Ends of runs are gathered for as long as polls are many, not as long as endpoints are many, and an endpoint without runs is polled every 2 s from 2,000 endpoints on. Endpoints are kept sorted, so that a plan visits no map of them.

--- a/coordination/schedule/endpointset.go
+++ b/coordination/schedule/endpointset.go
@@ -55,10 +55,13 @@
 	s.init()
 	if s.endpoints[l.ID] == nil {
 		delete(s.endpointsByPool, l.Pool)
-		s.endpoints[l.ID] = &endpoint{
+		e := &endpoint{
 			Endpoint: l, runs: make(map[string]*run), unknownRuns: make(map[string]unknownRun),
 			leaseUntil: now.Add(s.Settings.InheritedLease), joinedAt: now,
 		}
+		s.endpoints[l.ID] = e
+		i, _ := s.findSorted(l.ID)
+		s.sortedEndpoints = slices.Insert(s.sortedEndpoints, i, e)
 	}
 }
 
@@ -191,6 +194,9 @@
 	}
 	delete(s.isolatedEndpoints, e)
 	delete(s.endpoints, e.ID)
+	if i, found := s.findSorted(e.ID); found {
+		s.sortedEndpoints = slices.Delete(s.sortedEndpoints, i, i+1)
+	}
 	delete(s.endpointsByPool, e.Pool)
 	delete(s.unstoredEndpoints, e)
 }
@@ -215,17 +221,17 @@
 
 // endpointsWhere returns the endpoints that match, sorted by identifier.
 func (s *Scheduler) endpointsWhere(matches func(e *endpoint) bool) (endpoints []*endpoint) {
-	for _, e := range s.endpoints {
+	for _, e := range s.sortedEndpoints {
 		if matches(e) {
 			endpoints = append(endpoints, e)
 		}
 	}
-	sortEndpoints(endpoints)
 	return endpoints
 }
 
-func sortEndpoints(endpoints []*endpoint) {
-	slices.SortFunc(endpoints, func(a, b *endpoint) int { return cmp.Compare(a.ID, b.ID) })
+// findSorted returns the index of an endpoint in sortedEndpoints, or where it belongs.
+func (s *Scheduler) findSorted(id string) (i int, found bool) {
+	return slices.BinarySearchFunc(s.sortedEndpoints, id, func(e *endpoint, id string) int { return cmp.Compare(e.ID, id) })
 }
 
 // poolEndpoints returns the endpoints of a pool, sorted by identifier.
--- a/coordination/schedule/order.go
+++ b/coordination/schedule/order.go
@@ -210,6 +210,7 @@
 	e.used = e.used.Plus(r.size)
 	s.countStart(r)
 	s.Counts.Started++
+	s.startsLeft--
 	j := t.job
 	j.started = true
 	if j.state == job.Queued {
--- a/coordination/schedule/plan.go
+++ b/coordination/schedule/plan.go
@@ -37,9 +37,7 @@
 	s.updateIsolation(now)
 	s.evacuateReserved(now)
 	orders = s.stopOrders(now)
-	for _, pool := range sortedKeys(s.activeJobs) {
-		orders = append(orders, s.planPool(pool, now, wall)...)
-	}
+	orders = append(orders, s.planPools(now, wall)...)
 	s.updateHolds(now)
 	return orders
 }
@@ -61,7 +59,7 @@
 	c := &candidates{endpoints: endpoints}
 	c.updateMaxFree()
 	s.rankedJobs(pool, jobs, now, wall).visit(c, func(j *jobState) {
-		if !j.state.Terminal() {
+		if !j.state.Terminal() && s.startsLeft > 0 {
 			orders = append(orders, s.planJob(j, c, !j.inherited || inheritedLeasesExpired, now, wall)...)
 		}
 	})
--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -31,6 +31,9 @@
 	// MeanDurations makes the scheduler expect of every task the moving average of its
 	// queue, instead of learning from finished runs what their run time depends on.
 	MeanDurations bool
+	// MaxStarts limits the starts of one plan; 0 means any number. A gang and the tasks of one
+	// job may exceed it.
+	MaxStarts int
 }
 
 // Scheduler holds the jobs and endpoints of the pools of one owner. It is not safe
@@ -38,8 +41,11 @@
 type Scheduler struct {
 	Settings Settings
 
-	jobs              map[string]*jobState
+	jobs map[string]*jobState
+	// endpoints holds the endpoints by identifier, and sortedEndpoints in the order of their
+	// identifiers.
 	endpoints         map[string]*endpoint
+	sortedEndpoints   []*endpoint
 	durationEstimates map[string]*durationEstimate
 	durations         learnedDurations
 	// dirty holds the jobs whose record differs from the stored one.
@@ -75,6 +81,10 @@
 	isolatedEndpoints map[*endpoint]bool
 	organisations     organisations
 	admissions        admissions
+	// startsLeft is how many starts the present plan may still return, and firstPool the pool
+	// with which the next one begins if the last one had no starts left for the others.
+	startsLeft int
+	firstPool  string
 	// Counts holds the totals for metrics.
 	Counts Counts
 	// OnRunEnd, if set, is called for each run that ends, for logs and metrics.
--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -85,6 +85,8 @@
 	heldMetered   int64
 	// planDue is when the current plan was due; it is accessed by the planner only.
 	planDue time.Time
+	// endPolls counts the polls that have brought ends of runs.
+	endPolls recentRate
 	// pace measures how many starts this owner can send.
 	pace admission.Pace
 }
@@ -258,7 +260,11 @@
 	if !m.updateOrganisations(now) {
 		return nil
 	}
-	for _, o := range m.scheduler.Plan(now, now) {
+	planned := m.scheduler.Plan(now, now)
+	if m.scheduler.StartsUsedUp() {
+		m.trigger()
+	}
+	for _, o := range planned {
 		p := plannedOrder{Order: o}
 		if address, known := m.scheduler.EndpointAddress(o.Endpoint); known {
 			p.poller, p.target = m.pollers[o.Endpoint], Target{ID: o.Endpoint, Address: address}
--- a/entry/manager/poll.go
+++ b/entry/manager/poll.go
@@ -99,6 +99,8 @@
 		case status.HasUncertainRun:
 		case status.HasWarmingTask || status.Isolated:
 			call.Wait = warmingPollWait
+		case status.Runs == 0:
+			call.Wait = m.idlePollWait()
 		default:
 			call.Wait = pollWait
 		}
@@ -173,11 +175,19 @@
 }
 
 // runEndBatchDelay returns how long run ends accumulate before the next poll; it
-// grows with the number of endpoints.
+// grows with the number of polls, up to a limit that grows with the number of endpoints.
 func (m *Manager) runEndBatchDelay() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return runEndBatchStep * time.Duration(1+len(m.pollers)/endpointsPerBatchStep)
+	steps := min(float64(len(m.pollers)/endpointsPerBatchStep), m.endPolls.perSecond(time.Now())/pollsPerBatchStep)
+	return time.Duration(float64(runEndBatchStep) * (1 + steps))
+}
+
+// idlePollWait returns how long a poll of an endpoint without runs waits.
+func (m *Manager) idlePollWait() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return min(max(pollWait, time.Duration(len(m.pollers))*idlePollWaitPerEndpoint), maxIdlePollWait)
 }
 
 func (m *Manager) endpointStatus(id string) (s schedule.EndpointStatus, known bool) {
@@ -209,6 +219,9 @@
 func (m *Manager) applyReport(id string, r schedule.Report) {
 	m.mu.Lock()
 	m.scheduler.ApplyReport(id, r)
+	if len(r.Ended) > 0 {
+		m.endPolls.count(time.Now())
+	}
 	urgent := m.scheduler.HasUrgentWrites()
 	m.mu.Unlock()
 	if len(r.Ended) > 0 {
--- a/entry/manager/settings.go
+++ b/entry/manager/settings.go
@@ -45,11 +45,23 @@
 	// one.
 	silentPollTimeout = 600 * time.Millisecond
 	// runEndBatchStep lets runs that end shortly after each other share a poll; it is
-	// multiplied by one plus the number of endpoints divided by
-	// endpointsPerBatchStep, because every poll takes about a tenth of a millisecond
-	// of the owner's CPU.
+	// multiplied by one plus the smaller of the number of endpoints divided by
+	// endpointsPerBatchStep and the polls of the last second divided by pollsPerBatchStep,
+	// because every poll takes about a tenth of a millisecond of the owner's CPU.
+	// The polls are counted of which the answers have ends, so that a calm fleet is not slow
+	// because it is large.
 	runEndBatchStep       = 15 * time.Millisecond
 	endpointsPerBatchStep = 80
+	pollsPerBatchStep     = 400
+	// idlePollWait and idlePollWaitPerEndpoint bound the wait of a poll of an endpoint without
+	// runs, which the endpoint allows to be 2 s: 3,000 idle endpoints would take 3,000 polls a
+	// second.
+	maxIdlePollWait         = 2 * time.Second
+	idlePollWaitPerEndpoint = time.Millisecond
+	// maxStartsPerPlan limits the starts that are sent at once. A plan follows after
+	// minPlanInterval, so that it allows more starts than an owner can send, and the
+	// renewal of its lease and the polls have their turn in between.
+	maxStartsPerPlan = 64
 	// orderTimeout bounds an order.
 	orderTimeout = 700 * time.Millisecond
 	// inheritedLeaseMargin is added to the time within which the leases end that an earlier
@@ -97,5 +109,6 @@
 		MaxClockRatio:  maxClockRatio,
 		RunNumberBase:  (number - 1) * runsPerTerm,
 		MeanDurations:  s.MeanDurations,
+		MaxStarts:      maxStartsPerPlan,
 	}
 }
