Bound the watches of all entries by a rate

Each change below the keys of control ends the watch of every entry, so that 301 entries repeat 301 of them: in a trial with 3,000 endpoints the marks of jobs that were stored without the owner, who was busy, took all calls that the service accepts (2,230 refusals in 3 s), and all entries held the service for lost. An entry now repeats its watch after a millisecond for each entry; a change after a calm is seen as soon as before.

--- a/entry/node/entries.go
+++ b/entry/node/entries.go
@@ -26,6 +26,9 @@
 	// delay after a failed registration.
 	entryRenewInterval = 10 * time.Second
 	entryRetryDelay    = time.Second
+	// watchIntervalPerEntry times the number of entries is the least time between two watches
+	// of an entry.
+	watchIntervalPerEntry = time.Millisecond
 	// lookupInterval is the time between owner lookups while the store is
 	// unreachable: well below the 2 s that a takeover takes.
 	lookupInterval = 400 * time.Millisecond
@@ -96,6 +99,14 @@
 	return addresses[:min(limit, len(addresses))]
 }
 
+// watchInterval returns the least time between two watches of the view: it keeps all entries
+// together to 1,000 of them a second, whatever changes.
+func (e *entries) watchInterval() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Duration(len(e.listed)) * watchIntervalPerEntry
+}
+
 // maxCores returns the highest number of cores of a listed entry.
 func (e *entries) maxCores() (cores float64) {
 	e.mu.Lock()
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -101,7 +101,7 @@
 	defer cancel()
 	control := &store.Follower{
 		Store: n.Store, Prefix: manager.ControlPrefix, Reset: n.resetControl, Apply: n.applyControl,
-		OnUnreachable: n.storeLost, OnRecovered: n.storeRegained,
+		OnUnreachable: n.storeLost, OnRecovered: n.storeRegained, Interval: n.entries.watchInterval,
 	}
 	following := control.Run(viewCtx)
 	components := []<-chan error{n.runAccess(viewCtx), n.runOwnerLookup(viewCtx), n.runStoreProbe(viewCtx), n.runRegistration(ctx)}
--- a/entry/store/follow.go
+++ b/entry/store/follow.go
@@ -37,6 +37,10 @@
 	OnRecovered   func()
 	// Wait, if set, returns how long a watch waits for changes; 0 means watchWait.
 	Wait func() time.Duration
+	// Interval, if set, returns the least time between the beginnings of two watches. A change
+	// ends the watches of all followers of its prefix at once, and the service takes a bounded
+	// number of calls.
+	Interval func() time.Duration
 	// Clock, if set, is read before each call, and OnConfirmed is called with its time
 	// after the answer was applied: the view contains all changes up to then.
 	Clock       func() time.Duration
@@ -58,12 +62,16 @@
 func (f *Follower) follow(ctx context.Context) {
 	revision := int64(-1)
 	for ctx.Err() == nil {
+		began := time.Now()
 		if revision < 0 {
 			revision = f.load(ctx)
 		} else {
 			revision = f.watch(ctx, revision)
 		}
 		f.backOff(ctx)
+		if f.Interval != nil {
+			retry.Sleep(ctx, f.Interval()-time.Since(began))
+		}
 	}
 }
 
--- a/entry/store/follow_test.go
+++ b/entry/store/follow_test.go
@@ -104,3 +104,38 @@
 		}
 	}
 }
+
+// changingStore changes a key with every watch.
+type changingStore struct {
+	Store
+	watches int64
+}
+
+func (s *changingStore) Range(context.Context, string) (items []Item, revision int64, err error) {
+	return nil, 0, nil
+}
+
+func (s *changingStore) Watch(context.Context, string, int64, time.Duration) (changes []Change, revision int64, err error) {
+	s.watches++
+	return []Change{{Item: Item{Key: "x/a", Revision: s.watches}}}, s.watches, nil
+}
+
+// Guards against a service that refuses calls because hundreds of followers repeat their
+// watches with every one of the changes that come in quick succession.
+func TestFollowerBoundsItsWatches(t *testing.T) {
+	const interval, during = 20 * time.Millisecond, 200 * time.Millisecond
+	s := &changingStore{}
+	applied := int64(0)
+	f := &Follower{
+		Store: s, Prefix: "x/", Reset: func([]Item, int64) {}, Apply: func(changes []Change) { applied = changes[0].Revision },
+		Interval: func() time.Duration { return interval },
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), during)
+	defer cancel()
+	if err := <-f.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if most := int64(during/interval) + 1; s.watches == 0 || s.watches > most || applied != s.watches {
+		t.Errorf("%d watches in %v, the last change is %d, want at most %d watches", s.watches, during, applied, most)
+	}
+}
