--- a/coordination/schedule/burst_test.go
+++ b/coordination/schedule/burst_test.go
@@ -51,6 +51,9 @@
 	ended     map[string][]EndedRun
 	numbers   map[string]int64
 	endpoints []string
+	// onOrder, if set, is called with each order, and each of onTick before each plan.
+	onOrder func(Order)
+	onTick  []func()
 }
 
 type simulatedRun struct {
@@ -144,6 +147,9 @@
 				sim.poll(id)
 			}
 		}
+		for _, f := range sim.onTick {
+			f()
+		}
 		sim.s.ExpireLeases(sim.now)
 		for _, o := range sim.s.Plan(sim.now, sim.now) {
 			sim.execute(o)
@@ -158,6 +164,9 @@
 }
 
 func (sim *simulation) execute(o Order) {
+	if sim.onOrder != nil {
+		sim.onOrder(o)
+	}
 	switch o.Action {
 	case Start:
 		id, ref, err := job.ParseTaskName(o.Task)
--- a/coordination/schedule/fixture_test.go
+++ b/coordination/schedule/fixture_test.go
@@ -96,8 +96,8 @@
 func (f *fixture) sendReport(endpoint string) {
 	f.now = f.now.Add(10 * time.Millisecond)
 	r := Report{SentAt: f.now.Add(-5 * time.Millisecond), ReceivedAt: f.now, Incarnation: 1}
-	for _, l := range f.running[endpoint] {
-		r.Running = append(r.Running, l)
+	for _, name := range sortedKeys(f.running[endpoint]) {
+		r.Running = append(r.Running, f.running[endpoint][name])
 	}
 	r.Ended = append(r.Ended, f.ended[endpoint]...)
 	f.s.ApplyReport(endpoint, r)
--- /dev/null
+++ b/entry/manager/send_test.go
@@ -0,0 +1,74 @@
+package manager
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/azurepoint/azurepoint/coordination/schedule"
+)
+
+// deadlineEndpoint records the deadline of each start.
+type deadlineEndpoint struct {
+	Endpoints
+	until int64
+}
+
+// Start records the deadline and answers that the order was carried out.
+func (d *deadlineEndpoint) Start(_ context.Context, _ Target, c StartCall) (answer schedule.OrderResult, err error) {
+	d.until = c.Until
+	return schedule.Accepted, nil
+}
+
+// Guards against a task that runs twice because a slow process sends a start late: the endpoint
+// has to refuse it when the scheduler no longer counts on it, also if the endpoint's clock is
+// slow and was last reported long before.
+func TestLateStartKeepsItsDeadline(t *testing.T) {
+	const age, late, slowness = 1700 * time.Millisecond, 100 * time.Millisecond, 0.98
+	endpoint := &deadlineEndpoint{}
+	m := &Manager{Term: Term{Number: 1, Confirmed: func() bool { return true }}, Endpoints: endpoint}
+	planned := time.Now()
+	p := &poller{manager: m, clock: 1000, clockAt: planned.Add(-age)}
+	o := plannedOrder{Order: schedule.Order{Action: schedule.Start, StartBy: planned.Add(startWithin)}, poller: p}
+	time.Sleep(late)
+	if a := m.carryOut(t.Context(), o); a.answer != schedule.Accepted {
+		t.Fatal(a.err)
+	}
+	// When a clock of this speed shows the deadline, by the owner's clock after the plan.
+	reached := time.Duration(float64(endpoint.until-p.clock)/slowness)*time.Millisecond - age
+	ratio := maxClockRatio
+	if latest := time.Duration(float64(startWithin) * ratio); reached > latest {
+		t.Errorf("the endpoint takes the start until %v after the plan, the scheduler counts on %v", reached, latest)
+	}
+}
+
+// Guards against an end of a run that waits for half a second in a calm fleet because the fleet
+// is large, and against an owner that polls each of hundreds of endpoints for each end.
+func TestRunEndBatchDelay(t *testing.T) {
+	for _, c := range []struct {
+		endpoints, pollsPerSecond int
+		least, most               time.Duration
+	}{
+		{48, 2000, runEndBatchStep, runEndBatchStep},
+		{350, 100, runEndBatchStep, 2 * runEndBatchStep},
+		{350, 2000, 4 * runEndBatchStep, 5 * runEndBatchStep},
+		{3000, 200, runEndBatchStep, 2 * runEndBatchStep},
+		{3000, 4000, 8 * runEndBatchStep, 12 * runEndBatchStep},
+	} {
+		m := &Manager{pollers: make(map[string]*poller)}
+		for i := range c.endpoints {
+			m.pollers[string(rune(i))] = nil
+		}
+		now := time.Now().Add(-4 * time.Second)
+		for range 4 * c.pollsPerSecond {
+			now = now.Add(time.Second / time.Duration(c.pollsPerSecond))
+			m.endPolls.count(now)
+		}
+		if d := m.runEndBatchDelay(); d < c.least || d > c.most {
+			t.Errorf("%d endpoints, %d polls a second: %v, want %v to %v", c.endpoints, c.pollsPerSecond, d, c.least, c.most)
+		}
+		if w := m.idlePollWait(); w < pollWait || w > maxIdlePollWait || c.endpoints <= 1000 && w != pollWait {
+			t.Errorf("%d endpoints: a poll without runs waits %v", c.endpoints, w)
+		}
+	}
+}
