--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -83,8 +83,10 @@
 	// heldMetered the part of the scheduler's count that the metrics have.
 	usesMeteredAt time.Time
 	heldMetered   int64
-	// planDue is when the current plan was due; it is accessed by the planner only.
-	planDue time.Time
+	// planDue is when the current plan was due, and startsUsedUp is set if the last one had
+	// fewer starts than were due; they are accessed by the planner only.
+	planDue      time.Time
+	startsUsedUp bool
 	// endPolls counts the polls that have brought ends of runs.
 	endPolls recentRate
 	// pace measures how many starts this owner can send.
@@ -236,7 +238,11 @@
 		case <-due.C:
 		}
 		lastPlan = time.Now()
-		m.planDue, next = next, lastPlan.Add(maxPlanInterval)
+		if !m.startsUsedUp {
+			// Starts that one plan leaves to the next were due with the first one.
+			m.planDue = next
+		}
+		next = lastPlan.Add(maxPlanInterval)
 		due.Reset(maxPlanInterval)
 		for _, o := range m.dueOrders() {
 			m.sendOrder(ctx, o)
@@ -254,6 +260,7 @@
 	now := time.Now()
 	m.scheduler.ExpireLeases(now)
 	m.pruneUnlisted()
+	m.startsUsedUp = false
 	if !confirmed {
 		return nil
 	}
@@ -261,7 +268,7 @@
 		return nil
 	}
 	planned := m.scheduler.Plan(now, now)
-	if m.scheduler.StartsUsedUp() {
+	if m.startsUsedUp = m.scheduler.StartsUsedUp(); m.startsUsedUp {
 		m.trigger()
 	}
 	for _, o := range planned {
