--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -55,8 +55,8 @@
 	activeJobs map[string][]*jobState
 	// addedJobs counts the jobs that were added.
 	addedJobs int64
-	demands    map[string]*sizing.Demand
-	rankings   map[string]*jobRanking
+	demands   map[string]*sizing.Demand
+	rankings  map[string]*jobRanking
 	// reservedInstances holds the names of the instances that are reserved for their
 	// maintenance, so that no pool takes them from the spare pool.
 	reservedInstances map[string]bool
--- a/entry/node/entries.go
+++ b/entry/node/entries.go
@@ -29,6 +29,9 @@
 	// watchIntervalPerEntry times the number of entries is the least time between two watches
 	// of an entry.
 	watchIntervalPerEntry = time.Millisecond
+	// maxWatchInterval bounds it below the time by which strong entries claim the pools before
+	// weak ones.
+	maxWatchInterval = 150 * time.Millisecond
 	// lookupInterval is the time between owner lookups while the store is
 	// unreachable: well below the 2 s that a takeover takes.
 	lookupInterval = 400 * time.Millisecond
@@ -99,12 +102,12 @@
 	return addresses[:min(limit, len(addresses))]
 }
 
-// watchInterval returns the least time between two watches of the view: it keeps all entries
-// together to 1,000 of them a second, whatever changes.
+// watchInterval returns the least time between two watches of the view: it keeps up to 150
+// entries together to 1,000 of them a second, whatever changes.
 func (e *entries) watchInterval() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return time.Duration(len(e.listed)) * watchIntervalPerEntry
+	return min(time.Duration(len(e.listed))*watchIntervalPerEntry, maxWatchInterval)
 }
 
 // maxCores returns the highest number of cores of a listed entry.
