Let the tests of creations wait for an owner

TestRepeatedCreationKeepsCompletedJob waited for ten minutes and TestPendingCreationOfAnotherOrganisation failed (outcome unsettled) in make race at a load of 30. The pair of entries counted as started once a job was accepted, which a pair without an owner does too, by the store: the submission then met no manager (seen as a nil dereference in 1 of 36 runs beside the same load), and a loop waited without end for a job whose submission had ended. The tests now wait until the first job is done, and end with the submission. 96 runs with the race detector at a load of 22 passed.

--- a/entry/node/access_test.go
+++ b/entry/node/access_test.go
@@ -200,9 +200,7 @@
 	go func() {
 		first <- m.Submit(t.Context(), organisationJob("60000", "north"), time.Now().Add(4*time.Second)).Outcome
 	}()
-	for found := false; !found; time.Sleep(5 * time.Millisecond) {
-		_, found, _ = f.store.Get(t.Context(), manager.JobKey(id))
-	}
+	f.awaitRecord(id, first)
 	if got := m.Submit(t.Context(), organisationJob("10", "south"), time.Now().Add(time.Second)).Outcome; got != manager.Refused {
 		t.Errorf("outcome %s, want refused", got)
 	}
--- a/entry/node/creation_test.go
+++ b/entry/node/creation_test.go
@@ -32,15 +32,28 @@
 	go func() {
 		outcome <- owner.manager().Submit(f.t.Context(), j, time.Now().Add(4*time.Second)).Outcome
 	}()
-	for found := false; !found; time.Sleep(5 * time.Millisecond) {
-		_, found, _ = f.store.Get(f.t.Context(), manager.JobKey(j.ID))
-	}
+	f.awaitRecord(j.ID, outcome)
 	if r := other.storeDirectly(f.t.Context(), j, settlement{}, time.Now().Add(time.Second)); r.Outcome != manager.Accepted {
 		f.t.Fatalf("outcome %s, want accepted", r.Outcome)
 	}
 	return outcome
 }
 
+// awaitRecord returns once a job is stored, and fails the test if its submission ends before.
+func (f *fleet) awaitRecord(id string, outcome <-chan manager.Outcome) {
+	f.t.Helper()
+	for {
+		if _, found, _ := f.store.Get(f.t.Context(), manager.JobKey(id)); found {
+			return
+		}
+		select {
+		case got := <-outcome:
+			f.t.Fatalf("the submission has ended with %s before the job was stored", got)
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
 // storedState returns the state of a job in the store.
 func (f *fleet) storedState(id string) job.State {
 	f.t.Helper()
@@ -55,14 +68,25 @@
 	return r.State
 }
 
-// startPair starts two entries and returns the owner first.
+// startPair starts two entries and returns the owner first. A job that an entry accepts may be
+// stored without an owner, so that its end is awaited: it shows that there is an owner, and that
+// the next transaction is that of the test.
 func (f *fleet) startPair() (owner, other *entry) {
+	f.t.Helper()
 	a, b := f.start("a"), f.start("b")
 	f.submit(a, "1111111111111111", "10", job.Step{Count: 1, CPU: 1000})
-	if b.manager() != nil {
-		return b, a
+	for until := time.Now().Add(10 * time.Second); f.storedState("1111111111111111") != job.Completed; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(until) {
+			f.t.Fatal("no owner has carried out the first job")
+		}
+	}
+	switch {
+	case a.manager() != nil:
+		return a, b
+	case b.manager() == nil:
+		f.t.Fatal("no entry owns the pools")
 	}
-	return a, b
+	return b, a
 }
 
 // Guards against a creation that replaces the record of a job which has ended: its answer
