--- a/entry/manager/send_test.go
+++ b/entry/manager/send_test.go
@@ -2,9 +2,15 @@
 
 import (
 	"context"
+	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/azurepoint/azurepoint/coordination/job"
 	"github.com/azurepoint/azurepoint/coordination/schedule"
 )
 
@@ -42,6 +48,60 @@
 	}
 }
 
+// busyEndpoint counts the starts that it carries out, and the most at a time.
+type busyEndpoint struct {
+	Endpoints
+	now, most, all atomic.Int64
+	// done is called after enough starts.
+	enough int64
+	done   func()
+}
+
+// Start takes a few milliseconds.
+func (b *busyEndpoint) Start(context.Context, Target, StartCall) (answer schedule.OrderResult, err error) {
+	now := b.now.Add(1)
+	for most := b.most.Load(); now > most && !b.most.CompareAndSwap(most, now); most = b.most.Load() {
+	}
+	time.Sleep(3 * time.Millisecond)
+	b.now.Add(-1)
+	if b.all.Add(1) == b.enough {
+		b.done()
+	}
+	return schedule.Accepted, nil
+}
+
+// Guards, in a burst of more starts than the owner can send at once, against hundreds of starts
+// in flight that keep the renewals of leases waiting, and against starts that wait for the next
+// regular plan.
+func TestBurstIsSentInParts(t *testing.T) {
+	log.SetHandler(discard.Default)
+	const jobs, tasks = 80, 16
+	ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+	defer cancel()
+	b := &busyEndpoint{enough: jobs * tasks, done: cancel}
+	m := &Manager{
+		Settings: Settings{MaxLease: 10 * time.Second}, Term: Term{Number: 1, Confirmed: func() bool { return true }}, Endpoints: b,
+		pollers: map[string]*poller{"e": {}}, wake: make(chan struct{}, 1),
+	}
+	m.pace.Interval = maxPlanInterval
+	m.scheduler.Settings = m.Settings.schedulerSettings(1)
+	now := time.Now()
+	m.scheduler.UpdateEndpoints([]schedule.Endpoint{{ID: "e", Pool: "p", Capacity: job.Capacity{CPU: 1 << 30, MemoryMB: 1 << 30}}}, now)
+	m.scheduler.ApplyReport("e", schedule.Report{SentAt: now, ReceivedAt: now, Incarnation: 1})
+	for i := range jobs {
+		m.scheduler.AddJob(job.Record{State: job.Queued, Job: job.Job{
+			ID: fmt.Sprintf("%016x", i), Queue: "q", Pool: "p", Steps: []job.Step{{Count: tasks, CPU: 1, EstimateMillis: 400}}, AcceptedAt: now.UnixMilli(),
+			Objective: job.Objective{MaxAttempts: 2, Stretch: 2, TargetMillis: 1000},
+		}}, now)
+	}
+	// Twenty parts by the regular interval of plans would take two seconds.
+	m.runPlanner(ctx)
+	m.ordersInFlight.Wait()
+	if most := b.most.Load(); b.all.Load() != jobs*tasks || most > 3*maxStartsPerPlan {
+		t.Errorf("%d starts of %d, %d at a time", b.all.Load(), jobs*tasks, most)
+	}
+}
+
 // Guards against an end of a run that waits for half a second in a calm fleet because the fleet
 // is large, and against an owner that polls each of hundreds of endpoints for each end.
 func TestRunEndBatchDelay(t *testing.T) {
