--- a/coordination/schedule/burst_test.go
+++ b/coordination/schedule/burst_test.go
@@ -51,6 +51,9 @@
 	ended     map[string][]EndedRun
 	numbers   map[string]int64
 	endpoints []string
+	// onOrder, if set, is called with each order, and each of onTick before each plan.
+	onOrder func(Order)
+	onTick  []func()
 }
 
 type simulatedRun struct {
@@ -144,6 +147,9 @@
 				sim.poll(id)
 			}
 		}
+		for _, f := range sim.onTick {
+			f()
+		}
 		sim.s.ExpireLeases(sim.now)
 		for _, o := range sim.s.Plan(sim.now, sim.now) {
 			sim.execute(o)
@@ -158,6 +164,9 @@
 }
 
 func (sim *simulation) execute(o Order) {
+	if sim.onOrder != nil {
+		sim.onOrder(o)
+	}
 	switch o.Action {
 	case Start:
 		id, ref, err := job.ParseTaskName(o.Task)
@@ -177,7 +186,8 @@
 }
 
 func (sim *simulation) endDueRuns(id string) {
-	for _, r := range sim.running[id] {
+	for _, name := range sortedKeys(sim.running[id]) {
+		r := sim.running[id][name]
 		if !sim.now.Before(r.endsAt) {
 			sim.endRun(id, r.listing, EndDone)
 		}
@@ -192,7 +202,8 @@
 
 func (sim *simulation) poll(id string) {
 	r := Report{SentAt: sim.now.Add(-5 * time.Millisecond), ReceivedAt: sim.now, Incarnation: 1, Ended: sim.ended[id]}
-	for _, v := range sim.running[id] {
+	for _, name := range sortedKeys(sim.running[id]) {
+		v := sim.running[id][name]
 		v.listing.Percent = int(100 * sim.now.Sub(v.startedAt) / v.endsAt.Sub(v.startedAt))
 		r.Running = append(r.Running, v.listing)
 	}
--- a/coordination/schedule/endpointset.go
+++ b/coordination/schedule/endpointset.go
@@ -59,10 +59,13 @@
 	s.init()
 	if s.endpoints[l.ID] == nil {
 		delete(s.endpointsByPool, l.Pool)
-		s.endpoints[l.ID] = &endpoint{
+		e := &endpoint{
 			Endpoint: l, runs: make(map[string]*run), unknownRuns: make(map[string]unknownRun),
 			leaseUntil: now.Add(s.Settings.InheritedLease), joinedAt: now,
 		}
+		s.endpoints[l.ID] = e
+		i, _ := s.findSorted(l.ID)
+		s.sortedEndpoints = slices.Insert(s.sortedEndpoints, i, e)
 	}
 }
 
@@ -108,6 +111,15 @@
 	return e.status(), true
 }
 
+// EndpointAddress returns the address of an endpoint.
+func (s *Scheduler) EndpointAddress(id string) (address string, known bool) {
+	e, known := s.endpoints[id]
+	if !known {
+		return "", false
+	}
+	return e.Address, true
+}
+
 func (e *endpoint) status() EndpointStatus {
 	return EndpointStatus{
 		Endpoint: e.Endpoint, Listed: e.listed, Contacted: e.contacted, Unresponsive: e.unresponsive(), HasUncertainRun: e.hasUncertainRun(), HasWarmingTask: e.hasWarmingTask(),
@@ -172,10 +184,10 @@
 	if by.Instance == "" {
 		return
 	}
-	for id, e := range s.endpoints {
-		if e.Instance == by.Instance && e.joinedAt.Before(by.joinedAt) && (e.unresponsive() || !e.contacted) {
-			s.RecordTermination(id, LossReplaced, now)
-		}
+	for _, e := range s.endpointsWhere(func(e *endpoint) bool {
+		return e.Instance == by.Instance && e.joinedAt.Before(by.joinedAt) && (e.unresponsive() || !e.contacted)
+	}) {
+		s.RecordTermination(e.ID, LossReplaced, now)
 	}
 	s.resolveReplacedCrashes(by, now)
 }
@@ -186,6 +198,9 @@
 	}
 	delete(s.isolatedEndpoints, e)
 	delete(s.endpoints, e.ID)
+	if i, found := s.findSorted(e.ID); found {
+		s.sortedEndpoints = slices.Delete(s.sortedEndpoints, i, i+1)
+	}
 	delete(s.endpointsByPool, e.Pool)
 	delete(s.unstoredEndpoints, e)
 }
@@ -193,10 +208,9 @@
 // ExpireLeases ends the runs of endpoints whose leases have expired, and removes expired
 // endpoints that are no longer listed.
 func (s *Scheduler) ExpireLeases(now time.Time) {
-	for _, e := range s.endpoints {
-		if now.Before(e.leaseUntil) || (e.contacted && !e.unresponsive() && e.listed) {
-			continue
-		}
+	for _, e := range s.endpointsWhere(func(e *endpoint) bool {
+		return !now.Before(e.leaseUntil) && (!e.contacted || e.unresponsive() || !e.listed)
+	}) {
 		if e.unresponsive() {
 			s.suspectRuns(e, now)
 		}
@@ -209,18 +223,28 @@
 	}
 }
 
+// endpointsWhere returns the endpoints that match, sorted by identifier.
+func (s *Scheduler) endpointsWhere(matches func(e *endpoint) bool) (endpoints []*endpoint) {
+	for _, e := range s.sortedEndpoints {
+		if matches(e) {
+			endpoints = append(endpoints, e)
+		}
+	}
+	return endpoints
+}
+
+// findSorted returns the index of an endpoint in sortedEndpoints, or where it belongs.
+func (s *Scheduler) findSorted(id string) (i int, found bool) {
+	return slices.BinarySearchFunc(s.sortedEndpoints, id, func(e *endpoint, id string) int { return cmp.Compare(e.ID, id) })
+}
+
 // poolEndpoints returns the endpoints of a pool, sorted by identifier.
 func (s *Scheduler) poolEndpoints(pool string) (endpoints []*endpoint) {
 	endpoints, cached := s.endpointsByPool[pool]
 	if cached || len(s.endpoints) == 0 {
 		return endpoints
 	}
-	for _, e := range s.endpoints {
-		if e.Pool == pool {
-			endpoints = append(endpoints, e)
-		}
-	}
-	slices.SortFunc(endpoints, func(a, b *endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	endpoints = s.endpointsWhere(func(e *endpoint) bool { return e.Pool == pool })
 	s.endpointsByPool[pool] = endpoints
 	return endpoints
 }
--- a/coordination/schedule/plan.go
+++ b/coordination/schedule/plan.go
@@ -37,9 +37,7 @@
 	s.updateIsolation(now)
 	s.evacuateReserved(now)
 	orders = s.stopOrders(now)
-	for _, pool := range sortedKeys(s.activeJobs) {
-		orders = append(orders, s.planPool(pool, now, wall)...)
-	}
+	orders = append(orders, s.planPools(now, wall)...)
 	s.updateHolds(now)
 	s.updateAwaited(now)
 	return orders
@@ -61,7 +59,7 @@
 	}
 	c := &candidates{room: room{endpoints: endpoints, stale: true}, unread: s.unreadEndpoints(pool, now)}
 	s.rankedJobs(pool, jobs, now, wall).visit(c, func(j *jobState) {
-		if !j.state.Terminal() {
+		if !j.state.Terminal() && s.startsLeft > 0 {
 			orders = append(orders, s.planJob(j, c, now, wall)...)
 		}
 	})
@@ -87,7 +85,7 @@
 }
 
 // rankedJobs returns the pool's jobs in the order in which they are placed.
-func (s *Scheduler) rankedJobs(pool string, jobs map[string]*jobState, now, wall time.Time) *jobRanking {
+func (s *Scheduler) rankedJobs(pool string, jobs []*jobState, now, wall time.Time) *jobRanking {
 	ranking := s.rankings[pool]
 	if ranking == nil {
 		ranking = &jobRanking{}
@@ -114,10 +112,10 @@
 // sortJobs sorts jobs by lateness, then by priority, then by whether their organisation has
 // more than its share, then by remaining work. Jobs with little work left go first so that
 // as many jobs as possible meet their objective; late jobs follow.
-func (s *Scheduler) sortJobs(jobs map[string]*jobState, now time.Time) (sorted []*jobState) {
-	for _, j := range jobs {
+func (s *Scheduler) sortJobs(jobs []*jobState, now time.Time) (sorted []*jobState) {
+	sorted = slices.Clone(jobs)
+	for _, j := range sorted {
 		s.rank(j, now)
-		sorted = append(sorted, j)
 	}
 	slices.SortFunc(sorted, func(a, b *jobState) int {
 		switch {
--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -36,6 +36,9 @@
 	// Term is the number of the owner's term. ConfinedSince is the first term from which on
 	// all owners have kept the tasks of confined jobs in their data centres.
 	Term, ConfinedSince int64
+	// MaxStarts limits the starts of one plan; 0 means any number. A gang and the tasks of one
+	// job may exceed it.
+	MaxStarts int
 }
 
 // Scheduler holds the jobs and endpoints of the pools of one owner. It is not safe
@@ -43,16 +46,22 @@
 type Scheduler struct {
 	Settings Settings
 
-	jobs              map[string]*jobState
+	jobs map[string]*jobState
+	// endpoints holds the endpoints by identifier, and sortedEndpoints in the order of their
+	// identifiers.
 	endpoints         map[string]*endpoint
+	sortedEndpoints   []*endpoint
 	durationEstimates map[string]*durationEstimate
 	durations         learnedDurations
 	// dirty holds the jobs whose record differs from the stored one.
 	dirty map[string]*jobState
-	// activeJobs holds the jobs of each pool whose state is not final.
-	activeJobs map[string]map[string]*jobState
-	demands    map[string]*sizing.Demand
-	rankings   map[string]*jobRanking
+	// activeJobs holds the jobs of each pool whose state is not final, in the order in which
+	// they were added, so that sums over them do not depend on the order of a map.
+	activeJobs map[string][]*jobState
+	// addedJobs counts the jobs that were added.
+	addedJobs int64
+	demands   map[string]*sizing.Demand
+	rankings  map[string]*jobRanking
 	// reservedInstances holds the names of the instances that are reserved for their
 	// maintenance, so that no pool takes them from the spare pool.
 	reservedInstances map[string]bool
@@ -78,6 +87,10 @@
 	organisations     organisations
 	admissions        admissions
 	awaited           awaitedDataCentres
+	// startsLeft is how many starts the present plan may still return, and firstPool the pool
+	// with which the next one begins if the last one had no starts left for the others.
+	startsLeft int
+	firstPool  string
 	// Counts holds the totals for metrics.
 	Counts Counts
 	// OnRunEnd, if set, is called for each run that ends, for logs and metrics.
@@ -124,7 +137,7 @@
 	s.endpoints = make(map[string]*endpoint)
 	s.durationEstimates = make(map[string]*durationEstimate)
 	s.dirty = make(map[string]*jobState)
-	s.activeJobs = make(map[string]map[string]*jobState)
+	s.activeJobs = make(map[string][]*jobState)
 	s.demands = make(map[string]*sizing.Demand)
 	s.rankings = make(map[string]*jobRanking)
 	s.reservedInstances = make(map[string]bool)
@@ -159,10 +172,9 @@
 	if r.State.Terminal() {
 		return
 	}
-	if s.activeJobs[j.Pool] == nil {
-		s.activeJobs[j.Pool] = make(map[string]*jobState)
-	}
-	s.activeJobs[j.Pool][j.ID] = j
+	s.addedJobs++
+	j.number = s.addedJobs
+	s.activeJobs[j.Pool] = append(s.activeJobs[j.Pool], j)
 	if !inherited {
 		s.recordArrival(j, now)
 	}
@@ -229,7 +241,7 @@
 	j.state = state
 	j.endedAt = now.UnixMilli()
 	s.markDirty(j, now, true)
-	delete(s.activeJobs[j.Pool], j.ID)
+	s.removeActiveJob(j)
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
 			for _, t := range st.tasks {
@@ -241,6 +253,15 @@
 	}
 }
 
+// removeActiveJob removes a job from activeJobs.
+func (s *Scheduler) removeActiveJob(j *jobState) {
+	jobs := s.activeJobs[j.Pool]
+	i, found := slices.BinarySearchFunc(jobs, j.number, func(o *jobState, number int64) int { return cmp.Compare(o.number, number) })
+	if found {
+		s.activeJobs[j.Pool] = slices.Delete(jobs, i, i+1)
+	}
+}
+
 // markDirty marks the record of a job for storing; urgent records are written first
 // and without delay.
 func (s *Scheduler) markDirty(j *jobState, now time.Time, urgent bool) {
--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -83,15 +83,18 @@
 	over        chan struct{}
 	wake        chan struct{}
 	listChanged chan struct{}
-	// orderResults receives the results of the orders in flight.
-	orderResults   chan orderResult
-	ordersInFlight int
+	// ordersInFlight counts the orders that have no result yet.
+	ordersInFlight sync.WaitGroup
 	// usesMeteredAt is when the use of the organisations was last put into the metrics, and
 	// heldMetered the part of the scheduler's count that the metrics have.
 	usesMeteredAt time.Time
 	heldMetered   int64
-	// planDue is when the current plan was due; it is accessed by the planner only.
-	planDue time.Time
+	// planDue is when the current plan was due, and startsUsedUp is set if the last one had
+	// fewer starts than were due; they are accessed by the planner only.
+	planDue      time.Time
+	startsUsedUp bool
+	// endPolls counts the polls that have brought ends of runs.
+	endPolls recentRate
 	// pace measures how many starts this owner can send.
 	pace admission.Pace
 }
@@ -109,7 +112,6 @@
 func (m *Manager) Run(ctx context.Context) <-chan error {
 	m.wake = make(chan struct{}, 1)
 	m.listChanged = make(chan struct{}, 1)
-	m.orderResults = make(chan orderResult)
 	m.pollers = make(map[string]*poller)
 	m.recorded = make(map[string]schedule.Endpoint)
 	m.pollersDue = make(map[string]bool)
@@ -145,9 +147,7 @@
 	components := []<-chan error{m.recordWriter.run(ctx), m.Directory.Follow(ctx, m.resetEndpoints, m.applyListChange), m.runWaves(ctx), m.runMoves(ctx), m.runEndpointRecording(ctx), m.runCleanup(ctx), m.runDurations(ctx)}
 	m.runPlanner(ctx)
 	cancel()
-	for ; m.ordersInFlight > 0; m.ordersInFlight-- {
-		<-m.orderResults
-	}
+	m.ordersInFlight.Wait()
 	for _, p := range components {
 		if e := <-p; e != nil && err == nil {
 			err = e
@@ -236,10 +236,6 @@
 		select {
 		case <-ctx.Done():
 			return
-		case a := <-m.orderResults:
-			m.ordersInFlight--
-			m.applyOrderResult(a)
-			continue
 		case <-m.wake:
 			wait := max(0, minPlanInterval-time.Since(lastPlan))
 			due.Reset(wait)
@@ -250,7 +246,11 @@
 		case <-due.C:
 		}
 		lastPlan = time.Now()
-		m.planDue, next = next, lastPlan.Add(maxPlanInterval)
+		if !m.startsUsedUp {
+			// Starts that one plan leaves to the next were due with the first one.
+			m.planDue = next
+		}
+		next = lastPlan.Add(maxPlanInterval)
 		due.Reset(maxPlanInterval)
 		for _, o := range m.dueOrders() {
 			m.sendOrder(ctx, o)
@@ -261,13 +261,14 @@
 
 // dueOrders returns the orders to send now, or none while the ownership is not
 // confirmed.
-func (m *Manager) dueOrders() (orders []schedule.Order) {
+func (m *Manager) dueOrders() (orders []plannedOrder) {
 	confirmed := m.Term.Confirmed()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
 	m.scheduler.ExpireLeases(now)
 	m.pruneUnlisted()
+	m.startsUsedUp = false
 	if !confirmed {
 		return nil
 	}
@@ -275,10 +276,20 @@
 		return nil
 	}
 	before := m.scheduler.Counts.Widened
-	orders = m.scheduler.Plan(now, now)
+	planned := m.scheduler.Plan(now, now)
 	if m.scheduler.Counts.Widened > before {
 		m.recordWriter.trigger()
 	}
+	if m.startsUsedUp = m.scheduler.StartsUsedUp(); m.startsUsedUp {
+		m.trigger()
+	}
+	for _, o := range planned {
+		p := plannedOrder{Order: o}
+		if address, known := m.scheduler.EndpointAddress(o.Endpoint); known {
+			p.poller, p.target = m.pollers[o.Endpoint], Target{ID: o.Endpoint, Address: address}
+		}
+		orders = append(orders, p)
+	}
 	return orders
 }
 
