Hand the pools over with the runs

Cause: an owner that stops, or that alone has lost the store, leaves its successor to wait for its lease and for endpoints that do not answer. Change: the owner stops, lists what may run and what it has not stored, and sends that to an entry that has just read its key; that entry claims under the condition on the key's revision.

--- a/coordination/schedule/endpoint.go
+++ b/coordination/schedule/endpoint.go
@@ -34,6 +34,8 @@
 	joinedAt time.Time
 	// contacted is set once the endpoint has answered a poll of this owner.
 	contacted bool
+	// unread is set if the earlier owner handed over that it does not know all runs there.
+	unread bool
 	// unresponsiveSince is the time of the first unanswered call since the last
 	// report; zero if there is none.
 	unresponsiveSince time.Time
--- a/coordination/schedule/plan.go
+++ b/coordination/schedule/plan.go
@@ -132,12 +132,11 @@
 }
 
 // usableEndpoints returns the endpoints of a pool that accept new tasks. The second
-// result is false while an endpoint that has not reported to this owner may run
-// tasks of an earlier owner.
+// result is false while an endpoint may run tasks of an earlier owner that are not known.
 func (s *Scheduler) usableEndpoints(pool string, now time.Time) (usable []*endpoint, inheritedLeasesExpired bool) {
 	inheritedLeasesExpired = true
 	for _, e := range s.poolEndpoints(pool) {
-		if !e.contacted && now.Before(e.leaseUntil) {
+		if s.mayRunUnseen(e, now) {
 			inheritedLeasesExpired = false
 		}
 		if e.usable() && !e.cordoned && !now.Before(e.backoffUntil) {
--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -70,8 +70,10 @@
 	unconfirmedCrashes map[string]map[*task]bool
 	// isolatedEndpoints holds the endpoints with exclusiveTo or heldFor.
 	isolatedEndpoints map[*endpoint]bool
-	organisations     organisations
-	admissions        admissions
+	// handedOver is set if the earlier owner has handed over what it knew of the runs.
+	handedOver    bool
+	organisations organisations
+	admissions    admissions
 	// Counts holds the totals for metrics.
 	Counts Counts
 	// OnRunEnd, if set, is called for each run that ends, for logs and metrics.
--- a/coordination/schedule/unseen.go
+++ b/coordination/schedule/unseen.go
@@ -15,6 +15,13 @@
 	earlyStart = 10 * time.Second
 )
 
+// mayRunUnseen reports whether an endpoint may run tasks of an earlier owner that this owner
+// does not know. After a handover these are only the endpoints that the earlier owner had not
+// read itself: it knew all runs on the others.
+func (s *Scheduler) mayRunUnseen(e *endpoint, now time.Time) bool {
+	return !e.contacted && now.Before(e.leaseUntil) && (!s.handedOver || e.unread)
+}
+
 // updateUnseen estimates what runs of an earlier owner take that no endpoint has reported
 // yet: each task of an inherited job may be running, but those of a pool together take no
 // more than its unread endpoints have. The estimate may be too high, and never too low,
@@ -31,7 +38,7 @@
 	o.unseenAt, o.unseen = now, nil
 	unread := make(map[string]Capacity)
 	for _, e := range s.endpoints {
-		if !e.contacted && now.Before(e.leaseUntil) {
+		if s.mayRunUnseen(e, now) {
 			unread[e.Pool] = unread[e.Pool].Plus(e.Capacity)
 		}
 	}
--- a/entry/event/event.go
+++ b/entry/event/event.go
@@ -50,6 +50,10 @@
 	OwnershipConfirmed   = Event{Number: 8206, Level: log.InfoLevel, Text: "ownership confirmed again"}
 	ClaimFailed          = Event{Number: 8207, Level: log.InfoLevel, Text: "claiming the pools failed"}
 	OwnershipHandedOver  = Event{Number: 8209, Level: log.InfoLevel, Text: "giving the pools up to a stronger entry"}
+	HandoverBegun        = Event{Number: 8210, Level: log.InfoLevel, Text: "handing the pools over; the term has ended"}
+	HandoverAccepted     = Event{Number: 8211, Level: log.InfoLevel, Text: "another entry took over from this one"}
+	HandoverFailed       = Event{Number: 8212, Level: log.WarnLevel, Text: "an entry did not take over"}
+	HandoverReceived     = Event{Number: 8213, Level: log.InfoLevel, Text: "took over with the runs of the previous owner"}
 	OwnerReported        = Event{Number: 8208, Level: log.InfoLevel, Text: "another entry reported a newer owner of the pools"}
 )
 
--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -47,6 +49,8 @@
 	Organisations func() (terms []organisation.Terms, known bool)
 	// Holder identifies this entry in orders to the platform.
 	Holder string
+	// Inherited is what the previous owner has handed over, or nil.
+	Inherited *Inheritance
 
 	mu           sync.Mutex
 	scheduler    schedule.Scheduler
@@ -73,6 +77,8 @@
 	orders       *recentOrders
 
 	lostOnce sync.Once
+	// quiet is closed when the manager has ended to call endpoints and to order instances.
+	quiet chan struct{}
 	// over is closed when the manager has ended.
 	over        chan struct{}
 	wake        chan struct{}
@@ -94,6 +100,7 @@
 func (m *Manager) Init() {
 	m.pace.Interval = maxPlanInterval
 	m.orders = &recentOrders{record: ownedRecord{key: recentKey}, owner: m.Term.Owner, handoverTime: m.Settings.OrderLease + handoverMargin, ordered: make(map[string]time.Time)}
+	m.quiet = make(chan struct{})
 	m.over = make(chan struct{})
 	m.wavesChanged = make(chan struct{}, 1)
 	m.waves = make(map[int64]*waveProgress)
@@ -130,27 +137,39 @@
 func (m *Manager) run(ctx context.Context) (err error) {
 	defer fault.Annotate(&err, "manager")
 	if !m.load(ctx) {
+		close(m.quiet)
 		return nil
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	components := []<-chan error{m.recordWriter.run(ctx), m.Directory.Follow(ctx, m.resetEndpoints, m.applyListChange), m.runWaves(ctx), m.runMoves(ctx), m.runEndpointRecording(ctx), m.runCleanup(ctx), m.runDurations(ctx)}
-	m.runPlanner(ctx)
+	orderers := []<-chan error{m.runWaves(ctx), m.runMoves(ctx)}
+	components := []<-chan error{m.recordWriter.run(ctx), m.Directory.Follow(ctx, m.resetEndpoints, m.applyListChange), m.runEndpointRecording(ctx), m.runCleanup(ctx), m.runDurations(ctx)}
+	orderCtx, cutOrders := context.WithCancel(context.WithoutCancel(ctx))
+	defer cutOrders()
+	m.runPlanner(ctx, orderCtx)
 	cancel()
-	for ; m.ordersInFlight > 0; m.ordersInFlight-- {
-		<-m.orderResults
-	}
-	for _, p := range components {
-		if e := <-p; e != nil && err == nil {
-			err = e
-		}
-	}
+	m.awaitAnswers(cutOrders)
 	m.mu.Lock()
-	pollers := m.pollers
+	pollers := slices.Collect(maps.Values(m.pollers))
 	m.mu.Unlock()
 	for _, p := range pollers {
 		<-p.done
 	}
+	err = firstError(orderers)
+	close(m.quiet)
+	if e := firstError(components); err == nil {
+		err = e
+	}
+	return err
+}
+
+// firstError waits for the ends of components, and returns their first error.
+func firstError(components []<-chan error) (err error) {
+	for _, c := range components {
+		if e := <-c; e != nil && err == nil {
+			err = e
+		}
+	}
 	return err
 }
 
@@ -192,14 +211,21 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
+	for _, e := range known {
+		m.recorded[e.ID] = e
+		m.pollersDue[e.ID] = true
+		m.scheduler.AddSettledEndpoint(e, now)
+	}
+	var records []job.Record
 	for _, i := range items {
 		r, err := job.Decode(i.Value, i.Revision)
 		if err != nil {
 			event.RecordInvalid.Log(log.Fields{"key": i.Key, "error": err.Error()})
 			continue
 		}
-		m.scheduler.LoadJob(r, now)
+		records = append(records, r)
 	}
+	m.loadJobs(records, now)
 	// A job that was cancelled while there was no owner must not start before this
 	// entry's watch reports the cancel mark.
 	m.cancelledEarly = make(map[string]bool)
@@ -209,18 +235,13 @@
 			m.cancelledEarly[id] = true
 		}
 	}
-	for _, e := range known {
-		m.recorded[e.ID] = e
-		m.pollersDue[e.ID] = true
-		m.scheduler.AddSettledEndpoint(e, now)
-	}
 	m.loaded = true
 	event.OwnershipReady.Log(log.Fields{"term": m.Term.Number, "jobs": len(items), "endpoints": len(m.recorded)})
 	return nil
 }
 
-// runPlanner sends the scheduler's orders until the context ends.
-func (m *Manager) runPlanner(ctx context.Context) {
+// runPlanner sends the scheduler's orders until the context ends; orderCtx bounds the orders.
+func (m *Manager) runPlanner(ctx, orderCtx context.Context) {
 	due := time.NewTimer(0)
 	defer due.Stop()
 	lastPlan, next := time.Time{}, time.Now()
@@ -245,7 +266,7 @@
 		m.planDue, next = next, lastPlan.Add(maxPlanInterval)
 		due.Reset(maxPlanInterval)
 		for _, o := range m.dueOrders() {
-			m.sendOrder(ctx, o)
+			m.sendOrder(orderCtx, o)
 		}
 		m.startPollers(ctx)
 	}
@@ -284,9 +305,15 @@
 
 // dueWrites returns changed records of known jobs that have to be stored.
 func (m *Manager) dueWrites(limit int) (writes []*recordWrite) {
+	return m.writesAfter(maxRecordDelay, limit)
+}
+
+// writesAfter returns changed records: those with a final state at once, the others after a
+// delay.
+func (m *Manager) writesAfter(delay time.Duration, limit int) (writes []*recordWrite) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, w := range m.scheduler.Writes(time.Now(), maxRecordDelay, limit) {
+	for _, w := range m.scheduler.Writes(time.Now(), delay, limit) {
 		value, err := w.Record.Encode()
 		if err != nil {
 			event.RecordInvalid.Log(log.Fields{"job": w.Record.ID, "error": err.Error()})
--- a/entry/manager/recordwriter.go
+++ b/entry/manager/recordwriter.go
@@ -153,7 +153,8 @@
 			lastCommit = time.Now()
 			go func() {
 				before := len(batch)
-				remaining := rw.commit(ctx, batch)
+				// A transaction that is cut off when the owner stops leaves its callers without an answer.
+				remaining := rw.commit(context.WithoutCancel(ctx), batch)
 				results <- commitResult{remaining: remaining, progressed: len(remaining) < before}
 			}()
 		}
@@ -208,8 +209,7 @@
 		t.Conditions = append(t.Conditions, store.Condition{Key: w.key(), Revision: w.Record.Revision})
 		t.Puts = append(t.Puts, store.Put{Key: w.key(), Value: w.value})
 	}
-	// A transaction that is cut off when the owner stops leaves its callers without an answer.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), commitTimeout)
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	defer meter.RecordSince("commit", time.Now())
 	revision, err := rw.store.Commit(ctx, t)
--- a/entry/node/entries.go
+++ b/entry/node/entries.go
@@ -106,19 +106,6 @@
 	return cores
 }
 
-// withCores returns up to limit listed entries that have at least so many cores.
-func (e *entries) withCores(cores float64, limit int) (strong map[string]entryRecord) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	strong = make(map[string]entryRecord)
-	for name, r := range e.listed {
-		if r.Cores >= cores && len(strong) < limit {
-			strong[name] = r
-		}
-	}
-	return strong
-}
-
 // runRegistration keeps this entry in the list until the context ends.
 func (n *Node) runRegistration(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
--- a/entry/node/handover.go
+++ b/entry/node/handover.go
@@ -7,13 +7,27 @@
 	"github.com/apex/log"
 
 	"github.com/azurepoint/azurepoint/coordination/retry"
+	"github.com/azurepoint/azurepoint/coordination/schedule"
 	"github.com/azurepoint/azurepoint/entry/event"
+	"github.com/azurepoint/azurepoint/entry/manager"
 	"github.com/azurepoint/azurepoint/entry/meter"
+	"github.com/azurepoint/azurepoint/entry/peer"
 )
 
-// Times and sizes of a handover to a stronger entry. The owner's work grows with the fleet,
-// so that a small entry serves callers late or not at all. It owns the pools if it was the
-// first to claim them: after the first start, or after a restart of its own process.
+// handoverReason is why an owner hands the pools over, as it is logged.
+type handoverReason string
+
+// Reasons of a handover: the process stops, a stronger entry can serve, or only other entries
+// reach the store.
+const (
+	reasonStop     handoverReason = "stop"
+	reasonStronger handoverReason = "stronger"
+	reasonStore    handoverReason = "store"
+)
+
+// Times and sizes of handovers. The owner's work grows with the fleet, so that a small entry
+// serves callers late or not at all. It owns the pools if it was the first to claim them:
+// after the first start, or after a restart of its own process.
 const (
 	// handoverRatio times the cores of the owner are the fewest that another entry has for a
 	// handover to pay off; it costs callers a change of owner.
@@ -23,37 +37,173 @@
 	// handoverPause is how long an owner that has handed over does not do so again: as long
 	// as entries that have ended stay in the list.
 	handoverPause = entryLease
+	// maxFailedRenewals is how many renewals in a row fail, and storeLossTime for how long,
+	// before the owner hands over because of the store. A short overload of the store passes.
+	maxFailedRenewals = 2
+	storeLossTime     = 200 * time.Millisecond
+	// storeHandoverPause is how long an entry that was part of a handover does not hand over
+	// because of the store: what a change of owner without a handover takes, so that a store
+	// that fails for all by turns does no more harm than without handovers.
+	storeHandoverPause = 6 * time.Second
+	// handoverTime bounds the messages of a handover: after that the owner's key has ended.
+	handoverTime = ownerLease
+	// maxSuccessors is how many entries are offered the pools one after the other.
+	maxSuccessors = 3
 )
 
-// watchForHandover ends the term, so that the pools are released, once an entry that is much
-// stronger than this one reaches the store and knows of the term.
+// watchForHandover ends the term, so that the pools are handed over, once an entry that is much
+// stronger than this one reaches the store and knows of the term, or once others reach the
+// store and this one does not.
 func (n *Node) watchForHandover(ctx context.Context, t *heldTerm) {
+	next := time.NewTimer(handoverInterval)
+	defer next.Stop()
 	for ctx.Err() == nil {
-		retry.Sleep(ctx, handoverInterval)
-		if time.Now().Before(n.noHandoverUntil) || !n.ownership.confirmed(t) {
+		reason, minimum, mayFrom := reasonStronger, handoverRatio*max(n.Cores, minCores), n.noHandoverUntil
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.renewalFailed:
+			reason, minimum, mayFrom = reasonStore, 0, n.noStoreHandoverUntil
+		case <-next.C:
+			next.Reset(handoverInterval)
+		}
+		if time.Now().Before(mayFrom) || !n.ownership.confirmed(t) {
+			continue
+		}
+		s := n.findSuccessors(ctx, t, minimum)
+		if len(s) == 0 || reason == reasonStore && !t.storeLost() {
 			continue
 		}
-		if name, found := n.findStronger(ctx, t); found {
-			event.OwnershipHandedOver.Log(log.Fields{"term": t.number, "cores": n.Cores, "stronger": name})
+		if reason == reasonStronger {
+			event.OwnershipHandedOver.Log(log.Fields{"term": t.number, "cores": n.Cores, "stronger": s[0].name})
 			meter.Count("ownership.handedOver")
-			n.noHandoverUntil = time.Now().Add(handoverPause)
-			t.handedOver.Store(true)
-			t.end()
-			return
 		}
+		t.reason, t.successors = reason, s
+		t.end()
+		return
 	}
 }
 
-// findStronger returns a listed entry that has handoverRatio times the cores of this one or
-// more and answers that it knows the term, which it has read from the store.
-func (n *Node) findStronger(ctx context.Context, t *heldTerm) (name string, found bool) {
-	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+// handOver passes the pools on to another entry, after the term has ended, and reports whether
+// one has taken them over. The term must not act again, whatever the result.
+func (n *Node) handOver(ctx context.Context, t *heldTerm, m *manager.Manager, reason handoverReason) (taken bool) {
+	stopped := time.Now()
+	meter.Count("handover.begun")
+	found := make(chan []successor, 1)
+	go func() {
+		if len(t.successors) == 0 {
+			found <- n.findSuccessors(ctx, t, 0)
+			return
+		}
+		found <- t.successors
+	}()
+	known, loaded := m.HandOver(reason != reasonStore && !n.storeReach.lost())
+	successors := <-found
+	n.pauseHandovers(reason)
+	runs, unread := known.CountRuns()
+	event.HandoverBegun.Log(log.Fields{
+		"term": t.number, "reason": string(reason), "runs": runs, "unread": unread, "jobs": len(known.Jobs), "successors": len(successors),
+		"tookMillis": time.Since(stopped).Milliseconds(),
+	})
+	if !loaded {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, handoverTime)
 	defer cancel()
-	for name, r := range n.entries.withCores(handoverRatio*max(n.Cores, minCores), lookupFanout) {
-		v, err := n.Peers.Current(ctx, r.Address)
-		if err == nil && v.Revision == t.revision {
-			return name, true
+	for _, s := range successors[:min(len(successors), maxSuccessors)] {
+		if n.offer(ctx, s, t, known) {
+			meter.RecordSince("handover", stopped)
+			meter.Add("handover.runs", int64(runs))
+			meter.Add("handover.unread", int64(unread))
+			event.HandoverAccepted.Log(log.Fields{"term": t.number, "successor": s.name, "runs": runs, "unread": unread, "tookMillis": time.Since(stopped).Milliseconds()})
+			return true
 		}
 	}
-	return "", false
+	return false
+}
+
+// pauseHandovers keeps this entry from handing over again soon.
+func (n *Node) pauseHandovers(reason handoverReason) {
+	now := time.Now()
+	n.noStoreHandoverUntil = now.Add(storeHandoverPause)
+	if reason == reasonStronger {
+		n.noHandoverUntil = now.Add(handoverPause)
+	}
+}
+
+// offer sends a handover to an entry and reports whether it has claimed the pools. An entry
+// that gives no answer may have claimed them: then no other claim succeeds, since the owner's
+// key has another revision.
+func (n *Node) offer(ctx context.Context, s successor, t *heldTerm, known schedule.Handover) (taken bool) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	r, err := n.Peers.HandOver(ctx, s.address, peer.Handover{From: n.Name, Term: t.number, Revision: t.revision, Known: known})
+	switch {
+	case err != nil:
+		meter.Count("handover.unanswered")
+		event.HandoverFailed.Log(log.Fields{"term": t.number, "successor": s.name, "error": err.Error()})
+		return false
+	case !r.Taken:
+		meter.Count("handover.refused")
+		event.HandoverFailed.Log(log.Fields{"term": t.number, "successor": s.name, "reason": r.Reason})
+		return false
+	}
+	meter.Count("handover.accepted")
+	if n.ownership.applyReported(r.Record, r.Revision) {
+		n.resetOwnerReach()
+	}
+	return true
+}
+
+// received is a handover that this entry has received, until it has claimed the pools or
+// failed to.
+type received struct {
+	peer.Handover
+
+	at     time.Time
+	result chan peer.HandoverReply
+}
+
+// takeOver passes a handover to the goroutine that claims the pools, and returns the result.
+func (n *Node) takeOver(ctx context.Context, h peer.Handover) (r peer.HandoverReply) {
+	o := &received{Handover: h, at: time.Now(), result: make(chan peer.HandoverReply, 1)}
+	if n.stopping.Load() {
+		return peer.HandoverReply{Reason: "stopping"}
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	select {
+	case n.handovers <- o:
+	case <-ctx.Done():
+		return peer.HandoverReply{Reason: "busy"}
+	}
+	select {
+	case r = <-o.result:
+		return r
+	case <-ctx.Done():
+		return peer.HandoverReply{Reason: "the claim takes too long"}
+	}
+}
+
+// claimHandedOver claims the pools from the owner that has handed them over, and manages them
+// until the term or the context ends. The claim fails if the owner's key has changed, so that
+// an outdated handover is dropped.
+func (n *Node) claimHandedOver(ctx context.Context, o *received) {
+	if ctx.Err() != nil {
+		o.result <- peer.HandoverReply{Reason: "stopping"}
+		return
+	}
+	t, err := n.ownership.claim(ctx, o.Revision)
+	if err != nil {
+		event.ClaimFailed.Log(log.Fields{"error": err.Error(), "from": o.From})
+		o.result <- peer.HandoverReply{Reason: err.Error()}
+		retry.Sleep(ctx, claimRetryDelay)
+		return
+	}
+	record, revision := n.ownership.stored()
+	o.result <- peer.HandoverReply{Taken: true, Record: record, Revision: revision}
+	runs, unread := o.Known.CountRuns()
+	event.HandoverReceived.Log(log.Fields{"term": t.number, "from": o.From, "runs": runs, "unread": unread, "jobs": len(o.Known.Jobs)})
+	n.noStoreHandoverUntil = time.Now().Add(storeHandoverPause)
+	n.runTerm(ctx, t, &manager.Inheritance{Handover: o.Known, ReceivedAt: o.at})
 }
--- a/entry/node/handover_test.go
+++ b/entry/node/handover_test.go
@@ -63,7 +63,7 @@
 			t.Fatal(err)
 		}
 	}
-	for len(small.entries.withCores(0.8, 2)) < 2 {
+	for len(small.entries.strongest("small", 0.8, 2)) < 2 {
 		time.Sleep(10 * time.Millisecond)
 	}
 	time.Sleep(3 * handoverInterval)
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -65,9 +65,12 @@
 	// pendingCounts holds the last result of Pending by queue.
 	pendingCounts map[string]cachedCount
 
-	// noHandoverUntil is the time until which the pools are not handed over again; only the
-	// goroutine of a term accesses it.
-	noHandoverUntil time.Time
+	// noHandoverUntil and noStoreHandoverUntil are the times until which the pools are not
+	// handed over again to a stronger entry or because of the store; only the goroutines of a
+	// term access them.
+	noHandoverUntil, noStoreHandoverUntil time.Time
+	// handovers receives the handovers of other entries while this one may claim.
+	handovers chan *received
 	// cancelsChanged and inboxChanged wake the servers of the marks.
 	cancelsChanged, inboxChanged chan struct{}
 }
@@ -86,6 +89,7 @@
 	n.pendingCounts = make(map[string]cachedCount)
 	n.cancelsChanged = make(chan struct{}, 1)
 	n.inboxChanged = make(chan struct{}, 1)
+	n.handovers = make(chan *received)
 }
 
 // Run competes for the ownership until the context ends, and then releases it.
@@ -106,7 +110,10 @@
 	following := control.Run(viewCtx)
 	components := []<-chan error{n.runAccess(viewCtx), n.runOwnerLookup(viewCtx), n.runStoreProbe(viewCtx), n.runRegistration(ctx)}
 	for ctx.Err() == nil {
-		n.ownership.awaitClaim(ctx)
+		if h := n.ownership.awaitClaim(ctx, n.handovers); h != nil {
+			n.claimHandedOver(ctx, h)
+			continue
+		}
 		retry.Sleep(ctx, claimDelay(n.Cores, n.entries.maxCores()))
 		revision, may := n.ownership.claimable()
 		if ctx.Err() != nil || !may {
@@ -118,7 +125,7 @@
 			retry.Sleep(ctx, claimRetryDelay)
 			continue
 		}
-		n.runTerm(ctx, t)
+		n.runTerm(ctx, t, nil)
 	}
 	n.stopping.Store(true)
 	cancel()
@@ -133,14 +140,15 @@
 	return err
 }
 
-// runTerm manages the pools until the term or the context ends.
-func (n *Node) runTerm(ctx context.Context, t *heldTerm) {
+// runTerm manages the pools until the term or the context ends; inherited is what the previous
+// owner has handed over, or nil.
+func (n *Node) runTerm(ctx context.Context, t *heldTerm, inherited *manager.Inheritance) {
 	event.OwnershipTaken.Log(log.Fields{"term": t.number, "revision": t.revision})
 	termCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	m := &manager.Manager{
 		Settings: n.managerSettings(), Store: n.Store, Endpoints: n.Endpoints, Directory: n.Directory, Machines: n.Machines, Reports: n.Reports, Holder: n.Name,
-		Pools: n.pools, Organisations: n.organisations,
+		Pools: n.pools, Organisations: n.organisations, Inherited: inherited,
 		Term: manager.Term{
 			Owner:     store.Condition{Key: manager.OwnerKey, Revision: t.revision},
 			Number:    t.number,
@@ -163,13 +171,24 @@
 	}()
 	n.serveControl(termCtx, t, m)
 	n.setActive(nil)
+	planned := ctx.Err() != nil && !t.over()
+	t.end()
 	cancel()
 	<-leaseDone
 	<-handoverDone
+	reason := t.reason
+	if planned && reason == "" {
+		reason = reasonStop
+	}
+	taken := reason != "" && n.handOver(context.WithoutCancel(ctx), t, m, reason)
 	if err := <-ended; err != nil {
 		event.ComponentFailed.Log(log.Fields{"part": "manager", "error": err.Error()})
 	}
-	if ctx.Err() == nil && !t.handedOver.Load() {
+	switch {
+	case taken:
+		n.ownership.dropTerm(t)
+		return
+	case reason == "" && ctx.Err() == nil:
 		event.OwnershipLost.Log(log.Fields{"term": t.number})
 		n.ownership.dropTerm(t)
 		return
--- a/entry/node/owner.go
+++ b/entry/node/owner.go
@@ -46,6 +46,16 @@
 	return 0, false
 }
 
+// MayTakeOver reports whether this entry may take over from the owner whose key has a revision.
+func (a OwnerServer) MayTakeOver(ctx context.Context, revision int64) (reason string, may bool) {
+	return a.Node.mayTakeOver(ctx, revision)
+}
+
+// TakeOver claims the pools from an owner that has stopped.
+func (a OwnerServer) TakeOver(ctx context.Context, h peer.Handover) (r peer.HandoverReply) {
+	return a.Node.takeOver(ctx, h)
+}
+
 // Current returns the owner as last read from the store. While the store is
 // unreachable it only reports whether this entry itself serves the pools.
 func (a OwnerServer) Current() (v peer.OwnerView) {
--- a/entry/node/ownership.go
+++ b/entry/node/ownership.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -88,12 +87,31 @@
 	// confirmedUntil is the boot time until which the lease is certain to last.
 	confirmedUntil time.Duration
 	confirmed      bool
-	// handedOver is set if the term ended so that a stronger entry can own the pools.
-	handedOver atomic.Bool
+	// mu guards failedRenewals, which counts the renewals that have failed in a row, and
+	// failingSince, when the first one of them failed.
+	mu             sync.Mutex
+	failedRenewals int
+	failingSince   time.Time
+	// renewalFailed wakes watchForHandover when the store seems to be lost.
+	renewalFailed chan struct{}
+	// reason is why the owner itself has ended the term, and successors are the entries that
+	// may take over; both are set before the term ends.
+	reason     handoverReason
+	successors []successor
 	lost       chan struct{}
 	lostOnce   sync.Once
 }
 
+// over reports whether the term has ended.
+func (t *heldTerm) over() bool {
+	select {
+	case <-t.lost:
+		return true
+	default:
+		return false
+	}
+}
+
 func (t *heldTerm) end() {
 	t.lostOnce.Do(func() { close(t.lost) })
 }
@@ -194,17 +212,27 @@
 	return o.revision, o.revision == 0 || (o.owner.Name == o.self.Name && o.owner.Process != o.self.Process)
 }
 
-// awaitClaim returns once the pools may be claimed.
-func (o *ownership) awaitClaim(ctx context.Context) {
+// owns reports whether this process has a term, even if it cannot be confirmed.
+func (o *ownership) owns() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.held != nil
+}
+
+// awaitClaim returns once the pools may be claimed, or with a handover of them.
+func (o *ownership) awaitClaim(ctx context.Context, handovers <-chan *received) (h *received) {
 	for ctx.Err() == nil {
 		if _, may := o.claimable(); may {
-			return
+			return nil
 		}
 		select {
 		case <-ctx.Done():
 		case <-o.changed:
+		case h = <-handovers:
+			return h
 		}
 	}
+	return nil
 }
 
 // claim tries to become the owner; it fails if the owner's key no longer has the
@@ -247,7 +275,7 @@
 	}
 	t = &heldTerm{
 		number: number, revision: written, lease: lease, confirmed: true,
-		confirmedUntil: granted + ownerLease - ownerLeaseMargin, lost: make(chan struct{}),
+		confirmedUntil: granted + ownerLease - ownerLeaseMargin, lost: make(chan struct{}), renewalFailed: make(chan struct{}, 1),
 	}
 	o.mu.Lock()
 	o.held = t
@@ -323,13 +351,41 @@
 		o.mu.Lock()
 		t.confirmedUntil = sent + ownerLease - ownerLeaseMargin
 		o.mu.Unlock()
+		t.recordRenewal(true)
 	case errors.Is(err, store.ErrLeaseEnded):
 		event.OwnershipLost.Log(log.Fields{"term": t.number, "reason": "the lease has ended"})
 		t.end()
+	default:
+		t.recordRenewal(false)
 	}
 	return err == nil
 }
 
+// recordRenewal counts the renewals that fail in a row, and wakes watchForHandover once the
+// store seems to be lost.
+func (t *heldTerm) recordRenewal(renewed bool) {
+	t.mu.Lock()
+	if renewed {
+		t.failedRenewals = 0
+	} else if t.failedRenewals++; t.failedRenewals == 1 {
+		t.failingSince = time.Now()
+	}
+	t.mu.Unlock()
+	if t.storeLost() {
+		select {
+		case t.renewalFailed <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// storeLost reports whether the last renewals have failed.
+func (t *heldTerm) storeLost() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.failedRenewals >= maxFailedRenewals && time.Since(t.failingSince) >= storeLossTime
+}
+
 // releaseTerm gives the term up, so that another entry can take over at once.
 func (o *ownership) releaseTerm(ctx context.Context, t *heldTerm) (err error) {
 	defer fault.Annotate(&err, "node: give up the pools")
--- a/entry/peer/peer.go
+++ b/entry/peer/peer.go
@@ -43,6 +43,11 @@
 	Pending(queue string) (count int, owner bool)
 	// Current returns the owner as observed by this entry.
 	Current() OwnerView
+	// MayTakeOver reports whether this entry may take over from the owner whose key has a
+	// revision, and the reason if it may not.
+	MayTakeOver(ctx context.Context, revision int64) (reason string, may bool)
+	// TakeOver claims the pools from an owner that has stopped.
+	TakeOver(ctx context.Context, h Handover) (r HandoverReply)
 }
 
 // OwnerView is the owner of the pools as observed by an entry.
@@ -57,10 +62,13 @@
 
 // Handler serves requests of other entries.
 func Handler(o Owner) http.Handler {
-	server := jobsrpc.NewOwnerServer(handler{o})
+	mux := http.NewServeMux()
+	mux.Handle("/", jobsrpc.NewOwnerServer(handler{o}))
+	mux.HandleFunc("POST "+mayTakeOverPath, handler{o}.mayTakeOver)
+	mux.HandleFunc("POST "+takeOverPath, handler{o}.takeOver)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		r.Body = http.MaxBytesReader(w, r.Body, maxMessageBytes)
-		server.ServeHTTP(w, r)
+		mux.ServeHTTP(w, r)
 	})
 }
 
