--- a/coordination/schedule/organisation_property_test.go
+++ b/coordination/schedule/organisation_property_test.go
@@ -23,6 +23,9 @@
 	highest map[string]int
 	ended   []EndedRun
 	ends    int64
+	// onEnd and onAcknowledge, if set, are called for each end and each acknowledged end.
+	onEnd         func(name string, how EndReason)
+	onAcknowledge func(ended EndedRun)
 }
 
 // lateOrder is an order that got no answer and may still be executed.
@@ -49,6 +52,8 @@
 	late      []lateOrder
 	// configurations holds the limit on the CPU of organisation a in all versions.
 	configurations []int
+	// onStart, if set, is called for each run that starts.
+	onStart func(o lateOrder)
 }
 
 func newOrganisationModel(t *rapid.T) *organisationModel {
@@ -73,6 +78,12 @@
 }
 
 func (m *organisationModel) takeOver() {
+	m.succeed(nil, m.now)
+}
+
+// succeed makes another owner take over, with what the previous one has handed over, if
+// anything.
+func (m *organisationModel) succeed(h *Handover, receivedAt time.Time) {
 	m.owner++
 	m.s = &Scheduler{Settings: testSettings}
 	m.s.Settings.RunNumberBase = m.owner * 1000
@@ -82,8 +93,16 @@
 		m.s.AddSettledEndpoint(l, m.now)
 		listed = append(listed, l)
 	}
+	var records []job.Record
 	for _, id := range sortedKeys(m.store) {
-		m.s.LoadJob(m.store[id], m.now)
+		records = append(records, m.store[id])
+	}
+	if h != nil {
+		m.s.LoadHandover(*h, records, receivedAt, m.now)
+	} else {
+		for _, r := range records {
+			m.s.LoadJob(r, m.now)
+		}
 	}
 	m.s.SetEndpoints(listed, m.now)
 	m.setLimit(m.configurations[len(m.configurations)-1])
@@ -134,6 +153,9 @@
 	e.highest[name] = max(e.highest[name], l.Run)
 	e.ends++
 	e.ended = append(e.ended, EndedRun{Number: e.ends, Task: name, Run: l.Run, Reason: how})
+	if e.onEnd != nil {
+		e.onEnd(name, how)
+	}
 }
 
 // execute carries out an order if the endpoint would, and checks the limit after a start.
@@ -158,6 +180,9 @@
 		}
 		e.running[o.Task] = ListedRun{Task: o.Task, Run: o.Run, Percent: 100}
 		m.checkStart(o)
+		if m.onStart != nil {
+			m.onStart(o)
+		}
 	case Pace:
 	}
 	return Accepted
@@ -261,6 +286,9 @@
 func (e *simulatedEndpoint) renew(m *organisationModel, sent time.Time) {
 	if status, known := m.s.EndpointStatus(e.id); known {
 		for len(e.ended) > 0 && e.ended[0].Number <= status.LastStoredEnd {
+			if e.onAcknowledge != nil {
+				e.onAcknowledge(e.ended[0])
+			}
 			e.ended = e.ended[1:]
 		}
 	}
@@ -307,43 +335,49 @@
 func TestOrganisationUseProperty(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newOrganisationModel(t)
-		t.Repeat(map[string]func(*rapid.T){
-			"submit": m.submit,
-			"plan":   m.plan,
-			"poll":   m.poll,
-			"end":    m.endRuns,
-			"store":  m.storeWrites,
-			"late": func(t *rapid.T) {
-				if len(m.late) > 0 {
-					i := rapid.IntRange(0, len(m.late)-1).Draw(t, "order")
-					o := m.late[i]
-					m.late = append(m.late[:i:i], m.late[i+1:]...)
-					m.execute(o)
-				}
-			},
-			"pollAll": func(t *rapid.T) {
-				for range 2 * len(m.endpoints) {
-					m.poll(t)
-				}
-			},
-			"wait": func(t *rapid.T) {
-				m.advance(time.Duration(rapid.SampledFrom([]int{20, 120, 1000, 3000}).Draw(t, "millis")) * time.Millisecond)
-			},
-			"cancel": func(t *rapid.T) {
-				if len(m.jobs) > 0 {
-					m.s.CancelJob(rapid.SampledFrom(sortedKeys(m.jobs)).Draw(t, "job"), m.now)
-				}
-			},
-			"restart": func(t *rapid.T) {
-				e := rapid.SampledFrom(m.endpoints).Draw(t, "endpoint")
-				clear(e.running)
-				clear(e.stopping)
-				clear(e.highest)
-				e.incarnation++
-				e.ended, e.ends, e.fence, e.leaseUntil = nil, 0, 0, time.Time{}
-			},
-			"configure": func(t *rapid.T) { m.setLimit(1000 * rapid.IntRange(1, 9).Draw(t, "limit")) },
-			"takeOver":  func(*rapid.T) { m.takeOver() },
-		})
+		t.Repeat(m.actions())
 	})
 }
+
+// actions returns what may happen to the fleet.
+func (m *organisationModel) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"submit": m.submit,
+		"plan":   m.plan,
+		"poll":   m.poll,
+		"end":    m.endRuns,
+		"store":  m.storeWrites,
+		"late": func(t *rapid.T) {
+			if len(m.late) > 0 {
+				i := rapid.IntRange(0, len(m.late)-1).Draw(t, "order")
+				o := m.late[i]
+				m.late = append(m.late[:i:i], m.late[i+1:]...)
+				m.execute(o)
+			}
+		},
+		"pollAll": func(t *rapid.T) {
+			for range 2 * len(m.endpoints) {
+				m.poll(t)
+			}
+		},
+		"wait": func(t *rapid.T) {
+			m.advance(time.Duration(rapid.SampledFrom([]int{20, 120, 1000, 3000}).Draw(t, "millis")) * time.Millisecond)
+		},
+		"cancel": func(t *rapid.T) {
+			if len(m.jobs) > 0 {
+				m.s.CancelJob(rapid.SampledFrom(sortedKeys(m.jobs)).Draw(t, "job"), m.now)
+			}
+		},
+		"restart": func(t *rapid.T) {
+			e := rapid.SampledFrom(m.endpoints).Draw(t, "endpoint")
+			clear(e.running)
+			clear(e.stopping)
+			clear(e.highest)
+			e.incarnation++
+			e.ended, e.ends, e.fence, e.leaseUntil = nil, 0, 0, time.Time{}
+		},
+		"configure": func(t *rapid.T) { m.setLimit(1000 * rapid.IntRange(1, 9).Draw(t, "limit")) },
+		"takeOver":  func(*rapid.T) { m.takeOver() },
+		"handOver":  m.handOver,
+	}
+}
