--- a/entry/node/handover.go
+++ b/entry/node/handover.go
@@ -70,8 +70,13 @@
 		if time.Now().Before(mayFrom) || !n.ownership.confirmed(t) {
 			continue
 		}
-		s := n.findSuccessors(ctx, t, minimum)
-		if len(s) == 0 || reason == reasonStore && !t.storeLost() {
+		var s []successor
+		if reason == reasonStore {
+			s = n.findIfStoreLost(ctx, t)
+		} else {
+			s = n.findSuccessors(ctx, t, minimum)
+		}
+		if len(s) == 0 {
 			continue
 		}
 		if reason == reasonStronger {
@@ -84,6 +89,23 @@
 	}
 }
 
+// findIfStoreLost returns the entries that may take over because they read the store at a time
+// at which this one cannot. A renewal may still wait for a store that answers again.
+func (n *Node) findIfStoreLost(ctx context.Context, t *heldTerm) (found []successor) {
+	ctx, cancel := context.WithCancel(ctx)
+	answered := make(chan bool, 1)
+	go func() {
+		_, _, err := n.Store.Get(ctx, manager.OwnerKey)
+		answered <- err == nil
+	}()
+	found = n.findSuccessors(ctx, t, 0)
+	cancel()
+	if <-answered || !t.storeLost() {
+		return nil
+	}
+	return found
+}
+
 // handOver passes the pools on to another entry, after the term has ended, and reports whether
 // one has taken them over. The term must not act again, whatever the result.
 func (n *Node) handOver(ctx context.Context, t *heldTerm, m *manager.Manager, reason handoverReason) (taken bool) {
