--- a/entry/node/handoverruns_test.go
+++ b/entry/node/handoverruns_test.go
@@ -223,14 +223,11 @@
 	a, b, c := f.startThree()
 	owner, _ := a.ownership.current()
 	_, revision := a.ownership.stored()
-	f.messages.set(func(to string) standin.Fault {
-		if to == "b" {
-			return standin.FaultRejected
-		}
-		return standin.FaultNone
-	})
+	b.storeLink.unreachable.Store(true)
 	a.stop()
-	f.awaitTerm(2*time.Second, c)
+	f.awaitTerm(3*time.Second, c)
+	b.storeLink.unreachable.Store(false)
+	time.Sleep(2 * probeInterval)
 	r := b.takeOver(t.Context(), peer.Handover{From: "a", Term: owner.Term, Revision: revision, Known: schedule.Handover{}})
 	if r.Taken || b.manager() != nil {
 		t.Errorf("reply %+v to an outdated handover", r)
@@ -251,21 +248,27 @@
 	for seed := first; seed < first+count; seed++ {
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
 			t.Parallel()
-			h := &history{fleet: newFleet(t), rng: &lockedRand{Rand: rand.New(rand.NewPCG(seed, 3))}, jobs: make(map[string]*callerView), cutStore: true}
+			h := &history{fleet: newFleet(t), rng: &lockedRand{Rand: rand.New(rand.NewPCG(seed, 3))}, jobs: make(map[string]*callerView), handovers: true}
 			h.store.LateBy, h.endpoints.LateBy = lateWrite, lateWrite
 			h.messages.set(func(string) standin.Fault {
-				return []standin.Fault{standin.FaultNone, standin.FaultNone, standin.FaultLost, standin.FaultAnswerLost, standin.FaultDelayed, standin.FaultRejected}[h.rng.below(6)]
+				faults := []standin.Fault{standin.FaultLost, standin.FaultAnswerLost, standin.FaultDelayed, standin.FaultRejected}
+				if n := h.rng.below(4 * len(faults)); n < len(faults) {
+					return faults[n]
+				}
+				return standin.FaultNone
 			})
 			ctx, cancel := context.WithTimeout(t.Context(), historyLength)
 			defer cancel()
 			begun := time.Now()
 			h.endpoints.SetFault(func(call, endpoint string) standin.Fault {
-				switch turn := time.Since(begun) / time.Second % 4; {
+				cut := endpoint == fmt.Sprint("e", int(time.Since(begun)/(1500*time.Millisecond))%3)
+				switch {
 				case ctx.Err() != nil:
-				case turn < 3 && endpoint == fmt.Sprint("e", turn):
-					return standin.FaultLost
-				case call == "start" && h.rng.below(10) == 0:
+				case call == "start" && (cut || h.rng.below(10) == 0):
+					// The endpoint had got the order when it was cut off.
 					return []standin.Fault{standin.FaultAnswerLost, standin.FaultDelayed}[h.rng.below(2)]
+				case cut:
+					return standin.FaultLost
 				}
 				return standin.FaultNone
 			})
--- a/entry/node/history_test.go
+++ b/entry/node/history_test.go
@@ -39,9 +39,9 @@
 
 	// crashEvery makes the tasks of every so many jobs crash their endpoints; 0 means none.
 	crashEvery int
-	// cutStore makes some owners lose the store, which the others reach, in place of their
-	// process.
-	cutStore bool
+	// handovers makes owners follow each other sooner, and most of them stop, or lose the store
+	// while the others reach it.
+	handovers bool
 
 	mu      sync.Mutex
 	entries []*entry
@@ -124,7 +124,11 @@
 	faultsUntil := time.Now().Add(historyLength)
 	begun := time.Now()
 	h.store.SetFault(func(call string) standin.Fault {
-		faulty := time.Since(begun)/(800*time.Millisecond)%2 == 1
+		period := time.Duration(2)
+		if h.handovers {
+			period = 4
+		}
+		faulty := time.Since(begun)/(800*time.Millisecond)%period == 1
 		if !faulty || time.Now().After(faultsUntil) || call == "watch" {
 			return standin.FaultNone
 		}
@@ -145,7 +149,11 @@
 		})
 	}
 	for time.Now().Before(faultsUntil) {
-		time.Sleep(time.Second + time.Duration(h.rng.below(int(time.Second))))
+		pause := time.Second
+		if h.handovers {
+			pause = 250 * time.Millisecond
+		}
+		time.Sleep(pause + time.Duration(h.rng.below(int(pause))))
 		h.replaceOwner()
 	}
 	callers.Wait()
@@ -169,12 +177,12 @@
 	}
 	e := h.entries[owner]
 	switch n := h.rng.below(2); {
-	case h.cutStore && h.rng.below(2) == 0:
+	case h.handovers && h.rng.below(4) == 0:
 		e.storeLink.unreachable.Store(true)
-		time.Sleep(time.Duration(h.rng.below(int(3 * time.Second))))
+		time.Sleep(time.Duration(h.rng.below(int(2 * time.Second))))
 		e.storeLink.unreachable.Store(false)
 		return
-	case n == 0:
+	case n == 0 && (!h.handovers || h.rng.below(4) == 0):
 		e.kill()
 	default:
 		e.stop()
@@ -200,8 +208,13 @@
 	h.mu.Lock()
 	h.jobs[id] = v
 	h.mu.Unlock()
+	most := 400
+	if h.handovers {
+		// Most endpoints are full when they are cut off.
+		most = 1200
+	}
 	j := job.Job{
-		ID: id, Queue: "q", Pool: "p", Spec: strconv.Itoa(10 + h.rng.below(400)), Objective: testQueue.Objective,
+		ID: id, Queue: "q", Pool: "p", Spec: strconv.Itoa(10 + h.rng.below(most)), Objective: testQueue.Objective,
 		Steps:      []job.Step{{Count: 1 + h.rng.below(2), CPU: 1000}, {Count: 1, CPU: 1000, DependsOn: []int{0}}},
 		AcceptedAt: time.Now().UnixMilli(),
 	}
