--- a/coordination/schedule/endpoint.go
+++ b/coordination/schedule/endpoint.go
@@ -34,6 +34,8 @@
 	joinedAt time.Time
 	// contacted is set once the endpoint has answered a poll of this owner.
 	contacted bool
+	// handedUnread is set if the earlier owner handed over that it does not know all runs there.
+	handedUnread bool
 	// unresponsiveSince is the time of the first unanswered call since the last
 	// report; zero if there is none.
 	unresponsiveSince time.Time
@@ -135,11 +137,6 @@
 	return e.listed && e.contacted && !e.Draining && !e.reserved() && !e.unresponsive() && len(e.unknownRuns) == 0
 }
 
-// unread reports whether the endpoint may run tasks of an earlier owner that are not known.
-func (e *endpoint) unread(now time.Time) bool {
-	return !e.contacted && now.Before(e.leaseUntil)
-}
-
 // reserved reports whether the endpoint is about to be taken out of service.
 func (e *endpoint) reserved() bool {
 	return e.reservedForMaintenance || e.moving
--- a/coordination/schedule/placement.go
+++ b/coordination/schedule/placement.go
@@ -101,21 +101,22 @@
 	s.markDirty(j, now, true)
 }
 
-// mayRunUnseen reports whether the endpoint may run tasks of the job that an earlier owner has
-// started there and that are not known.
-func (e *endpoint) mayRunUnseen(j *jobState, now time.Time) bool {
-	return j.inherited && e.unread(now) && e.Pool == j.Pool && (j.inheritedIn == "" || e.DataCentre == "" || e.DataCentre == j.inheritedIn)
+// mayHaveStarted reports whether an earlier owner may have started tasks of the job on the
+// endpoint.
+func (j *jobState) mayHaveStarted(e *endpoint) bool {
+	return j.inherited && e.Pool == j.Pool && (j.inheritedIn == "" || e.DataCentre == "" || e.DataCentre == j.inheritedIn)
 }
 
-// mayRunUnseen reports whether one of the unread endpoints may run tasks of the job.
-func (j *jobState) mayRunUnseen(unread []*endpoint, now time.Time) bool {
-	return slices.ContainsFunc(unread, func(e *endpoint) bool { return e.mayRunUnseen(j, now) })
+// mayRunUnseen reports whether one of the unread endpoints may run tasks of the job that are not
+// known.
+func (j *jobState) mayRunUnseen(unread []*endpoint) bool {
+	return slices.ContainsFunc(unread, j.mayHaveStarted)
 }
 
-// unreadEndpoints returns the endpoints of a pool that may run tasks of an earlier owner.
+// unreadEndpoints returns the endpoints of a pool that may run tasks which are not known.
 func (s *Scheduler) unreadEndpoints(pool string, now time.Time) (unread []*endpoint) {
 	for _, e := range s.poolEndpoints(pool) {
-		if e.unread(now) {
+		if s.mayRunUnseen(e, now) {
 			unread = append(unread, e)
 		}
 	}
--- a/coordination/schedule/plan.go
+++ b/coordination/schedule/plan.go
@@ -179,7 +179,7 @@
 // endpoint that has not reported to this owner may run tasks of the job, only those that
 // allow duplicates are started.
 func (s *Scheduler) planJob(j *jobState, c *candidates, now, wall time.Time) (orders []Order) {
-	mayStartAll := !j.mayRunUnseen(c.unread, now)
+	mayStartAll := !j.mayRunUnseen(c.unread)
 	if !mayStartAll {
 		s.countAwaiting(j, wall)
 	}
--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -84,9 +84,11 @@
 	unconfirmedCrashes map[string]map[*task]bool
 	// isolatedEndpoints holds the endpoints with exclusiveTo or heldFor.
 	isolatedEndpoints map[*endpoint]bool
-	organisations     organisations
-	admissions        admissions
-	awaited           awaitedDataCentres
+	// handedOver is set if the earlier owner has handed over what it knew of the runs.
+	handedOver    bool
+	organisations organisations
+	admissions    admissions
+	awaited       awaitedDataCentres
 	// startsLeft is how many starts the present plan may still return, and firstPool the pool
 	// with which the next one begins if the last one had no starts left for the others.
 	startsLeft int
--- a/entry/manager/send.go
+++ b/entry/manager/send.go
@@ -52,13 +52,10 @@
 	planDue := m.planDue
 	m.ordersInFlight.Go(func() {
 		a := m.carryOut(ctx, o)
-		// Nothing is made of the results of a term that has ended.
-		if ctx.Err() == nil {
-			if !errors.Is(a.err, errUnconfirmed) {
-				a.planDue = planDue
-			}
-			m.applyOrderResult(a)
+		if !errors.Is(a.err, errUnconfirmed) {
+			a.planDue = planDue
 		}
+		m.applyOrderResult(a)
 	})
 }
 
--- a/entry/manager/send_test.go
+++ b/entry/manager/send_test.go
@@ -93,7 +93,7 @@
 	}
 	b.left.Store(int64(jobs*tasks - len(first)))
 	// Twenty parts by the regular interval of plans would take two seconds.
-	m.runPlanner(ctx)
+	m.runPlanner(ctx, ctx)
 	m.ordersInFlight.Wait()
 	if left := b.left.Load(); left > 0 {
 		t.Errorf("%d starts were not sent in time", left)
--- a/entry/node/fleet_test.go
+++ b/entry/node/fleet_test.go
@@ -42,6 +42,8 @@
 	// dataCentres holds the data centres of the entries by name; without them no job is
 	// confined to one.
 	dataCentres map[string]string
+	// messages selects what happens to the messages of handovers.
+	messages handoverFaults
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -91,7 +93,7 @@
 	}
 	n.Init()
 	n.SetConfiguration(&queue.Configuration{Version: 1, Queues: []queue.Queue{testQueue}, Pools: []queue.Pool{{Name: "p"}}})
-	server := &http.Server{Handler: peer.Handler(OwnerServer{Node: n}), ReadHeaderTimeout: time.Second}
+	server := &http.Server{Handler: f.messages.wrap(name, peer.Handler(OwnerServer{Node: n})), ReadHeaderTimeout: time.Second}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	ctx, cancel := context.WithCancel(context.Background())
