--- a/entry/node/outages_test.go
+++ b/entry/node/outages_test.go
@@ -186,22 +186,15 @@
 }
 
 // Load: a caller that was turned away comes back with 100 ms left, to an entry that is sound.
-// Guards against a refusal of a job that could be stored in time.
+// Guards against a refusal of a job that could be stored in time, against one without time being
+// reported as an outage, and against an unsettled answer that does not name its attempts.
 func TestLittleTimeIsUsed(t *testing.T) {
 	f := newFleet(t)
 	_, other := f.startPair()
 	if r := other.Submit(t.Context(), outageJob(0), time.Now().Add(100*time.Millisecond)); r.Outcome != manager.Accepted {
 		t.Errorf("%s, %s", r.Outcome, r.Reason)
 	}
-}
-
-// Guards against a refusal without time being reported as an outage, and against an unsettled
-// answer that does not tell which attempt has left the job unsettled.
-func TestReasonsOfRefusals(t *testing.T) {
-	f := newFleet(t)
-	a := f.start("a")
-	f.submit(a, "1111111111111111", "10", job.Step{Count: 1, CPU: 1000})
-	if r := a.Submit(t.Context(), outageJob(0), time.Now()); r.Outcome != manager.Refused || r.Reason != "no time is left" {
+	if r := other.Submit(t.Context(), outageJob(1), time.Now()); r.Outcome != manager.Refused || r.Reason != "no time is left" {
 		t.Errorf("without time: %s, %s", r.Outcome, r.Reason)
 	}
 	var s settlement
