--- a/entry/node/node_test.go
+++ b/entry/node/node_test.go
@@ -230,6 +230,8 @@
 	f := newFleet(t)
 	a := f.start("a")
 	f.submit(a, id, "10", job.Step{Count: 1, CPU: 1000})
+	// A job is also accepted without an owner.
+	f.await(a, id, job.Completed, 5*time.Second)
 	if _, err := a.Pending(t.Context(), "q"); err != nil {
 		t.Fatal(err)
 	}
