--- a/coordination/schedule/handover.go
+++ b/coordination/schedule/handover.go
@@ -121,18 +121,23 @@
 	byTask = make(map[string]string)
 	for _, jobs := range s.activeJobs {
 		for _, j := range jobs {
-			for _, o := range j.occurrences {
-				for _, st := range o.steps {
-					for _, t := range st.tasks {
-						if t.checkpoint != "" && !t.done {
-							byTask[t.name] = t.checkpoint
-						}
-					}
+			j.addCheckpoints(byTask)
+		}
+	}
+	return byTask
+}
+
+// addCheckpoints adds the checkpoints of the job's unfinished tasks.
+func (j *jobState) addCheckpoints(byTask map[string]string) {
+	for _, o := range j.occurrences {
+		for _, st := range o.steps {
+			for _, t := range st.tasks {
+				if t.checkpoint != "" && !t.done {
+					byTask[t.name] = t.checkpoint
 				}
 			}
 		}
 	}
-	return byTask
 }
 
 // LoadHandover adds the stored jobs of an owner that has handed over, with what it knew of
--- a/coordination/schedule/handover_property_test.go
+++ b/coordination/schedule/handover_property_test.go
@@ -62,18 +62,18 @@
 }
 
 // step returns the step of a task.
-func (h *handoverModel) step(name string) (j job.Job, ref job.TaskRef, st job.Step) {
+func (h *handoverModel) step(name string) (j job.Job, st job.Step) {
 	id, ref, err := job.ParseTaskName(name)
 	if err != nil {
 		h.Fatal(err)
 	}
 	j = h.jobs[id]
-	return j, ref, j.Steps[ref.Step]
+	return j, j.Steps[ref.Step]
 }
 
 // checkRun checks a start against what has run and what runs.
 func (h *handoverModel) checkRun(o lateOrder) {
-	j, _, st := h.step(o.Task)
+	j, st := h.step(o.Task)
 	h.startedAt[o.Task] = h.now
 	used := Capacity{}
 	for _, e := range h.endpoints {
@@ -84,7 +84,7 @@
 			continue
 		}
 		for name := range e.running {
-			_, _, other := h.step(name)
+			_, other := h.step(name)
 			used = used.Plus(taskSize(&other))
 		}
 	}
@@ -120,7 +120,7 @@
 
 // acknowledge checks an end that the endpoint may forget.
 func (h *handoverModel) acknowledge(e *simulatedEndpoint, ended EndedRun) {
-	_, _, st := h.step(ended.Task)
+	_, st := h.step(ended.Task)
 	if st.LongRunning || st.AllowDuplicates {
 		return
 	}
--- a/entry/node/handoverruns_test.go
+++ b/entry/node/handoverruns_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -167,12 +168,14 @@
 			}
 		},
 		"endsAfterClaim": func(f *fleet, b *entry) func(string) standin.Fault {
-			go func() {
-				for f.messages.count("b") == 0 || b.manager() == nil {
+			var killed sync.WaitGroup
+			killed.Go(func() {
+				for until := time.Now().Add(5 * time.Second); time.Now().Before(until) && (f.messages.count("b") == 0 || b.manager() == nil); {
 					time.Sleep(time.Millisecond)
 				}
 				b.kill()
-			}()
+			})
+			f.t.Cleanup(killed.Wait)
 			return always(standin.FaultNone)
 		},
 	} {
