--- a/entry/manager/handover.go
+++ b/entry/manager/handover.go
@@ -28,13 +28,13 @@
 // HandOver returns what the next owner has to know, once this manager calls no endpoint any
 // more. known is false if it has not loaded the jobs. If the store can be reached, it first
 // stores what fits in flushTime.
-func (m *Manager) HandOver(storeReachable bool) (h schedule.Handover, known bool) {
+func (m *Manager) HandOver(ctx context.Context, storeReachable bool) (h schedule.Handover, known bool) {
 	<-m.quiet
 	if !m.Loaded() {
 		return schedule.Handover{}, false
 	}
 	if storeReachable {
-		m.flush(time.Now().Add(flushTime))
+		m.flush(ctx)
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -61,9 +61,9 @@
 	}
 }
 
-// flush stores changed records until a time, or until a transaction fails.
-func (m *Manager) flush(until time.Time) {
-	ctx, cancel := context.WithDeadline(context.Background(), until)
+// flush stores changed records for flushTime at most, or until a transaction fails.
+func (m *Manager) flush(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, flushTime)
 	defer cancel()
 	results := make(chan bool)
 	inFlight, failed := 0, false
--- a/entry/node/handover.go
+++ b/entry/node/handover.go
@@ -119,7 +119,7 @@
 		}
 		found <- t.successors
 	}()
-	known, loaded := m.HandOver(reason != reasonStore && !n.storeReach.lost())
+	known, loaded := m.HandOver(ctx, reason != reasonStore && !n.storeReach.lost())
 	successors := <-found
 	n.pauseHandovers(reason)
 	runs, unread := known.CountRuns()
