--- a/entry/node/handover.go
+++ b/entry/node/handover.go
@@ -41,8 +41,8 @@
 	// before the owner hands over because of the store. A short overload of the store passes.
 	maxFailedRenewals = 2
 	storeLossTime     = 200 * time.Millisecond
-	// storeHandoverPause is how long an entry that was part of a handover does not hand over
-	// because of the store: what a change of owner without a handover takes, so that a store
+	// storeHandoverPause is how long an entry that was part of a handover because of the store
+	// does not hand over because of it again: what a change of owner without a handover takes, so that a store
 	// that fails for all by turns does no more harm than without handovers.
 	storeHandoverPause = 6 * time.Second
 	// handoverTime bounds the messages of a handover: after that the owner's key has ended.
@@ -146,10 +146,12 @@
 
 // pauseHandovers keeps this entry from handing over again soon.
 func (n *Node) pauseHandovers(reason handoverReason) {
-	now := time.Now()
-	n.noStoreHandoverUntil = now.Add(storeHandoverPause)
-	if reason == reasonStronger {
-		n.noHandoverUntil = now.Add(handoverPause)
+	switch reason {
+	case reasonStore:
+		n.noStoreHandoverUntil = time.Now().Add(storeHandoverPause)
+	case reasonStronger:
+		n.noHandoverUntil = time.Now().Add(handoverPause)
+	case reasonStop:
 	}
 }
 
@@ -159,7 +161,7 @@
 func (n *Node) offer(ctx context.Context, s successor, t *heldTerm, known schedule.Handover) (taken bool) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	r, err := n.Peers.HandOver(ctx, s.address, peer.Handover{From: n.Name, Term: t.number, Revision: t.revision, Known: known})
+	r, err := n.Peers.HandOver(ctx, s.address, peer.Handover{From: n.Name, Reason: string(t.reason), Term: t.number, Revision: t.revision, Known: known})
 	switch {
 	case err != nil:
 		meter.Count("handover.unanswered")
@@ -226,6 +228,8 @@
 	o.result <- peer.HandoverReply{Taken: true, Record: record, Revision: revision}
 	runs, unread := o.Known.CountRuns()
 	event.HandoverReceived.Log(log.Fields{"term": t.number, "from": o.From, "runs": runs, "unread": unread, "jobs": len(o.Known.Jobs)})
-	n.noStoreHandoverUntil = time.Now().Add(storeHandoverPause)
+	if o.Reason == string(reasonStore) {
+		n.pauseHandovers(reasonStore)
+	}
 	n.runTerm(ctx, t, &manager.Inheritance{Handover: o.Known, ReceivedAt: o.at})
 }
--- a/entry/peer/handover.go
+++ b/entry/peer/handover.go
@@ -25,7 +25,8 @@
 
 // Handover is sent by an owner that has stopped to the entry that takes over.
 type Handover struct {
-	From string `json:"from"`
+	From   string `json:"from"`
+	Reason string `json:"reason"`
 	// Term is the number of the owner's term, and Revision the revision of its key.
 	Term     int64             `json:"term"`
 	Revision int64             `json:"revision"`
