--- a/azurepointd/internal/dispatch/dispatcher_test.go
+++ b/azurepointd/internal/dispatch/dispatcher_test.go
@@ -182,10 +182,11 @@
 // status cannot be read, and against excluding it for ever.
 func TestRefusalWithoutStatusDelaysRetry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		fx := newFixture(t, 1)
-		fx.mu.Lock()
+		f, e := newFleet(), &fakeEndpoints{}
+		f.addInstance(e, "i0", "north", "cover")
+		fx := newEntry("n1", "north", f, e)
 		fx.Endpoints = nil
-		fx.mu.Unlock()
+		fx.start(t)
 		for pause := minRetryDelay; pause < 10*time.Second; pause *= 2 {
 			c := fx.requestGrant(t, nil)
 			if !c.granted() {
--- a/azurepointd/internal/dispatch/fixture_test.go
+++ b/azurepointd/internal/dispatch/fixture_test.go
@@ -190,6 +190,13 @@
 
 // startEntry starts the dispatcher of an entry.
 func startEntry(t *testing.T, name, dataCentre string, f *fakeFleet, e *fakeEndpoints) (fx *fixture) {
+	fx = newEntry(name, dataCentre, f, e)
+	fx.start(t)
+	return fx
+}
+
+// newEntry returns an entry whose dispatcher has not been started.
+func newEntry(name, dataCentre string, f *fakeFleet, e *fakeEndpoints) (fx *fixture) {
 	fx = &fixture{
 		peers: &fakePeers{
 			self:  membership.Entry{Name: name, DataCentre: dataCentre, Incarnation: 1, Version: 1},
@@ -199,13 +206,17 @@
 		endpoints: e,
 	}
 	fx.Dispatcher = &Dispatcher{Peers: fx.peers, Fleet: f, Endpoints: e, ClockError: 250 * time.Millisecond}
+	return fx
+}
+
+// start runs the dispatcher until the end of the test.
+func (fx *fixture) start(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	done := fx.Run(ctx)
 	t.Cleanup(func() {
 		cancel()
 		<-done
 	})
-	return fx
 }
 
 // fakePeer serves the peer calls between dispatchers.
