Size pools by learned run times

Pools were sized by the rate of jobs times the moving average of their run times, with a fixed factor as headroom, and kept instances for by how much demand had exceeded its forecast, which every burst does once when it begins.

The demand now follows the work that arrives with the lag of its jobs and the work that is left of what runs, both from the learned run times; the headroom follows from the deviation of the forecast, and the share of an endpoint that tasks fill from their sizes. An error of the forecast keeps instances only if it recurs.

--- a/coordination/duration/distribution.go
+++ b/coordination/duration/distribution.go
@@ -116,6 +116,20 @@
 	return toDuration(d.scale * sum / count)
 }
 
+// Residual returns the mean remaining time of a run that is seen at a random moment.
+func (d Distribution) Residual() time.Duration {
+	sum, squares := 0.0, 0.0
+	d.shape.sketch.ForEach(func(value, weight float64) (stop bool) {
+		sum += value * weight
+		squares += value * value * weight
+		return false
+	})
+	if sum == 0 {
+		return d.Mean()
+	}
+	return toDuration(d.scale * squares / (2 * sum))
+}
+
 // quantile returns a quantile of the ratio. The sketch's own quantiles leave out a whole run,
 // which is too much for small weights.
 func (s *shape) quantile(q float64) float64 {
--- a/coordination/schedule/balance.go
+++ b/coordination/schedule/balance.go
@@ -32,14 +32,10 @@
 	if j.longRunning() || j.Surplus {
 		return
 	}
-	work := 0.0
-	for i := range j.Steps {
-		work += s.meanDuration(j, &j.Steps[i]) / 1000 * float64(j.Steps[i].CPU) * float64(j.Steps[i].Count)
-	}
 	if s.firstArrivalAt.IsZero() {
 		s.firstArrivalAt = now
 	}
-	s.poolDemand(j.Pool).Record(work, now)
+	s.poolDemand(j.Pool).RecordArrival(s.arrival(j), now)
 }
 
 func (s *Scheduler) poolDemand(pool string) *sizing.Demand {
@@ -103,10 +99,13 @@
 // observePool returns the state of a pool. Instances holds the name of the instance of each
 // endpoint that may be moved.
 func (s *Scheduler) observePool(pool string, l *poolLoad, incoming int, instances map[string]string, now time.Time) (p sizing.Pool) {
-	p = sizing.Pool{Name: pool, Incoming: incoming, Forecast: s.poolDemand(pool).Forecast(now), SurplusSince: s.surplusSince[pool]}
+	p = sizing.Pool{Name: pool, Incoming: incoming, SurplusSince: s.surplusSince[pool]}
+	r := sizing.Running{}
 	if l != nil {
 		p.OnTimeCPU, p.OnTimeRunningCPU, p.LateCPU = l.onTimeCPU, l.onTimeRunningCPU, l.lateCPU
+		r = sizing.Running{CPU: l.onTimeRunningCPU, Waiting: l.onTimeCPU, Work: l.remainingWork / 1000}
 	}
+	p.Forecast = s.poolDemand(pool).Expect(r, now)
 	for _, e := range s.poolEndpoints(pool) {
 		s.observeEndpoint(&p, e, instances[e.ID], now)
 	}
--- a/coordination/schedule/load.go
+++ b/coordination/schedule/load.go
@@ -13,6 +13,9 @@
 	// their objective within their slack. onTimeRunningCPU is the CPU that the running
 	// tasks of these jobs take.
 	onTimeCPU, onTimeRunningCPU float64
+	// remainingWork is the expected work that is left of these running tasks and of the
+	// steps that follow them, in milliseconds times thousandths of a core.
+	remainingWork float64
 	// lateCPU is the CPU for the waiting work of late jobs.
 	lateCPU float64
 }
@@ -57,15 +60,15 @@
 		for _, j := range jobs {
 			if !j.longRunning() {
 				s.rank(j, now)
-				loads[pool].addJob(j, s.waitingWork(j), s.slack(j))
+				loads[pool].addJob(j, s.waitingWork(j), s.slack(j), s.remainingWork(j, now))
 			}
 		}
 	}
 	return loads
 }
 
-// addJob adds the waiting work and the running tasks of a job.
-func (l *poolLoad) addJob(j *jobState, work, slack float64) {
+// addJob adds the waiting work, the running tasks and their remaining work of a job.
+func (l *poolLoad) addJob(j *jobState, work, slack, remaining float64) {
 	l.waitingWork += work
 	if j.lateness != onTime {
 		l.lateCPU += work / lateDrainMillis
@@ -73,6 +76,7 @@
 	}
 	l.onTimeCPU += work / (slackFraction * slack)
 	l.onTimeRunningCPU += j.runningCPU()
+	l.remainingWork += remaining
 }
 
 // slack returns how long, in milliseconds, a job may wait in total and still meet
@@ -80,7 +84,7 @@
 func (s *Scheduler) slack(j *jobState) (millis float64) {
 	chain := 0.0
 	for i := range j.Steps {
-		chain += s.meanDuration(j, &j.Steps[i])
+		chain += s.expected(j, &j.Steps[i])
 	}
 	return max((j.Stretch-1)*chain+float64(j.TargetMillis), minSlackMillis)
 }
@@ -102,7 +106,7 @@
 					waiting++
 				}
 			}
-			work += float64(waiting) * s.meanDuration(j, st.step) * float64(st.step.CPU)
+			work += float64(waiting) * s.expected(j, st.step) * float64(st.step.CPU)
 		}
 	}
 	return work
--- a/coordination/sizing/decide.go
+++ b/coordination/sizing/decide.go
@@ -35,6 +35,8 @@
 	// pool that lacks endpoints does not wait for them; 0 means no limit.
 	MayRelease  bool
 	MaxReleases int
+	// Headroom is added to that of all pools, as a share of their forecast.
+	Headroom float64
 }
 
 // Move is an order to move an instance to another pool.
@@ -68,6 +70,7 @@
 func Decide(f Fleet, now time.Time) (d Decision) {
 	p := &planner{fleet: f, free: f.Free, now: now}
 	for _, o := range f.Pools {
+		o.headroom = f.Headroom
 		p.pools = append(p.pools, &poolState{Pool: o, Size: o.size()})
 	}
 	slices.SortFunc(p.pools, func(a, b *poolState) int {
--- a/coordination/sizing/demand.go
+++ b/coordination/sizing/demand.go
@@ -38,10 +38,18 @@
 	// meanWork is the mean work of a job, in thousandths of a core times seconds, over
 	// jobCount jobs.
 	meanWork, jobCount float64
+	// squaredWork is the mean square of the work of a job. learned is the share of jobs whose
+	// run times were known from finished runs, and lag and fill the means of the same fields of
+	// their arrivals, weighted by work; learnedWork is the work that the means weigh.
+	squaredWork, learned, lag, fill, learnedWork float64
 	// made holds the forecasts whose time has not come, in order. shortfall is by how much
 	// demand has exceeded its forecast, in thousandths of a core; it fades over errorWindow.
 	made      []madeForecast
 	shortfall float64
+	// burst is the burst that lasts, and earlier the shortfall of the one before, which fades
+	// over recurrenceWindow.
+	burst   burst
+	earlier float64
 }
 
 // madeForecast is a forecast of the arriving work at a time, in thousandths of a core.
@@ -56,6 +64,10 @@
 	CPU float64
 	// Error is by how much demand has recently exceeded its forecast.
 	Error float64
+	// Learned is set if run times are known from finished runs. Deviation is then the
+	// standard deviation of the forecast, and Fill the share of an endpoint that tasks fill.
+	Learned         bool
+	Deviation, Fill float64
 }
 
 // Record adds a job with its expected work, in thousandths of a core times seconds.
@@ -72,6 +84,7 @@
 		d.shortRate *= math.Exp(-elapsed.Seconds() / shortWindow.Seconds())
 		d.longRate *= math.Exp(-elapsed.Seconds() / longWindow.Seconds())
 		d.shortfall *= math.Exp(-elapsed.Seconds() / errorWindow.Seconds())
+		d.earlier *= math.Exp(-elapsed.Seconds() / recurrenceWindow.Seconds())
 	}
 	d.updatedAt = now
 }
@@ -96,17 +109,23 @@
 	return f
 }
 
-// forecastRate returns the rate of jobs after ForecastHorizon. A rise is extrapolated as far
-// as it exceeds the random variation of the rate; a fall is not, because an instance that
-// leaves too early costs two moves.
+// forecastRate returns the rate of jobs after ForecastHorizon.
 func (d *Demand) forecastRate() float64 {
+	level, slope := d.trend()
+	return level + slope*(ForecastHorizon-shortWindow).Seconds()
+}
+
+// trend returns the rate of jobs and by how much it rises in a second. A rise is
+// extrapolated as far as it exceeds the random variation of the rate; a fall is not, because
+// an instance that leaves too early costs two moves.
+func (d *Demand) trend() (level, slope float64) {
 	difference := d.shortRate - d.longRate
 	if difference <= 0 {
-		return d.shortRate
+		return d.shortRate, 0
 	}
 	// This is the variance of an exponentially weighted rate of independent arrivals.
 	variance := d.shortRate / (2 * shortWindow.Seconds())
 	difference *= difference * difference / (difference*difference + noiseVariance*variance)
-	rise := difference / (longWindow - shortWindow).Seconds()
-	return d.longRate + difference + rise*ForecastHorizon.Seconds()
+	slope = difference / (longWindow - shortWindow).Seconds()
+	return d.longRate + difference + slope*shortWindow.Seconds(), slope
 }
--- a/coordination/sizing/pool.go
+++ b/coordination/sizing/pool.go
@@ -9,6 +9,12 @@
 	// headroomFactor scales the arriving work to the capacity for it, because tasks do not
 	// fill endpoints exactly.
 	headroomFactor = 1.15
+	// headroomDeviations is how many standard deviations of its forecast a pool has as
+	// headroom, if run times are learned: work above that waits within the slack of its jobs.
+	headroomDeviations = 0.5
+	// keptDeviations is how many it keeps: an instance that leaves on a random fall serves
+	// nobody for the time of two moves.
+	keptDeviations = 2.25
 	// extraEndpoints is the number of endpoints that a pool keeps beside those of its
 	// long-running tasks, to serve the first second of a burst.
 	extraEndpoints = 1
@@ -42,6 +48,8 @@
 	OnTimeCPU, OnTimeRunningCPU, LateCPU float64
 	// SurplusSince is the time since which the pool has had more endpoints than it requires.
 	SurplusSince time.Time
+	// headroom is that of the fleet.
+	headroom float64
 }
 
 // Size is the size of a pool and what its demand requires. RequiredOnTime is what jobs
@@ -55,10 +63,16 @@
 // size returns the current and the required size of the pool.
 func (p *Pool) size() (s Size) {
 	s = Size{Pool: p.Name, Current: len(p.Idle) + len(p.Busy) + p.Staying + p.Incoming}
-	onTime := max(p.Forecast.CPU*headroomFactor, p.OnTimeRunningCPU) + p.OnTimeCPU
+	f := p.Forecast
+	arriving, spare := f.CPU*headroomFactor, f.Error
+	if f.Learned {
+		arriving, spare = f.CPU+headroomDeviations*f.Deviation, max((keptDeviations-headroomDeviations)*f.Deviation, f.Error)
+	}
+	arriving += f.CPU * p.headroom
+	onTime := max(arriving, p.OnTimeRunningCPU) + p.OnTimeCPU
 	s.RequiredOnTime = max(p.endpointsFor(onTime), p.LongRunningEndpoints+extraEndpoints)
 	s.Required = max(p.endpointsFor(onTime+p.LateCPU), s.RequiredOnTime)
-	s.Kept = max(s.Required, p.endpointsFor(onTime+p.LateCPU+p.Forecast.Error))
+	s.Kept = max(s.Required, p.endpointsFor(max(arriving+spare, p.OnTimeRunningCPU+f.Error)+p.OnTimeCPU+p.LateCPU))
 	return s
 }
 
@@ -68,5 +82,9 @@
 	if p.EndpointCPU == 0 {
 		return 1
 	}
-	return int(math.Ceil((cpu + float64(p.LongRunningCPU)) / float64(p.EndpointCPU)))
+	usable := float64(p.EndpointCPU)
+	if p.Forecast.Learned {
+		usable *= p.Forecast.Fill
+	}
+	return int(math.Ceil((cpu + float64(p.LongRunningCPU)) / usable))
 }
--- a/coordination/sizing/property_test.go
+++ b/coordination/sizing/property_test.go
@@ -8,6 +8,9 @@
 	"pgregory.net/rapid"
 )
 
+// endpointCPU is the CPU of an endpoint.
+const endpointCPU = 1000
+
 // drawFleet draws the state of up to four pools and a spare pool.
 func drawFleet(t *rapid.T) (f Fleet) {
 	f = Fleet{MayRelease: rapid.Bool().Draw(t, "mayRelease"), MaxReleases: rapid.IntRange(0, 3).Draw(t, "maxReleases")}
