Move instances whose maintenance is due last, and plot the frontier of pool sizes

Pools now get other instances first, and the spare pool gets those whose maintenance is due.

measure frontier prints the instance-seconds against the share of tasks in time over the headroom, by the moving average and by learned run times, and plots them.

--- a/coordination/schedule/balance.go
+++ b/coordination/schedule/balance.go
@@ -132,7 +132,7 @@
 	case instance == "" || !e.contacted || len(e.unknownRuns) > 0 || longRunning > 0 || now.Sub(e.joinedAt) <= minPoolStay:
 		p.Staying++
 	case len(e.runs) == 0:
-		p.Idle = append(p.Idle, sizing.Endpoint{ID: e.ID, Instance: instance})
+		p.Idle = append(p.Idle, sizing.Endpoint{ID: e.ID, Instance: instance, MaintenanceDue: s.dueInstances[instance]})
 	default:
 		p.Busy = append(p.Busy, sizing.Endpoint{ID: e.ID, Instance: instance, IdleAt: s.idleAt(e, now)})
 	}
@@ -157,7 +157,7 @@
 func (s *Scheduler) spareInstances(listed []InstanceObservation, spare string) (free []sizing.Endpoint) {
 	for _, l := range listed {
 		if spare != "" && l.Pool == spare && l.Up && !s.reservedInstances[l.Name] {
-			free = append(free, sizing.Endpoint{ID: l.Endpoint, Instance: l.Name})
+			free = append(free, sizing.Endpoint{ID: l.Endpoint, Instance: l.Name, MaintenanceDue: s.dueInstances[l.Name]})
 		}
 	}
 	return free
--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -51,6 +51,8 @@
 	// reservedInstances holds the names of the instances that are reserved for their
 	// maintenance, so that no pool takes them from the spare pool.
 	reservedInstances map[string]bool
+	// dueInstances holds the names of all instances whose maintenance is still to come.
+	dueInstances map[string]bool
 	// firstBalancedAt is the time of the first call of PlanMoves; firstArrivalAt is
 	// the time at which the first job that is not long-running arrived.
 	firstBalancedAt, firstArrivalAt time.Time
@@ -114,6 +116,7 @@
 	s.demands = make(map[string]*sizing.Demand)
 	s.rankings = make(map[string]*jobRanking)
 	s.reservedInstances = make(map[string]bool)
+	s.dueInstances = make(map[string]bool)
 	s.pendingStops = make(map[*run]bool)
 	s.endpointsByPool = make(map[string][]*endpoint)
 	s.unstoredEndpoints = make(map[*endpoint]bool)
--- a/coordination/schedule/wave.go
+++ b/coordination/schedule/wave.go
@@ -222,9 +222,15 @@
 	} else {
 		delete(s.reservedInstances, i.Name)
 	}
+	due := i.Phase == PhaseWaiting || reserved
+	if due {
+		s.dueInstances[i.Name] = true
+	} else {
+		delete(s.dueInstances, i.Name)
+	}
 	if e != nil {
 		e.reservedForMaintenance = reserved
-		e.maintenanceDue = i.Phase == PhaseWaiting || reserved
+		e.maintenanceDue = due
 	}
 }
 
--- a/coordination/sizing/decide.go
+++ b/coordination/sizing/decide.go
@@ -132,8 +132,7 @@
 		return true
 	}
 	if len(p.free) > 0 {
-		i := p.free[0]
-		p.free = p.free[1:]
+		i := takeEndpoint(&p.free, false)
 		p.decision.Moves = append(p.decision.Moves, Move{Instance: i.Instance, Endpoint: i.ID, From: p.fleet.Spare, To: to.Name, Reason: r})
 		return true
 	}
@@ -158,10 +157,19 @@
 	return best
 }
 
+// takeEndpoint takes an endpoint from a list: if possible, one whose maintenance is due or is
+// not. An instance that moves to a pool shortly before its maintenance is out of service twice,
+// and one of the spare pool has its maintenance while nobody needs it.
+func takeEndpoint(list *[]Endpoint, due bool) (e Endpoint) {
+	i := max(0, slices.IndexFunc(*list, func(e Endpoint) bool { return e.MaintenanceDue == due }))
+	e = (*list)[i]
+	*list = slices.Concat((*list)[:i], (*list)[i+1:])
+	return e
+}
+
 // moveIdle moves an idle endpoint of a pool.
 func (p *planner) moveIdle(from *poolState, to string, r Reason) {
-	e := from.Idle[0]
-	from.Idle = from.Idle[1:]
+	e := takeEndpoint(&from.Idle, to == p.fleet.Spare)
 	from.Current--
 	p.decision.Moves = append(p.decision.Moves, Move{Instance: e.Instance, Endpoint: e.ID, From: from.Name, To: to, Reason: r})
 }
--- a/coordination/sizing/decide_test.go
+++ b/coordination/sizing/decide_test.go
@@ -69,6 +69,30 @@
 	}
 }
 
+// Guards against an instance that is out of service twice, for a move and for its maintenance
+// just after it: pools get others first, and the spare pool gets those.
+func TestMaintenanceDueMovesToSpare(t *testing.T) {
+	f := sizing.Fleet{
+		Spare: "spare", MayRelease: true, Free: []sizing.Endpoint{{Instance: "s1", MaintenanceDue: true}, {Instance: "s2"}},
+		Pools: []sizing.Pool{
+			{Name: "a", EndpointCPU: sizingtest.EndpointCPU, Staying: 1, OnTimeCPU: 2 * sizingtest.EndpointCPU},
+			{Name: "b", EndpointCPU: sizingtest.EndpointCPU, Staying: 1, Idle: []sizing.Endpoint{{Instance: "i1"}, {Instance: "i2", MaintenanceDue: true}}, SurplusSince: time.UnixMilli(1)},
+		},
+	}
+	d := sizing.Decide(f, time.UnixMilli(1000))
+	want := []sizing.Move{
+		{Instance: "i1", From: "b", To: "a", Reason: sizing.OnTimeDemand},
+		{Instance: "i2", From: "b", To: "spare", Reason: sizing.Surplus},
+	}
+	if !slices.Equal(d.Moves, want) {
+		t.Errorf("moves %v, want %v", d.Moves, want)
+	}
+	f.Pools = f.Pools[:1]
+	if d = sizing.Decide(f, time.UnixMilli(1000)); len(d.Moves) != 1 || d.Moves[0].Instance != "s2" {
+		t.Errorf("moves %v, want the instance without maintenance", d.Moves)
+	}
+}
+
 // Guards against a pool that grows only once its tasks wait. The load of one pool rises by
 // 20 tasks a second each second, the others are idle.
 func TestRisingQueue(t *testing.T) {
--- a/coordination/sizing/pool.go
+++ b/coordination/sizing/pool.go
@@ -25,6 +25,8 @@
 	ID, Instance string
 	// IdleAt is when the tasks that run on it are expected to end.
 	IdleAt time.Time
+	// MaintenanceDue is set while the maintenance of the instance is still to come.
+	MaintenanceDue bool
 }
 
 // Pool is the observed state of a pool.
--- a/measure/internal/cli/cli.go
+++ b/measure/internal/cli/cli.go
@@ -9,6 +9,7 @@
 	"github.com/alexflint/go-arg"
 
 	"github.com/azurepoint/azurepoint/measure/internal/flood"
+	"github.com/azurepoint/azurepoint/measure/internal/frontier"
 	"github.com/azurepoint/azurepoint/measure/internal/report"
 	"github.com/azurepoint/azurepoint/measure/internal/rollout"
 )
@@ -24,6 +25,13 @@
 type flags struct {
 	Seeds int    `arg:"--seeds" default:"5" help:"number of seeds, from 1 up"`
 	Out   string `arg:"--out" help:"file that the figures are written to as well"`
+	// Frontier measures the sizes of pools only.
+	Frontier *frontierFlags `arg:"subcommand:frontier" help:"instance-seconds against the share in time, over the headroom of pools"`
+}
+
+// frontierFlags are the command line of measure frontier.
+type frontierFlags struct {
+	Plot string `arg:"--plot" help:"file that the charts are written to, as SVG"`
 }
 
 // Description is the first line of the help text.
@@ -65,6 +73,9 @@
 	if f.Seeds < 1 {
 		return fmt.Errorf("--seeds %d is less than 1", f.Seeds)
 	}
+	if f.Frontier != nil {
+		return f.Frontier.measure(f.Seeds, out)
+	}
 	if f.Out == "" {
 		return measure(f.Seeds, out)
 	}
@@ -75,6 +86,19 @@
 	return errors.Join(measure(f.Seeds, io.MultiWriter(out, file)), file.Close())
 }
 
+// measure prints the figures of the sizes of pools and writes their charts.
+func (f *frontierFlags) measure(seeds int, out io.Writer) (err error) {
+	points := frontier.Points(seeds)
+	if err = report.Write(out, frontier.Figures(points, seeds)); err != nil || f.Plot == "" {
+		return err
+	}
+	file, err := os.Create(f.Plot)
+	if err != nil {
+		return err
+	}
+	return errors.Join(frontier.WritePlot(file, points), file.Close())
+}
+
 // measure runs the measurements with the seeds 1 to the given number and prints
 // the figures of each one when it ends.
 func measure(seeds int, out io.Writer) (err error) {
