--- a/coordination/sizing/arrival.go
+++ b/coordination/sizing/arrival.go
@@ -59,9 +59,7 @@
 	}
 	d.decay(now)
 	f = Forecast{Learned: true, Fill: d.fill}
-	level, slope := d.trend(learnedNoiseVariance)
-	d.recurrence.observe(d.shortRate, now)
-	slope = d.recurrence.adjust(level, slope, d.shortRate > d.longRate, moveTime, now)
+	level, slope := d.trend()
 	horizon := moveTime.Seconds()
 	ended := 1 - math.Exp(-horizon/d.lag)
 	remains := 0.0
--- a/coordination/sizing/demand.go
+++ b/coordination/sizing/demand.go
@@ -20,9 +20,6 @@
 	// standard deviation, because a job that waits for an instance costs its caller more than
 	// an instance that waits for a job.
 	noiseVariance = 0.25
-	// learnedNoiseVariance is the same beside learned run times, where the headroom answers
-	// for a part of the random variation.
-	learnedNoiseVariance = 0.125
 	// errorWindow is how long an error of the forecast is remembered: an instance that leaves
 	// and is required again within the time of two moves is better kept.
 	errorWindow = 2 * moveTime
@@ -51,9 +48,8 @@
 	shortfall float64
 	// burst is the burst that lasts, and earlier the shortfall of the one before, which fades
 	// over recurrenceWindow.
-	burst      burst
-	earlier    float64
-	recurrence recurrence
+	burst   burst
+	earlier float64
 }
 
 // madeForecast is a forecast of the arriving work at a time, in thousandths of a core.
@@ -115,21 +111,21 @@
 
 // forecastRate returns the rate of jobs after ForecastHorizon.
 func (d *Demand) forecastRate() float64 {
-	level, slope := d.trend(noiseVariance)
+	level, slope := d.trend()
 	return level + slope*(ForecastHorizon-shortWindow).Seconds()
 }
 
 // trend returns the rate of jobs and by how much it rises in a second. A rise is
-// extrapolated as far as it exceeds the random variation of the rate, which noise scales; a
-// fall is not, because an instance that leaves too early costs two moves.
-func (d *Demand) trend(noise float64) (level, slope float64) {
+// extrapolated as far as it exceeds the random variation of the rate; a fall is not, because
+// an instance that leaves too early costs two moves.
+func (d *Demand) trend() (level, slope float64) {
 	difference := d.shortRate - d.longRate
 	if difference <= 0 {
 		return d.shortRate, 0
 	}
 	// This is the variance of an exponentially weighted rate of independent arrivals.
 	variance := d.shortRate / (2 * shortWindow.Seconds())
-	difference *= difference * difference / (difference*difference + noise*variance)
+	difference *= difference * difference / (difference*difference + noiseVariance*variance)
 	slope = difference / (longWindow - shortWindow).Seconds()
 	return d.longRate + difference + slope*shortWindow.Seconds(), slope
 }
