--- a/coordination/schedule/demand.go
+++ b/coordination/schedule/demand.go
@@ -3,9 +3,24 @@
 import (
 	"time"
 
+	"github.com/azurepoint/azurepoint/coordination/job"
 	"github.com/azurepoint/azurepoint/coordination/sizing"
 )
 
+// learnedSizes reports whether pools are sized by learned run times.
+func (s *Scheduler) learnedSizes() bool {
+	return s.Settings.LearnedSizes && !s.Settings.MeanDurations
+}
+
+// sizingDuration returns the expected duration of a task of the step, in milliseconds, for the
+// sizes of pools: the learned mean, or the moving average of the queue.
+func (s *Scheduler) sizingDuration(j *jobState, st *job.Step) float64 {
+	if s.learnedSizes() {
+		return s.expected(j, st)
+	}
+	return s.meanDuration(j, st)
+}
+
 // arrival returns the expected work of a job that arrives. Its run times count as learned if
 // tasks of its queue have ended.
 func (s *Scheduler) arrival(j *jobState) (a sizing.Arrival) {
@@ -16,9 +31,9 @@
 	}
 	for i := range j.Steps {
 		st := &j.Steps[i]
-		work := s.expected(j, st) / 1000 * float64(st.CPU) * float64(st.Count)
+		work := s.sizingDuration(j, st) / 1000 * float64(st.CPU) * float64(st.Count)
 		a.Work += work
-		if s.Settings.MeanDurations {
+		if !s.learnedSizes() {
 			continue
 		}
 		d := s.distribution(j, st)
@@ -42,9 +57,9 @@
 
 // remainingWork returns the expected work that is left of the job's running tasks and of the
 // steps that follow them, in milliseconds times thousandths of a core. It is 0 for a late job and
-// with Settings.MeanDurations, where nothing depends on it.
+// without Settings.LearnedSizes, where nothing depends on it.
 func (s *Scheduler) remainingWork(j *jobState, now time.Time) (work float64) {
-	if j.lateness != onTime || s.Settings.MeanDurations {
+	if j.lateness != onTime || !s.learnedSizes() {
 		return 0
 	}
 	for _, o := range j.occurrences {
--- a/coordination/schedule/load.go
+++ b/coordination/schedule/load.go
@@ -84,7 +84,7 @@
 func (s *Scheduler) slack(j *jobState) (millis float64) {
 	chain := 0.0
 	for i := range j.Steps {
-		chain += s.expected(j, &j.Steps[i])
+		chain += s.sizingDuration(j, &j.Steps[i])
 	}
 	return max((j.Stretch-1)*chain+float64(j.TargetMillis), minSlackMillis)
 }
@@ -106,7 +106,7 @@
 					waiting++
 				}
 			}
-			work += float64(waiting) * s.expected(j, st.step) * float64(st.step.CPU)
+			work += float64(waiting) * s.sizingDuration(j, st.step) * float64(st.step.CPU)
 		}
 	}
 	return work
--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -31,6 +31,8 @@
 	// MeanDurations makes the scheduler expect of every task the moving average of its
 	// queue, instead of learning from finished runs what their run time depends on.
 	MeanDurations bool
+	// LearnedSizes sizes pools by learned run times, unless MeanDurations is set.
+	LearnedSizes bool
 }
 
 // Scheduler holds the jobs and endpoints of the pools of one owner. It is not safe
--- a/entry/manager/settings.go
+++ b/entry/manager/settings.go
@@ -22,6 +22,8 @@
 	// MeanDurations makes the scheduler expect of every task the moving average of its queue,
 	// instead of learning from finished runs what their run time depends on.
 	MeanDurations bool
+	// LearnedSizes sizes pools by learned run times.
+	LearnedSizes bool
 	// RefuseLate makes the owner refuse jobs that cannot be served in time.
 	RefuseLate bool
 }
@@ -97,5 +99,6 @@
 		MaxClockRatio:  maxClockRatio,
 		RunNumberBase:  (number - 1) * runsPerTerm,
 		MeanDurations:  s.MeanDurations,
+		LearnedSizes:   s.LearnedSizes,
 	}
 }
