--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -39,6 +39,8 @@
 	// MaxStarts limits the starts of one plan; 0 means any number. A gang and the tasks of one
 	// job may exceed it.
 	MaxStarts int
+	// LearnedSizes sizes pools by learned run times, unless MeanDurations is set.
+	LearnedSizes bool
 }
 
 // Scheduler holds the jobs and endpoints of the pools of one owner. It is not safe
@@ -65,6 +67,8 @@
 	// reservedInstances holds the names of the instances that are reserved for their
 	// maintenance, so that no pool takes them from the spare pool.
 	reservedInstances map[string]bool
+	// dueInstances holds the names of all instances whose maintenance is still to come.
+	dueInstances map[string]bool
 	// firstBalancedAt is the time of the first call of PlanMoves; firstArrivalAt is
 	// the time at which the first job that is not long-running arrived.
 	firstBalancedAt, firstArrivalAt time.Time
@@ -143,6 +147,7 @@
 	s.demands = make(map[string]*sizing.Demand)
 	s.rankings = make(map[string]*jobRanking)
 	s.reservedInstances = make(map[string]bool)
+	s.dueInstances = make(map[string]bool)
 	s.pendingStops = make(map[*run]bool)
 	s.endpointsByPool = make(map[string][]*endpoint)
 	s.unstoredEndpoints = make(map[*endpoint]bool)
--- a/entry/manager/settings.go
+++ b/entry/manager/settings.go
@@ -22,6 +22,8 @@
 	// MeanDurations makes the scheduler expect of every task the moving average of its queue,
 	// instead of learning from finished runs what their run time depends on.
 	MeanDurations bool
+	// LearnedSizes sizes pools by learned run times.
+	LearnedSizes bool
 	// RefuseLate makes the owner refuse jobs that cannot be served in time.
 	RefuseLate bool
 	// DataCentreLosses is how many data centres may be lost at a time while the jobs of the
@@ -117,5 +119,6 @@
 		ConfineJobs:    s.DataCentreLosses > 0 && !s.WideJobs,
 		Term:           int64(number),
 		MaxStarts:      maxStartsPerPlan,
+		LearnedSizes:   s.LearnedSizes,
 	}
 }
