--- a/coordination/schedule/unseen.go
+++ b/coordination/schedule/unseen.go
@@ -24,8 +24,8 @@
 
 // updateUnseen estimates what runs of an earlier owner take that no endpoint has reported
 // yet: each task of an inherited job may be running where mayRunUnseen says so, but those of a
-// pool together take no more than its unread endpoints have. The estimate may be too high, and never too low,
-// because an endpoint that has reported executes no order of an earlier owner any more.
+// pool together take no more than its unread endpoints have. The estimate may be too high, and
+// never too low, because an endpoint that has reported executes no order of an earlier owner any more.
 func (s *Scheduler) updateUnseen(now, wall time.Time) {
 	o := &s.organisations
 	if !o.ledger.Active() {
--- /dev/null
+++ b/entry/manager/load.go
@@ -0,0 +1,80 @@
+package manager
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/azurepoint/azurepoint/coordination/job"
+	"github.com/azurepoint/azurepoint/coordination/retry"
+	"github.com/azurepoint/azurepoint/entry/event"
+)
+
+// load reads the records of all jobs; no write of the previous owner can succeed any
+// more, since the claim changed the owner's key. load returns false if the context
+// ends first.
+func (m *Manager) load(ctx context.Context) (loaded bool) {
+	for failures := 0; ; failures++ {
+		err := m.tryLoad(ctx)
+		if err == nil {
+			return true
+		}
+		if ctx.Err() != nil {
+			return false
+		}
+		event.RecordFailed.Log(log.Fields{"action": "load", "error": err.Error()})
+		retry.Sleep(ctx, min(minCommitRetryDelay<<min(failures, 6), maxCommitRetryDelay))
+	}
+}
+
+func (m *Manager) tryLoad(ctx context.Context) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	items, _, err := m.Store.Range(ctx, jobPrefix)
+	if err != nil {
+		return err
+	}
+	cancelled, _, err := m.Store.Range(ctx, CancelPrefix)
+	if err != nil {
+		return err
+	}
+	if err = m.orders.load(ctx, m.Store); err != nil {
+		return err
+	}
+	known, err := m.endpointRecords.load(ctx, m.Store)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	for _, e := range known {
+		m.recorded[e.ID] = e
+		m.pollersDue[e.ID] = true
+		m.scheduler.AddSettledEndpoint(e, now)
+	}
+	var records []job.Record
+	for _, i := range items {
+		r, err := job.Decode(i.Value, i.Revision)
+		if err != nil {
+			event.RecordInvalid.Log(log.Fields{"key": i.Key, "error": err.Error()})
+			continue
+		}
+		records = append(records, r)
+	}
+	m.loadJobs(records, now)
+	// A job that was cancelled while there was no owner must not start before this
+	// entry's watch reports the cancel mark.
+	m.cancelledEarly = make(map[string]bool)
+	for _, i := range cancelled {
+		id := strings.TrimPrefix(i.Key, CancelPrefix)
+		if !m.scheduler.CancelJob(id, now) {
+			m.cancelledEarly[id] = true
+		}
+	}
+	m.loaded = true
+	event.OwnershipReady.Log(log.Fields{"term": m.Term.Number, "jobs": len(items), "endpoints": len(m.recorded)})
+	return nil
+}
--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -5,7 +5,6 @@
 	"context"
 	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -15,7 +14,6 @@
 	"github.com/azurepoint/azurepoint/coordination/fault"
 	"github.com/azurepoint/azurepoint/coordination/job"
 	"github.com/azurepoint/azurepoint/coordination/organisation"
-	"github.com/azurepoint/azurepoint/coordination/retry"
 	"github.com/azurepoint/azurepoint/coordination/schedule"
 	"github.com/azurepoint/azurepoint/entry/event"
 	"github.com/azurepoint/azurepoint/entry/meter"
@@ -183,73 +181,6 @@
 	return err
 }
 
-// load reads the records of all jobs; no write of the previous owner can succeed any
-// more, since the claim changed the owner's key. load returns false if the context
-// ends first.
-func (m *Manager) load(ctx context.Context) (loaded bool) {
-	for failures := 0; ; failures++ {
-		err := m.tryLoad(ctx)
-		if err == nil {
-			return true
-		}
-		if ctx.Err() != nil {
-			return false
-		}
-		event.RecordFailed.Log(log.Fields{"action": "load", "error": err.Error()})
-		retry.Sleep(ctx, min(minCommitRetryDelay<<min(failures, 6), maxCommitRetryDelay))
-	}
-}
-
-func (m *Manager) tryLoad(ctx context.Context) (err error) {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
-	items, _, err := m.Store.Range(ctx, jobPrefix)
-	if err != nil {
-		return err
-	}
-	cancelled, _, err := m.Store.Range(ctx, CancelPrefix)
-	if err != nil {
-		return err
-	}
-	if err = m.orders.load(ctx, m.Store); err != nil {
-		return err
-	}
-	known, err := m.endpointRecords.load(ctx, m.Store)
-	if err != nil {
-		return err
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	now := time.Now()
-	for _, e := range known {
-		m.recorded[e.ID] = e
-		m.pollersDue[e.ID] = true
-		m.scheduler.AddSettledEndpoint(e, now)
-	}
-	var records []job.Record
-	for _, i := range items {
-		r, err := job.Decode(i.Value, i.Revision)
-		if err != nil {
-			event.RecordInvalid.Log(log.Fields{"key": i.Key, "error": err.Error()})
-			continue
-		}
-		records = append(records, r)
-	}
-	m.loadJobs(records, now)
-	// A job that was cancelled while there was no owner must not start before this
-	// entry's watch reports the cancel mark.
-	m.cancelledEarly = make(map[string]bool)
-	for _, i := range cancelled {
-		id := strings.TrimPrefix(i.Key, CancelPrefix)
-		if !m.scheduler.CancelJob(id, now) {
-			m.cancelledEarly[id] = true
-		}
-	}
-	m.loaded = true
-	event.OwnershipReady.Log(log.Fields{"term": m.Term.Number, "jobs": len(items), "endpoints": len(m.recorded)})
-	return nil
-}
-
 // runPlanner sends the scheduler's orders until the context ends; orderCtx bounds the orders.
 func (m *Manager) runPlanner(ctx, orderCtx context.Context) {
 	due := time.NewTimer(0)
@@ -441,37 +372,3 @@
 	m.adoptRecord(item, cancelled())
 	return nil
 }
-
-// logEndpointLoss counts and logs an endpoint whose runs ended with it.
-func logEndpointLoss(l schedule.EndpointLoss) {
-	meter.Count("endpoints.lost." + string(l.Cause))
-	fields := log.Fields{"endpoint": l.Endpoint, "pool": l.Pool, "instance": l.Instance, "cause": string(l.Cause), "runs": l.Runs}
-	if !l.UnresponsiveSince.IsZero() {
-		fields["silentMillis"] = time.Since(l.UnresponsiveSince).Milliseconds()
-	}
-	event.EndpointLost.Log(fields)
-}
-
-// logCrash counts and logs a crash of an endpoint under a task.
-func logCrash(c schedule.CrashReport) {
-	meter.Count("crashes")
-	if c.GivenUp {
-		meter.Count("crashes.givenUp")
-	}
-	event.TaskCrashed.Log(log.Fields{
-		"job": c.Job, "task": strings.TrimPrefix(c.Task, c.Job+"."), "run": c.Run, "endpoint": c.Endpoint, "crashes": c.Crashes,
-		"atStart": c.AtStart, "sole": c.Sole, "givenUp": c.GivenUp,
-	})
-}
-
-// logRunEnd counts and logs the end of a run.
-func logRunEnd(r schedule.RunEnd) {
-	meter.Count("runs." + r.Reason)
-	if !event.RunEndedLimited.Allow() {
-		return
-	}
-	event.RunEnded.Log(log.Fields{
-		"job": r.Job, "task": strings.TrimPrefix(r.Task, r.Job+"."), "run": r.Run, "endpoint": r.Endpoint,
-		"how": r.Reason, "tookMillis": r.Duration.Milliseconds(),
-	})
-}
--- a/entry/node/handover.go
+++ b/entry/node/handover.go
@@ -42,8 +42,8 @@
 	maxFailedRenewals = 2
 	storeLossTime     = 200 * time.Millisecond
 	// storeHandoverPause is how long an entry that was part of a handover because of the store
-	// does not hand over because of it again: what a change of owner without a handover takes, so that a store
-	// that fails for all by turns does no more harm than without handovers.
+	// does not hand over because of it again: what a change of owner without a handover takes,
+	// so that a store that fails for all by turns does no more harm than without handovers.
 	storeHandoverPause = 6 * time.Second
 	// handoverTime bounds the messages of a handover: after that the owner's key has ended.
 	handoverTime = ownerLease
