--- a/entry/node/entries.go
+++ b/entry/node/entries.go
@@ -178,9 +178,9 @@
 	return errors.Is(n.Store.Renew(ctx, lease), store.ErrLeaseEnded)
 }
 
-// runOwnerLookup asks other entries for the owner while this one cannot reach the
-// store, and once if the owner takes suspiciously long, until the context ends. The owner that this entry last read from the store
-// may have ended long before.
+// runOwnerLookup asks other entries for the owner while this one cannot reach the store, and
+// once if the owner takes longer than suspectAfter, until the context ends. The owner that this
+// entry last read from the store may have ended long before.
 func (n *Node) runOwnerLookup(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
 	go func() {
@@ -204,8 +204,8 @@
 }
 
 // runStoreProbe reads a key periodically while the store is unreachable, and once if a call
-// takes suspiciously long, until the context ends. A hanging watch would show only seconds later
-// that the store does not answer, or that it does so again.
+// takes longer than suspectAfter, until the context ends. A hanging watch would show only seconds
+// later that the store does not answer, or that it does so again.
 func (n *Node) runStoreProbe(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
 	go func() {
@@ -228,7 +228,7 @@
 	return ended
 }
 
-// suspect has the store probed, because a call takes suspiciously long.
+// suspect has the store probed, because a call takes longer than suspectAfter.
 func (n *Node) suspect() {
 	wakeUp(n.suspected)
 }
