Read all keys after two watches without an answer

At 2.74 s the service refused a watch of the configuration (429). After a failure a watch waits 20 ms to confirm the view, and is given 620 ms for its answer. The configuration had grown to 1,470 routes and changed several times a second: the changes since the last answer did not arrive in that time over a link of 10 Mbit/s, and never did, until the service had dropped its history at 23.8 s. 13 of 41 entries were behind. Change: after a second failure in a row, if there was no answer, all keys are read as they are now. TestFollowerReadsAllKeysAfterWatchesWithoutAnswer failed before.

--- a/entry/store/follow.go
+++ b/entry/store/follow.go
@@ -96,6 +96,11 @@
 		return -1
 	}
 	if f.recordResult(ctx, err) {
+		if f.OnConfirmed != nil && f.failures > 1 && errors.Is(err, ErrNoAnswer) {
+			// A watch that only has to confirm the view is given a short time, in which many
+			// large changes do not arrive over a slow link. The present keys may.
+			return -1
+		}
 		return after
 	}
 	if len(changes) > 0 {
--- a/entry/store/follow_test.go
+++ b/entry/store/follow_test.go
@@ -16,9 +16,10 @@
 	// clock is the time since boot, and steps what the next calls return.
 	clock time.Duration
 	steps []scriptedCall
-	// waits holds how long each watch was to wait.
-	waits []time.Duration
-	done  chan struct{}
+	// waits holds how long each watch was to wait, and ranges counts the reads of all keys.
+	waits  []time.Duration
+	ranges int
+	done   chan struct{}
 }
 
 type scriptedCall struct {
@@ -43,6 +44,7 @@
 }
 
 func (s *scriptedStore) Range(ctx context.Context, _ string) (items []Item, revision int64, err error) {
+	s.ranges++
 	c := s.next(ctx)
 	return nil, c.revision, c.err
 }
@@ -105,6 +107,32 @@
 	}
 }
 
+// Load: the configuration is large and changes several times a second while the service refuses
+// calls. Guards against an entry on a slow link that stays with an old configuration: the changes
+// since its last answer do not arrive in the time of a watch that only confirms the view (CONFIG on
+// tsn-ub-grown, an entry 21 s behind).
+func TestFollowerReadsAllKeysAfterWatchesWithoutAnswer(t *testing.T) {
+	lost := errors.Wrap(ErrNoAnswer, "deadline exceeded")
+	s := &scriptedStore{done: make(chan struct{}), steps: []scriptedCall{
+		{revision: 1}, {err: ErrRejected}, {err: lost}, {revision: 7}, {revision: 7},
+	}}
+	confirmations := 0
+	f := &Follower{
+		Store: s, Prefix: "x/", Reset: func([]Item, int64) {}, Apply: func([]Change) {},
+		OnUnreachable: func(error) {}, OnRecovered: func() {}, OnConfirmed: func(time.Duration) { confirmations++ },
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := f.Run(ctx)
+	<-s.done
+	cancel()
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+	if s.ranges != 2 || confirmations != 3 {
+		t.Errorf("%d reads of all keys and %d confirmations, want 2 and 3", s.ranges, confirmations)
+	}
+}
+
 // changingStore changes a key with every watch.
 type changingStore struct {
 	Store
