Store ends that were reported before an owner hands over

The end had been reported to the owner while it stopped. Its write was waiting behind another transaction when the writer of records ended, or was rejected after that; such writes stayed marked as in flight, so that the flush before a handover skipped them, and the message that carried them was lost or refused.

Change: the writer gives unsent and repeated writes back when it ends, and the flush waits for that within its time.

--- a/entry/manager/fake_test.go
+++ b/entry/manager/fake_test.go
@@ -17,6 +17,8 @@
 	// delayed instead, for the test to execute.
 	loseAnswer, delay bool
 	delayed           []store.Transaction
+	// reject rejects the next transaction.
+	reject bool
 	// onCommit, if set, is called during each transaction.
 	onCommit func()
 }
@@ -42,6 +44,10 @@
 	if s.onCommit != nil {
 		s.onCommit()
 	}
+	if s.reject {
+		s.reject = false
+		return 0, store.ErrRejected
+	}
 	if s.delay {
 		s.delay = false
 		s.delayed = append(s.delayed, t)
--- a/entry/manager/handover.go
+++ b/entry/manager/handover.go
@@ -59,10 +59,16 @@
 	m.ordersInFlight.Wait()
 }
 
-// flush stores changed records for flushTime at most, or until a transaction fails.
+// flush stores changed records for flushTime at most, or until a transaction fails. It starts
+// when the writer of the records has ended, because records in flight are skipped.
 func (m *Manager) flush(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, flushTime)
 	defer cancel()
+	select {
+	case <-m.recordWriter.over:
+	case <-ctx.Done():
+		return
+	}
 	results := make(chan bool)
 	inFlight, failed := 0, false
 	for {
--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -130,7 +130,7 @@
 	m.recordWriter = &recordWriter{
 		store: m.Store, owner: m.Term.Owner, due: m.dueWrites, stored: m.recordStored, failed: m.recordFailed,
 		created: m.jobCreated, exists: m.adoptRecord, lost: m.endTerm,
-		creations: make(map[string]*creation), wake: make(chan struct{}, 1),
+		creations: make(map[string]*creation), wake: make(chan struct{}, 1), over: make(chan struct{}),
 	}
 	ended := make(chan error, 1)
 	go func() {
--- a/entry/manager/recordwriter.go
+++ b/entry/manager/recordwriter.go
@@ -80,6 +80,8 @@
 	ended bool
 
 	wake chan struct{}
+	// over is closed when no transaction is in flight any more.
+	over chan struct{}
 }
 
 // trigger wakes commitLoop.
@@ -94,6 +96,7 @@
 	ended := make(chan error, 1)
 	go func() {
 		rw.commitLoop(ctx)
+		close(rw.over)
 		rw.abandonCreations()
 		ended <- nil
 	}()
@@ -164,7 +167,13 @@
 		}
 	}
 	for ; inFlight > 0; inFlight-- {
-		<-results
+		e := <-results
+		pending = append(pending, e.remaining...)
+	}
+	for _, w := range pending {
+		if w.creation == nil {
+			rw.failed(w.Write)
+		}
 	}
 }
 
