Retry a lost claim once the owner of the pools changes

Cause: an entry that had lost a claim waited 250 ms whatever happened.

Change: the wait ends when the owner's key changes.

Measured: TestLostClaimIsRetriedOnceTheOwnerChanges; the tests of entry/node pass beside a load of 39.

--- a/entry/node/entries_test.go
+++ b/entry/node/entries_test.go
@@ -194,3 +194,23 @@
 		t.Errorf("an entry without CPU waits %s", d)
 	}
 }
+
+// Guards against the strongest entry that still waits after a lost claim when the entry that
+// won has ended, so that a weak one manages the pools (smdc-tn-grown scale-1).
+func TestLostClaimIsRetriedOnceTheOwnerChanges(t *testing.T) {
+	o := &ownership{self: ownerRecord{Name: "a", Process: 1}, changed: make(chan struct{}, 1)}
+	o.applyStored(store.Item{Key: manager.OwnerKey, Value: []byte(`{"name":"weak","process":1,"term":1}`), Revision: 5}, true, 5)
+	waited := make(chan struct{})
+	go func() {
+		o.awaitRetry(t.Context(), time.Hour)
+		close(waited)
+	}()
+	o.applyStored(store.Item{}, false, 6)
+	<-waited
+	if h := o.awaitClaim(t.Context(), nil); h != nil {
+		t.Error("a handover that nobody sent")
+	}
+	if _, may := o.claimable(); !may {
+		t.Error("the pools have no owner and may not be claimed")
+	}
+}
--- a/entry/node/handover.go
+++ b/entry/node/handover.go
@@ -6,7 +6,6 @@
 
 	"github.com/apex/log"
 
-	"github.com/azurepoint/azurepoint/coordination/retry"
 	"github.com/azurepoint/azurepoint/coordination/schedule"
 	"github.com/azurepoint/azurepoint/entry/event"
 	"github.com/azurepoint/azurepoint/entry/manager"
@@ -221,7 +220,7 @@
 	if err != nil {
 		event.ClaimFailed.Log(log.Fields{"error": err.Error(), "from": o.From})
 		o.result <- peer.HandoverReply{Reason: err.Error()}
-		retry.Sleep(ctx, claimRetryDelay)
+		n.ownership.awaitRetry(ctx, claimRetryDelay)
 		return
 	}
 	record, revision := n.ownership.stored()
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -131,7 +131,7 @@
 		t, err := n.ownership.claim(ctx, revision)
 		if err != nil {
 			event.ClaimFailed.Log(log.Fields{"error": err.Error()})
-			retry.Sleep(ctx, claimRetryDelay)
+			n.ownership.awaitRetry(ctx, claimRetryDelay)
 			continue
 		}
 		n.runTerm(ctx, t, nil)
--- a/entry/node/ownership.go
+++ b/entry/node/ownership.go
@@ -40,7 +40,7 @@
 	// the closer their cores are to the most that an entry has, so that the strongest
 	// entries claim first.
 	maxClaimDelay = 250 * time.Millisecond
-	// claimRetryDelay is the delay after a failed claim.
+	// claimRetryDelay is the longest delay after a failed claim.
 	claimRetryDelay = 250 * time.Millisecond
 	// claimTimeout bounds a claim.
 	claimTimeout = time.Second
@@ -238,6 +238,17 @@
 	return nil
 }
 
+// awaitRetry returns after the delay of a failed claim, or once the owner's key has changed. The
+// strongest entry would otherwise still wait if the entry that won the claim ends soon.
+func (o *ownership) awaitRetry(ctx context.Context, delay time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, delay)
+	defer cancel()
+	select {
+	case <-ctx.Done():
+	case <-o.changed:
+	}
+}
+
 // claim tries to become the owner; it fails if the owner's key no longer has the
 // given revision.
 func (o *ownership) claim(ctx context.Context, revision int64) (t *heldTerm, err error) {
