Tell callers of a full owner to return as jobs are expected to end

An owner with 20,000 jobs told all callers to return after a second, whatever it had accepted, so that they came back together and each second. The expected run times and the room of the pools are known. Admission counts the mean remaining time of running tasks instead of half of their run time.

--- a/coordination/admission/decide.go
+++ b/coordination/admission/decide.go
@@ -35,6 +35,8 @@
 	// Rate means a job beyond the rate of its organisation, for which there is no room
 	// beside the others' work.
 	Rate Reason = "rate"
+	// Count means that there are too many jobs, whatever they need.
+	Count Reason = "count"
 )
 
 // Request is a job at the door.
--- a/coordination/schedule/admit.go
+++ b/coordination/schedule/admit.go
@@ -19,8 +19,9 @@
 	// storeDelay is how long an accepted job may take to be stored and added; a job that
 	// takes longer has been refused by the store.
 	storeDelay = 2 * time.Second
-	// runningPart is the part of their work that running tasks have left on average.
-	runningPart = 0.5
+	// meanRunningPart is the part of their work that running tasks have left on average, as long
+	// as only the mean of their run times is known.
+	meanRunningPart = 0.5
 	// roomPart is the part of a pool, or of an organisation's limit, above which the tasks of
 	// a step count as running in waves.
 	roomPart = 0.25
@@ -55,6 +56,9 @@
 	// accepted holds the accepted jobs that have neither ended nor become too late.
 	accepted map[string]*acceptedJob
 	returns  admission.Returns
+	// drain is how fast jobs end by the backlogs that are valid until drainedAt.
+	drain     admission.Drain
+	drainedAt time.Time
 }
 
 // acceptedJob is a job with the estimate on which it was accepted.
@@ -205,7 +209,7 @@
 		if t, known := s.organisations.ledger.Terms(j.Organisation); known && t.Weight > 0 {
 			takes = min(takes, time.Duration(float64(time.Second)/t.Weight))
 		}
-	case admission.Room, admission.Orders, admission.Time:
+	case admission.Room, admission.Orders, admission.Time, admission.Count:
 	}
 	return a.returns.RetryAfter(line, j.ID, d.RoomAt, takes, now)
 }
@@ -253,8 +257,7 @@
 			}
 			s.rank(j, now)
 			a.overShare[pool][j.Organisation] = j.overShare
-			rank := admission.Rank{Class: j.lateness, Priority: j.Priority, OverShare: j.overShare, RemainingWork: j.remainingWork}
-			s.loadBacklog(pool, j.Organisation, rank, s.workLeft(j, now))
+			s.loadBacklog(pool, j.Organisation, j.backlogRank(), s.workLeft(j, now))
 		}
 	}
 	for _, id := range a.acceptedWhere(func(id string, _ *acceptedJob) bool { return !s.HasJob(id) }) {
@@ -296,7 +299,7 @@
 			}
 			left := len(st.tasks) - st.done
 			running := min(st.running, left)
-			part := float64(left-running) + runningPart*float64(running)
+			part := float64(left-running) + s.runningPart(j, st, now)*float64(running)
 			work = work.Plus(admission.AmountOf(taskSize(st.step), s.expected(j, st.step)*part, left-running))
 		}
 	}
--- a/entry/manager/submit.go
+++ b/entry/manager/submit.go
@@ -67,7 +67,7 @@
 	confirmed := m.Term.Confirmed()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	known := m.scheduler.HasJob(j.ID)
+	known, now := m.scheduler.HasJob(j.ID), time.Now()
 	switch {
 	case !m.loaded:
 		return Reply{Outcome: NotOwner, Reason: "the jobs are being loaded"}, true
@@ -87,9 +87,9 @@
 		return Reply{Outcome: NotOwner, RetryAfter: lostStoreRetryDelay, Reason: lostStoreReason}, true
 	case m.scheduler.CountActiveJobs() >= maxActiveJobs:
 		meter.Count("refusals.count")
-		return Reply{Outcome: Refused, RetryAfter: refusedRetryDelay, Reason: "too many jobs"}, true
+		excess := m.scheduler.CountActiveJobs() - maxActiveJobs
+		return Reply{Outcome: Refused, RetryAfter: m.scheduler.RetryWhenFull(j.ID, excess, m.pace.Limit(now), now), Reason: "too many jobs"}, true
 	}
-	now := time.Now()
 	if !m.Settings.RefuseLate {
 		j.Surplus = !m.scheduler.TakeRate(j.Organisation, now)
 		m.scheduler.Confine(j)
--- a/entry/manager/submit_test.go
+++ b/entry/manager/submit_test.go
@@ -75,6 +75,28 @@
 	}
 }
 
+// Guards against callers that all return after the same second where the owner has as many jobs
+// as it may have, and one of them ends each second.
+func TestCallersOfAFullOwnerReturnAsJobsEnd(t *testing.T) {
+	m := newSubmitManager(&fakeStore{})
+	now := time.Now()
+	for n := range maxActiveJobs {
+		m.scheduler.AddJob(job.Record{Job: newSubmission(n), State: job.Queued}, now)
+	}
+	last := time.Duration(0)
+	for n := range 30 {
+		j := newSubmission(maxActiveJobs + n)
+		r, decided := m.admit(&j)
+		if !decided || r.Outcome != Refused || r.RetryAfter < last || r.RetryAfter%time.Second != 0 {
+			t.Fatalf("caller %d: %+v, decided %v, want a refusal for at least %s", n, r, decided, last)
+		}
+		last = r.RetryAfter
+	}
+	if last < 20*time.Second {
+		t.Errorf("the last of 30 callers returns after %s", last)
+	}
+}
+
 // Guards against a job that counts as accepted after the store has refused it.
 func TestJobRefusedByTheStoreIsForgotten(t *testing.T) {
 	m := newSubmitManager(rejectingStore{})
