Drop planned moves whose endpoint is no longer idle

An order to move names the instance. A plan of hundreds of moves was ordered at 50 a second, so that the last orders came five seconds after the plan, when their instances had had their maintenance and a new endpoint ran tasks there. The move ended these runs, long-running ones beside others of their step that were away.

Each move is now checked again just before its order: the endpoint has to be listed, to answer, to be idle and not to be reserved for maintenance. A move that is not carried out no longer ends the reservation for maintenance, and a maintenance that is not carried out no longer ends a move.

--- a/coordination/schedule/balance.go
+++ b/coordination/schedule/balance.go
@@ -82,6 +82,21 @@
 	return d.Moves
 }
 
+// MayMove reports whether a planned move of an endpoint may still be ordered. The order names the
+// instance, so that it would end the tasks of the next endpoint there if this one has had its
+// maintenance or crashed since.
+func (s *Scheduler) MayMove(m Move) bool {
+	e := s.endpoints[m.Endpoint]
+	return e != nil && e.listed && !e.reservedForMaintenance && !e.unresponsive() && len(e.runs)+len(e.unknownRuns) == 0
+}
+
+// CancelMove returns an endpoint to service whose move is not carried out.
+func (s *Scheduler) CancelMove(endpoint string) {
+	if e := s.endpoints[endpoint]; e != nil {
+		e.moving, e.replacementOrdered = false, e.replacementOrdered && e.reservedForMaintenance
+	}
+}
+
 // PoolSizes returns the sizes of the pools as of the last call of PlanMoves.
 func (s *Scheduler) PoolSizes() []sizing.Size {
 	return s.poolSizes
--- a/coordination/schedule/wave_test.go
+++ b/coordination/schedule/wave_test.go
@@ -201,7 +201,7 @@
 		}
 		for _, i := range f.s.PlanWave(v, observed, f.now) {
 			i.Phase, i.Confirmed = PhaseDone, true
-			f.s.ReleaseEndpoint(i.Endpoint)
+			f.s.CancelMaintenance(i.Endpoint)
 			maintained[i.Endpoint] = true
 		}
 		if v.Complete() {
@@ -237,3 +237,36 @@
 		t.Errorf("%d more instances are ready for maintenance while one is down", len(more))
 	}
 }
+
+// Guards against a move that ends running tasks: orders name the instance, and the moves of a
+// large plan were ordered seconds later, when instances had had their maintenance and a new
+// endpoint ran tasks there.
+func TestMoveIsDroppedOnceItsEndpointIsTaken(t *testing.T) {
+	f := newFixture(t, "e1", "e2", "e3", "e4", "e5", "e6")
+	move := func(endpoint string) Move { return Move{Instance: "m-" + endpoint, Endpoint: endpoint, From: "p", To: "q"} }
+	for _, e := range f.s.sortedEndpoints {
+		e.moving = true
+		if !f.s.MayMove(move(e.ID)) {
+			t.Errorf("the move of the idle endpoint %s is dropped", e.ID)
+		}
+	}
+	v, observed := testWave(f, 1, "e1")
+	if idle := f.s.PlanWave(v, observed, f.now); len(idle) != 1 {
+		t.Fatalf("%d instances are ready for maintenance, want 1", len(idle))
+	}
+	f.s.RecordDisconnected("e2", f.now)
+	f.s.UnlistEndpoint("e3")
+	f.s.UnlistEndpoint("e4")
+	f.s.RecordTermination("e4", LossReleased, f.now)
+	f.running["e5"]["x.0.0.0"] = ListedRun{Task: "x.0.0.0", Run: 1}
+	f.sendReport("e5")
+	for _, e := range []string{"e1", "e2", "e3", "e4", "e5"} {
+		if f.s.MayMove(move(e)) {
+			t.Errorf("%s may be moved although it has maintenance, does not answer, is not listed, has ended or has a run", e)
+		}
+	}
+	f.s.CancelMove("e1")
+	if e := f.s.endpoints["e1"]; e.moving || !e.reservedForMaintenance {
+		t.Error("the dropped move ends the reservation for maintenance")
+	}
+}
--- a/entry/manager/moves_test.go
+++ b/entry/manager/moves_test.go
@@ -102,3 +102,21 @@
 		})
 	}
 }
+
+// Guards against a move that is ordered although the instance has another endpoint by now.
+func TestMovesOfEndpointsThatEndedAreNotOrdered(t *testing.T) {
+	b, machines, moves := newMoveFixture(InstanceOrderDone, func() bool { return true })
+	b.manager.scheduler.RecordDisconnected("e03", time.Now())
+	b.manager.scheduler.UnlistEndpoint("e04")
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	b.orderMoves(ctx, moves)
+	for _, name := range []string{"m-e03", "m-e04"} {
+		if machines.ordered[name] != 0 || b.pending[name] != nil {
+			t.Errorf("%s: %d orders, pending %v", name, machines.ordered[name], b.pending[name] != nil)
+		}
+	}
+	if len(machines.ordered) != len(moves)-2 {
+		t.Errorf("%d moves ordered, want %d", len(machines.ordered), len(moves)-2)
+	}
+}
--- a/entry/manager/waves.go
+++ b/entry/manager/waves.go
@@ -218,7 +218,7 @@
 	case InstanceOrderBusy, InstanceOrderRefused, InstanceOrderLimited:
 		i.Phase = schedule.PhaseWaiting
 		m.mu.Lock()
-		m.scheduler.ReleaseEndpoint(i.Endpoint)
+		m.scheduler.CancelMaintenance(i.Endpoint)
 		m.mu.Unlock()
 	}
 	event.MaintenanceRefused.Log(fields)
