Check the mark of a cancellation before each start is sent

Change: a planned start is also checked against the marks that the entry has seen. The test covers both ways.

--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -51,8 +51,10 @@
 	// Organisations, if set, returns the terms of the organisations by the newest
 	// configuration; known is false until there is one.
 	Organisations func() (terms []organisation.Terms, known bool)
-	// CancelMarks, if set, returns the jobs that are marked as cancelled.
+	// CancelMarks, if set, returns the jobs that are marked as cancelled, and IsCancelled whether
+	// a job is.
 	CancelMarks func() []string
+	IsCancelled func(id string) bool
 	// Holder identifies this entry in orders to the platform.
 	Holder string
 	// Inherited is what the previous owner has handed over, or nil.
--- a/entry/manager/send.go
+++ b/entry/manager/send.go
@@ -65,9 +65,14 @@
 // maySend reports whether an order may still be sent. Its job may have been cancelled since the
 // order was planned, and its caller told so.
 func (m *Manager) maySend(o schedule.Order) bool {
+	cancelled := o.Action == schedule.Start && m.IsCancelled != nil && m.IsCancelled(o.Job)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.scheduler.MaySend(o, time.Now())
+	now := time.Now()
+	if cancelled {
+		m.scheduler.CancelJob(o.Job, now)
+	}
+	return m.scheduler.MaySend(o, now)
 }
 
 // carryOut sends an order and returns its result.
--- a/entry/manager/send_test.go
+++ b/entry/manager/send_test.go
@@ -55,9 +55,9 @@
 	m := newSubmitManager(&fakeStore{})
 	endpoint := &busyEndpoint{done: func() {}}
 	m.Endpoints, m.pollers = endpoint, map[string]*poller{"a": {}}
-	for n := range 2 {
+	for n := range 4 {
 		j := newSubmission(n)
-		j.Steps[0].Count = 4
+		j.Steps[0].Count = 2
 		m.scheduler.AddJob(job.Record{Job: j, State: job.Queued}, time.Now())
 	}
 	orders := m.dueOrders()
@@ -65,15 +65,16 @@
 		t.Fatalf("%d orders, want 8", len(orders))
 	}
 	m.scheduler.CancelJob(newSubmission(0).ID, time.Now())
+	m.IsCancelled = func(id string) bool { return id == newSubmission(1).ID }
 	for _, o := range orders {
 		m.sendOrder(t.Context(), o)
 	}
 	m.ordersInFlight.Wait()
 	if sent := -endpoint.left.Load(); sent != 4 {
-		t.Errorf("%d starts were sent, want those of the job that was not cancelled", sent)
+		t.Errorf("%d starts were sent, want those of the two jobs that were not cancelled", sent)
 	}
 	if again := m.dueOrders(); len(again) > 0 {
-		t.Errorf("%d orders for a job that has not started", len(again))
+		t.Errorf("%d orders for jobs that have not started", len(again))
 	}
 	if s, known := m.scheduler.EndpointStatus("a"); !known || s.Runs != 4 {
 		t.Errorf("the endpoint counts with %d runs, want 4", s.Runs)
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -157,7 +157,7 @@
 	defer cancel()
 	m := &manager.Manager{
 		Settings: n.managerSettings(), Store: n.Store, Endpoints: n.Endpoints, Directory: n.Directory, Machines: n.Machines, Reports: n.Reports, Holder: n.Name,
-		Pools: n.pools, Organisations: n.organisations, CancelMarks: n.cancelMarks, Inherited: inherited,
+		Pools: n.pools, Organisations: n.organisations, CancelMarks: n.cancelMarks, IsCancelled: n.isCancelled, Inherited: inherited,
 		Term: manager.Term{
 			Owner:  store.Condition{Key: manager.OwnerKey, Revision: t.revision},
 			Number: t.number, ConfinedSince: t.confinedSince,
