Give the entries of the demo a loopback host of their own

Cause: TestFrozenEntry failed once with "exited before it was listening". The addresses of the entries are chosen, released and listened on later. In between, and while an entry restarts, the system may give such a port to an outgoing connection, since all of them share 127.0.0.1 and its range of ports.

Change: the addresses of a fleet are on a loopback host that no connection begins at. The error of a program that has exited names the last line of its log.

--- a/demo/internal/fleet/fleet.go
+++ b/demo/internal/fleet/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -150,11 +151,14 @@
 
 // freeAddresses returns loopback addresses that were free when checked. Addresses
 // are chosen before the entries start, because the settings of every entry list
-// the addresses of its peers. All listeners stay open until the last one is
+// the addresses of its peers. They share a host of their own: connections of other
+// processes, which begin at 127.0.0.1, may get any free port there before an entry
+// listens, or while it is restarted. All listeners stay open until the last one is
 // created, so that no address is returned twice.
 func freeAddresses(ctx context.Context, count int) (addresses []string, err error) {
+	host := net.IPv4(127, byte(1+rand.IntN(254)), byte(rand.IntN(256)), byte(1+rand.IntN(254))) //nolint:gosec // it is no secret
 	for range count {
-		l, err := new(net.ListenConfig).Listen(ctx, "tcp", "127.0.0.1:0")
+		l, err := new(net.ListenConfig).Listen(ctx, "tcp", net.JoinHostPort(host.String(), "0"))
 		if err != nil {
 			return nil, errors.Wrap(err, "fleet: find a free port")
 		}
--- a/demo/internal/process/process.go
+++ b/demo/internal/process/process.go
@@ -71,7 +71,7 @@
 	select {
 	case line, open := <-ready:
 		if !open {
-			return nil, fmt.Errorf("exited before it was listening; see %s", p.log.Name())
+			return nil, fmt.Errorf("exited before it was listening: %s; see %s", lastLine(p.log.Name()), p.log.Name())
 		}
 		p.Addresses = strings.Fields(line)
 		return p, nil
@@ -80,6 +80,16 @@
 	}
 }
 
+// lastLine returns the last line of a log, which tells why its program has exited.
+func lastLine(path string) string {
+	text, err := os.ReadFile(path) //nolint:gosec // the log is this group's own
+	if err != nil {
+		return err.Error()
+	}
+	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+	return lines[len(lines)-1]
+}
+
 // readOutput reads the program's output to its end, sends the line with the
 // addresses to ready, and then waits for the exit.
 func (p *Process) readOutput(output *bufio.Scanner, ready chan<- string) {
