--- a/entry/manager/send.go
+++ b/entry/manager/send.go
@@ -51,6 +51,9 @@
 	}
 	planDue := m.planDue
 	m.ordersInFlight.Go(func() {
+		if !m.maySend(o.Order) {
+			return
+		}
 		a := m.carryOut(ctx, o)
 		if !errors.Is(a.err, errUnconfirmed) {
 			a.planDue = planDue
@@ -59,6 +62,19 @@
 	})
 }
 
+// maySend reports whether an order may still be sent. Its job may have been cancelled since the
+// order was planned, and its caller told so.
+func (m *Manager) maySend(o schedule.Order) bool {
+	cancelled := o.Action == schedule.Start && m.IsCancelled != nil && m.IsCancelled(o.Job)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	if cancelled {
+		m.scheduler.CancelJob(o.Job, now)
+	}
+	return m.scheduler.MaySend(o, now)
+}
+
 // carryOut sends an order and returns its result.
 func (m *Manager) carryOut(ctx context.Context, o plannedOrder) (a orderResult) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
