Check moves and maintenance again just before their orders

An order names the instance. Hundreds of moves that were planned at once were ordered at 50 a second, and maintenance one instance after the other, so that the last orders came up to five seconds after their plan. By then the other of the two had given the instance a new endpoint that ran tasks, and the order ended them, long-running ones beside others of their step that were away.

Each order is now preceded by a check: the endpoint has to be listed, to answer and to be idle, and an instance without one must not have another. A move is dropped if its endpoint is reserved for maintenance, and no longer ends that reservation. TestInstancesInUseAreNotOrdered fails without the checks.

--- a/coordination/schedule/balance.go
+++ b/coordination/schedule/balance.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"github.com/azurepoint/azurepoint/coordination/sizing"
@@ -82,6 +83,30 @@
 	return d.Moves
 }
 
+// MayMove reports whether a planned move may still be ordered.
+func (s *Scheduler) MayMove(m Move) bool {
+	e := s.endpoints[m.Endpoint]
+	reserved := s.reservedInstances[m.Instance] || e != nil && e.reservedForMaintenance
+	return !reserved && s.runsNothing(m.Instance, m.Endpoint)
+}
+
+// runsNothing reports whether an instance with an endpoint, or with none that is known, may be
+// taken out of service. The order names the instance, so that it would end the tasks of the next
+// endpoint there if this one has had its maintenance, been moved or crashed since.
+func (s *Scheduler) runsNothing(instance, id string) bool {
+	if e := s.endpoints[id]; e != nil {
+		return e.listed && !e.unresponsive() && len(e.runs)+len(e.unknownRuns) == 0
+	}
+	return !slices.ContainsFunc(s.sortedEndpoints, func(e *endpoint) bool { return e.Instance == instance && e.listed && !e.unresponsive() })
+}
+
+// CancelMove returns an endpoint to service whose move is not carried out.
+func (s *Scheduler) CancelMove(endpoint string) {
+	if e := s.endpoints[endpoint]; e != nil {
+		e.moving, e.replacementOrdered = false, e.replacementOrdered && e.reservedForMaintenance
+	}
+}
+
 // PoolSizes returns the sizes of the pools as of the last call of PlanMoves.
 func (s *Scheduler) PoolSizes() []sizing.Size {
 	return s.poolSizes
--- a/coordination/schedule/wave.go
+++ b/coordination/schedule/wave.go
@@ -371,11 +371,15 @@
 	return longest
 }
 
-// ReleaseEndpoint returns an endpoint to service whose move or maintenance is not carried
-// out.
-func (s *Scheduler) ReleaseEndpoint(endpoint string) {
+// MayMaintain reports whether the maintenance that PlanWave has returned may still be ordered.
+func (s *Scheduler) MayMaintain(i *WaveInstance) bool {
+	return s.runsNothing(i.Name, i.Endpoint)
+}
+
+// CancelMaintenance returns an endpoint to service whose maintenance is not carried out.
+func (s *Scheduler) CancelMaintenance(endpoint string) {
 	if e := s.endpoints[endpoint]; e != nil {
-		e.reservedForMaintenance, e.moving, e.replacementOrdered = false, false, false
+		e.reservedForMaintenance, e.replacementOrdered = false, e.replacementOrdered && e.moving
 	}
 }
 
--- a/coordination/schedule/wave_test.go
+++ b/coordination/schedule/wave_test.go
@@ -201,7 +201,7 @@
 		}
 		for _, i := range f.s.PlanWave(v, observed, f.now) {
 			i.Phase, i.Confirmed = PhaseDone, true
-			f.s.ReleaseEndpoint(i.Endpoint)
+			f.s.CancelMaintenance(i.Endpoint)
 			maintained[i.Endpoint] = true
 		}
 		if v.Complete() {
@@ -237,3 +237,55 @@
 		t.Errorf("%d more instances are ready for maintenance while one is down", len(more))
 	}
 }
+
+// Guards against orders that end running tasks: they name the instance, and the last moves and
+// maintenance of a large plan were ordered seconds later, when the instances had a new endpoint
+// that ran tasks.
+func TestOrdersAreDroppedOnceTheInstanceIsInUse(t *testing.T) {
+	f := newFixture(t)
+	var listed []Endpoint
+	for _, id := range []string{"e1", "e2", "e3", "e4", "e5", "e6", "e7"} {
+		listed = append(listed, Endpoint{ID: id, Pool: "p", Capacity: testCapacity, Instance: "m-" + id})
+		f.running[id] = make(map[string]ListedRun)
+	}
+	f.s.SetEndpoints(listed, f.now)
+	for _, l := range listed {
+		f.sendReport(l.ID)
+	}
+	v, observed := testWave(f, 1, "e1")
+	if idle := f.s.PlanWave(v, observed, f.now); len(idle) != 1 || !f.s.MayMaintain(idle[0]) {
+		t.Fatalf("%d instances are ready for maintenance, want 1", len(idle))
+	}
+	f.s.RecordDisconnected("e2", f.now)
+	f.s.UnlistEndpoint("e3")
+	f.s.UnlistEndpoint("e4")
+	f.s.RecordTermination("e4", LossReleased, f.now)
+	f.running["e5"]["x.0.0.0"] = ListedRun{Task: "x.0.0.0", Run: 1}
+	f.sendReport("e5")
+	for _, w := range []struct {
+		instance, endpoint       string
+		mayMove, mayBeMaintained bool
+	}{
+		{"m-e1", "e1", false, true},
+		{"m-e2", "e2", false, false},
+		{"m-e3", "e3", false, false},
+		{"m-e4", "e4", true, true},
+		{"m-e5", "e5", false, false},
+		{"m-e6", "e6", true, true},
+		{"m-e6", "removed", false, false},
+		{"m-e6", "", false, false},
+		{"m-spare", "", true, true},
+	} {
+		if got := f.s.MayMove(Move{Instance: w.instance, Endpoint: w.endpoint}); got != w.mayMove {
+			t.Errorf("%s with the endpoint %q may be moved: %v, want %v", w.instance, w.endpoint, got, w.mayMove)
+		}
+		if got := f.s.MayMaintain(&WaveInstance{Name: w.instance, Endpoint: w.endpoint}); got != w.mayBeMaintained {
+			t.Errorf("%s with the endpoint %q may be maintained: %v, want %v", w.instance, w.endpoint, got, w.mayBeMaintained)
+		}
+	}
+	f.s.endpoints["e1"].moving = true
+	f.s.CancelMove("e1")
+	if e := f.s.endpoints["e1"]; e.moving || !e.reservedForMaintenance {
+		t.Error("the dropped move ends the reservation for maintenance")
+	}
+}
--- a/entry/manager/moves.go
+++ b/entry/manager/moves.go
@@ -146,7 +146,7 @@
 		}
 		v := moves[0]
 		moves = moves[1:]
-		if !b.manager.Term.Confirmed() {
+		if !b.manager.Term.Confirmed() || !b.mayOrder(v) {
 			b.releaseMove(&pendingMove{move: v})
 			continue
 		}
@@ -156,6 +156,14 @@
 	}
 }
 
+// mayOrder reports whether a planned move may be ordered now. Hundreds of moves that are planned at
+// once take seconds to order.
+func (b *balancer) mayOrder(v schedule.Move) bool {
+	b.manager.mu.Lock()
+	defer b.manager.mu.Unlock()
+	return b.manager.scheduler.MayMove(v)
+}
+
 // readInstances reads the instance list, and ends the moves that are finished or had
 // no effect.
 func (b *balancer) readInstances(ctx context.Context, now time.Time) (read bool) {
@@ -205,7 +213,7 @@
 	delete(b.pending, v.move.Instance)
 	b.manager.mu.Lock()
 	defer b.manager.mu.Unlock()
-	b.manager.scheduler.ReleaseEndpoint(v.move.Endpoint)
+	b.manager.scheduler.CancelMove(v.move.Endpoint)
 }
 
 // moveResult is the result of the order of a move.
--- a/entry/manager/moves_test.go
+++ b/entry/manager/moves_test.go
@@ -102,3 +102,43 @@
 		})
 	}
 }
+
+// maintainedMachines counts the orders of maintenance.
+type maintainedMachines struct {
+	Machines
+	orders int
+}
+
+// Maintain answers that the order was carried out.
+func (c *maintainedMachines) Maintain(context.Context, InstanceOrder) (answer InstanceOrderResult, err error) {
+	c.orders++
+	return InstanceOrderDone, nil
+}
+
+// Guards against orders to instances that have another endpoint by now.
+func TestInstancesInUseAreNotOrdered(t *testing.T) {
+	b, machines, moves := newMoveFixture(InstanceOrderDone, func() bool { return true })
+	m := b.manager
+	m.scheduler.RecordDisconnected("e03", time.Now())
+	m.scheduler.UnlistEndpoint("e04")
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	b.orderMoves(ctx, moves)
+	for _, name := range []string{"m-e03", "m-e04"} {
+		if machines.ordered[name] != 0 || b.pending[name] != nil {
+			t.Errorf("%s: %d orders, pending %v", name, machines.ordered[name], b.pending[name] != nil)
+		}
+	}
+	if len(machines.ordered) != len(moves)-2 {
+		t.Errorf("%d moves ordered, want %d", len(machines.ordered), len(moves)-2)
+	}
+	maintained := &maintainedMachines{}
+	m.Machines = maintained
+	p := &waveProgress{record: waveRecord{Done: make(map[string]bool)}}
+	for _, endpoint := range []string{"e03", "e05"} {
+		m.orderMaintenance(ctx, p, &schedule.WaveInstance{Name: "m-" + endpoint, Endpoint: endpoint, Phase: schedule.PhaseReserved})
+	}
+	if maintained.orders != 1 || !p.record.Done["m-e05"] {
+		t.Errorf("%d orders of maintenance, done %v, want one of m-e05", maintained.orders, p.record.Done)
+	}
+}
--- a/entry/manager/waves.go
+++ b/entry/manager/waves.go
@@ -193,11 +193,19 @@
 	}
 }
 
-// orderMaintenance orders the maintenance of an idle instance.
+// orderMaintenance orders the maintenance of an instance if it is still idle: the orders follow
+// each other, so that the last ones of many are sent seconds after the plan.
 func (m *Manager) orderMaintenance(ctx context.Context, p *waveProgress, i *schedule.WaveInstance) {
 	if !m.Term.Confirmed() {
 		return
 	}
+	m.mu.Lock()
+	may := m.scheduler.MayMaintain(i)
+	m.mu.Unlock()
+	if !may {
+		m.cancelMaintenance(i)
+		return
+	}
 	wave := p.wave.Number
 	i.Phase, i.OrderedAt = schedule.PhaseOrdered, time.Now()
 	answer, err := m.Machines.Maintain(ctx, InstanceOrder{Instance: i.Name, Holder: m.Holder, Fence: m.Term.Number, Wave: wave})
@@ -216,14 +224,19 @@
 	case InstanceOrderFenced:
 		m.endTerm()
 	case InstanceOrderBusy, InstanceOrderRefused, InstanceOrderLimited:
-		i.Phase = schedule.PhaseWaiting
-		m.mu.Lock()
-		m.scheduler.ReleaseEndpoint(i.Endpoint)
-		m.mu.Unlock()
+		m.cancelMaintenance(i)
 	}
 	event.MaintenanceRefused.Log(fields)
 }
 
+// cancelMaintenance returns an instance to service whose maintenance was not ordered or refused.
+func (m *Manager) cancelMaintenance(i *schedule.WaveInstance) {
+	i.Phase = schedule.PhaseWaiting
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.scheduler.CancelMaintenance(i.Endpoint)
+}
+
 // loadWave reads which instances previous owners have ordered.
 func (m *Manager) loadWave(ctx context.Context, p *waveProgress) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
