--- a/coordination/schedule/wave.go
+++ b/coordination/schedule/wave.go
@@ -371,6 +371,11 @@
 	return longest
 }
 
+// MayMaintain reports whether the maintenance that PlanWave has returned may still be ordered.
+func (s *Scheduler) MayMaintain(i *WaveInstance) bool {
+	return s.runsNothing(i.Name, i.Endpoint)
+}
+
 // CancelMaintenance returns an endpoint to service whose maintenance is not carried out.
 func (s *Scheduler) CancelMaintenance(endpoint string) {
 	if e := s.endpoints[endpoint]; e != nil {
--- a/entry/manager/moves.go
+++ b/entry/manager/moves.go
@@ -50,8 +50,6 @@
 	pending   map[string]*pendingMove
 	instances []schedule.InstanceObservation
 	readAt    time.Time
-	// spare is the spare pool, whose instances run nothing.
-	spare string
 }
 
 // runMoves balances the pools until the context ends.
@@ -82,7 +80,6 @@
 			return
 		}
 	}
-	b.spare = pools.Spare
 	incoming := make(map[string]int)
 	for _, v := range b.pending {
 		incoming[v.move.To]++
@@ -164,7 +161,7 @@
 func (b *balancer) mayOrder(v schedule.Move) bool {
 	b.manager.mu.Lock()
 	defer b.manager.mu.Unlock()
-	return v.From == b.spare || b.manager.scheduler.MayMove(v)
+	return b.manager.scheduler.MayMove(v)
 }
 
 // readInstances reads the instance list, and ends the moves that are finished or had
