--- a/azurepoint/internal/cli/explain.go
+++ b/azurepoint/internal/cli/explain.go
@@ -32,7 +32,8 @@
 
 type explainCommand struct {
 	ID    string   `arg:"positional,required" help:"identifier of the job"`
-	Files []string `arg:"positional" placeholder:"FILE" help:"logs of entries, in any order; the standard input if left out"`
+	Dump  string   `arg:"--dump" placeholder:"FILE" help:"summary of the owner with the job, read from its address /dump?job=ID"`
+	Files []string `arg:"positional" placeholder:"FILE" help:"logs of entries, in any order; the standard input if left out without --dump"`
 }
 
 // logLine is one event in the JSON format of an entry's log.
@@ -47,6 +48,16 @@
 
 // explain prints the events of a job from logs, ordered by time.
 func explain(c *explainCommand, stdin io.Reader, p printer) (code int) {
+	if c.Dump != "" {
+		j, err := readExpected(c.ID, c.Dump)
+		if err != nil {
+			return p.reportError(ExitUsage, err)
+		}
+		j.print(p.out)
+		if len(c.Files) == 0 {
+			return ExitDone
+		}
+	}
 	var s timeline
 	if len(c.Files) == 0 {
 		if err := s.collect(c.ID, "", stdin); err != nil {
--- a/azurepoint/internal/cli/explain_test.go
+++ b/azurepoint/internal/cli/explain_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 )
@@ -56,6 +58,34 @@
 	}
 }
 
+// Guards against a job whose expected times an operator cannot see, and against a summary of
+// another entry or job that is taken for one without news.
+func TestExplainExpectedTimes(t *testing.T) {
+	const owner = `{"name":"edge-a","owner":"edge-a","manager":{},"job":{"job":"aa","queue":"quotes","pool":"p","state":"queued",
+		"startsInMillis":1500,"endsInMillis":3750,
+		"steps":[{"tasks":4,"done":1,"running":2,"medianMillis":900,"p90Millis":2100,"key":"size","runs":40}]}}`
+	for _, c := range []struct {
+		id, dump, want string
+		code           int
+	}{
+		{"aa", owner, "startsIn=1.5s endsIn=3.75s", ExitDone},
+		{"aa", owner, "median=900ms p90=2.1s runs=40 key=size tasks=4", ExitDone},
+		{"bb", owner, `no unfinished job "bb"`, ExitUsage},
+		{"aa", `{"name":"edge-b","owner":"edge-a"}`, "edge-b does not manage jobs, ask edge-a", ExitUsage},
+		{"aa", "nothing", "is no summary of an entry", ExitUsage},
+	} {
+		file := filepath.Join(t.TempDir(), "dump.json")
+		if err := os.WriteFile(file, []byte(c.dump), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		var out, errs bytes.Buffer
+		code := Run(t.Context(), []string{"explain", c.id, "--dump", file}, strings.NewReader(""), &out, &errs)
+		if text := out.String() + errs.String(); code != c.code || !strings.Contains(text, c.want) {
+			t.Errorf("code %d, %q is missing in %q", code, c.want, text)
+		}
+	}
+}
+
 // Guards against error messages that do not name the cause.
 func TestExplainErrors(t *testing.T) {
 	for _, c := range []struct {
--- a/coordination/duration/distribution.go
+++ b/coordination/duration/distribution.go
@@ -115,6 +115,8 @@
 	scale   float64
 	shape   *shape
 	samples int
+	level   level
+	runs    int
 }
 
 // Samples returns how many finished runs of the task's queue are known; 0 means that the
--- a/coordination/duration/estimator.go
+++ b/coordination/duration/estimator.go
@@ -68,14 +68,14 @@
 func (e *Estimator) Expect(k Key, declared time.Duration) (d Distribution) {
 	q, known := e.queues[k.Queue]
 	if !known || q.runs == 0 {
-		return Distribution{scale: math.Exp(logMillis(max(declared, time.Millisecond), 1)), shape: declaredShape}
+		return Distribution{scale: math.Exp(logMillis(max(declared, time.Millisecond), 1)), shape: declaredShape, level: levelDeclared}
 	}
 	p := q.predict(k, logMillis(declared, 0))
 	s := &q.shape
 	if p.siblings {
 		s = &q.siblingShape
 	}
-	return Distribution{scale: math.Exp(p.location), shape: s, samples: p.samples}
+	return Distribution{scale: math.Exp(p.location), shape: s, samples: p.samples, level: p.level, runs: p.runs}
 }
 
 // queue returns the history of a queue and creates it if necessary.
--- a/coordination/duration/history.go
+++ b/coordination/duration/history.go
@@ -17,6 +17,10 @@
 	levelOrganisation
 	levelPlace
 	levelCount
+	// levelSiblings and levelDeclared name the source of a distribution that is not made from a
+	// group of runs.
+	levelSiblings
+	levelDeclared
 )
 
 // exponents are the powers of the declared estimate that scale a prediction: 0 ignores it,
@@ -56,6 +60,7 @@
 // location is a moving average of the logarithm of the run time, for each exponent of the
 // declared estimate.
 type location struct {
+	runs   int
 	weight float64
 	// bias is the recent signed error at the exponent 0.
 	bias      float64
@@ -65,6 +70,7 @@
 
 // update adds a run.
 func (l *location) update(declared, took float64, now time.Time) {
+	l.runs++
 	if l.weight > minWeight {
 		age := max(0, now.Sub(l.updatedAt))
 		l.weight = max(minWeight, l.weight*math.Exp2(-float64(age)/float64(halfLife)))
@@ -119,7 +125,7 @@
 			return levelKey{number: 1}, true
 		}
 		return levelKey{}, true
-	case levelQueue, levelCount:
+	case levelQueue, levelCount, levelSiblings, levelDeclared:
 	}
 	return levelKey{}, false
 }
@@ -160,16 +166,24 @@
 	location, base float64
 	siblings       bool
 	samples        int
+	// level and runs are what the prediction is made from.
+	level level
+	runs  int
 }
 
 // predict returns the prediction for a task.
 func (q *queueHistory) predict(k Key, declared float64) (p prediction) {
 	declared = q.usableDeclared(declared)
-	p.base = q.at(q.locationOf(k, q.level), q.exponent) + exponents[q.exponent]*declared
-	p.location, p.samples = p.base, q.runs
+	own := q.locationOf(k, q.level)
+	p.base = q.at(own, q.exponent) + exponents[q.exponent]*declared
+	p.location, p.samples, p.runs = p.base, q.runs, q.runs
+	if own != &q.all {
+		p.level, p.runs = q.level, own.runs
+	}
 	if k.Siblings != nil && k.Siblings.count > 0 && q.siblingGain >= 0 {
 		p.siblings = true
 		p.location = k.Siblings.combine(p.base)
+		p.level, p.runs = levelSiblings, int(k.Siblings.count)
 	}
 	return p
 }
--- /dev/null
+++ b/coordination/schedule/jobstate.go
@@ -0,0 +1,103 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/azurepoint/azurepoint/coordination/duration"
+	"github.com/azurepoint/azurepoint/coordination/job"
+)
+
+// JobSummary is what the scheduler expects of an unfinished job, for operators.
+type JobSummary struct {
+	Job          string      `json:"job"`
+	Queue        string      `json:"queue"`
+	Pool         string      `json:"pool"`
+	Organisation string      `json:"organisation,omitempty"`
+	State        job.State   `json:"state"`
+	Steps        []StepTimes `json:"steps"`
+	// StartsInMillis is when a job that has not started is expected to, and EndsInMillis when a
+	// job is expected to end, by the work ahead of it in its pool.
+	StartsInMillis *int64 `json:"startsInMillis,omitempty"`
+	EndsInMillis   *int64 `json:"endsInMillis,omitempty"`
+	// Untold is the reason why these times cannot be told: "long-running", "limit" while the limit
+	// of the organisation holds the job back, or "no endpoints" of the pool are in service.
+	Untold string `json:"untold,omitempty"`
+}
+
+// StepTimes is what a task of a step is expected to take.
+type StepTimes struct {
+	Tasks   int `json:"tasks"`
+	Done    int `json:"done"`
+	Running int `json:"running"`
+	duration.Times
+}
+
+// DescribeJob returns what is expected of an unfinished job; known is false if there is none.
+func (s *Scheduler) DescribeJob(id string, now time.Time) (summary JobSummary, known bool) {
+	j := s.jobs[id]
+	if j == nil || j.state.Terminal() {
+		return JobSummary{}, false
+	}
+	s.init()
+	summary = JobSummary{Job: id, Queue: j.Queue, Pool: j.Pool, Organisation: j.Organisation, State: j.state}
+	limited := false
+	for i := range j.Steps {
+		times := StepTimes{Times: s.times(j, &j.Steps[i])}
+		for _, o := range j.occurrences {
+			st := o.steps[i]
+			times.Tasks, times.Done, times.Running = times.Tasks+len(st.tasks), times.Done+st.done, times.Running+st.running
+			limited = limited || !j.started && o.dependenciesDone(st) && s.limited(st)
+		}
+		summary.Steps = append(summary.Steps, times)
+	}
+	s.updateBacklogs(0, now)
+	switch {
+	case j.longRunning():
+		summary.Untold = "long-running"
+	case limited:
+		summary.Untold = "limit"
+	case s.admissions.backlogs[j.Pool] == nil:
+		summary.Untold = "no endpoints"
+	default:
+		summary.addTurn(s.turnOf(j, now), now)
+	}
+	return summary, true
+}
+
+// times returns what a task of the step is expected to take.
+func (s *Scheduler) times(j *jobState, st *job.Step) (t duration.Times) {
+	if !s.Settings.MeanDurations {
+		return s.distribution(j, st).Times()
+	}
+	t = duration.Times{MedianMillis: int64(s.expected(j, st)), Basis: duration.Basis{Key: "mean"}}
+	if d := s.durationEstimates[j.Queue]; d != nil {
+		t.Runs = d.count
+	}
+	t.P90Millis = t.MedianMillis
+	return t
+}
+
+// limited reports whether the limit of the organisation holds a task of the step back.
+func (s *Scheduler) limited(st *stepState) bool {
+	o, name := &s.organisations, st.tasks[0].job.Organisation
+	return name != "" && o.ledger.Active() && !o.ledger.MayStart(name, limitSize(st.step), 1, o.unseen[name])
+}
+
+// turnOf returns the turn of a job that is not long-running, in a pool with endpoints.
+func (s *Scheduler) turnOf(j *jobState, now time.Time) (own turn) {
+	for _, t := range s.turns(j.Pool, now) {
+		if t.job == j {
+			own = t
+		}
+	}
+	return own
+}
+
+func (summary *JobSummary) addTurn(t turn, now time.Time) {
+	if !t.job.started {
+		starts := t.startsAt.Sub(now).Milliseconds()
+		summary.StartsInMillis = &starts
+	}
+	ends := t.endsAt.Sub(now).Milliseconds()
+	summary.EndsInMillis = &ends
+}
--- a/coordination/schedule/state.go
+++ b/coordination/schedule/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/azurepoint/azurepoint/coordination/duration"
 	"github.com/azurepoint/azurepoint/coordination/sizing"
 )
 
@@ -38,6 +39,8 @@
 	Size        sizing.Size        `json:"size"`
 	DataCentres []EndpointSummary  `json:"dataCentres"`
 	Queues      map[string]float64 `json:"queueMeanMillis,omitempty"`
+	// QueueTimes is what a task of each queue with unfinished jobs is expected to take.
+	QueueTimes map[string]duration.Times `json:"queueTimes,omitempty"`
 }
 
 // EndpointSummary counts the endpoints of a pool in a data centre. Those that cannot get new
@@ -93,9 +96,7 @@
 	for _, j := range s.jobs {
 		if p := pools[j.Pool]; p != nil && !j.state.Terminal() {
 			p.addJob(j, wall)
-			if d := s.durationEstimates[j.Queue]; d != nil {
-				p.addQueue(j.Queue, d.mean)
-			}
+			s.addQueue(p, j.Queue)
 		}
 	}
 	for _, pool := range sortedKeys(pools) {
@@ -124,11 +125,23 @@
 	}
 }
 
-func (p *PoolState) addQueue(queue string, mean float64) {
-	if p.Queues == nil {
-		p.Queues = make(map[string]float64)
+// addQueue adds what the tasks of a queue are expected to take.
+func (s *Scheduler) addQueue(p *PoolState, queue string) {
+	if d := s.durationEstimates[queue]; d != nil {
+		if p.Queues == nil {
+			p.Queues = make(map[string]float64)
+		}
+		p.Queues[queue] = d.mean
+	}
+	if _, done := p.QueueTimes[queue]; done {
+		return
+	}
+	if d, known := s.durations.estimator.Typical(queue); known {
+		if p.QueueTimes == nil {
+			p.QueueTimes = make(map[string]duration.Times)
+		}
+		p.QueueTimes[queue] = d.Times()
 	}
-	p.Queues[queue] = mean
 }
 
 // summariseEndpoints counts the endpoints of a pool by data centre.
--- a/entry/manager/dump.go
+++ b/entry/manager/dump.go
@@ -32,6 +32,13 @@
 	return d
 }
 
+// DescribeJob returns what is expected of an unfinished job; known is false if there is none.
+func (m *Manager) DescribeJob(id string) (summary schedule.JobSummary, known bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.scheduler.DescribeJob(id, time.Now())
+}
+
 // countCreations returns how many new jobs are not stored yet.
 func (rw *recordWriter) countCreations() int {
 	rw.mu.Lock()
--- a/entry/node/dump.go
+++ b/entry/node/dump.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/azurepoint/azurepoint/coordination/schedule"
 	"github.com/azurepoint/azurepoint/entry/event"
 	"github.com/azurepoint/azurepoint/entry/manager"
 )
@@ -39,6 +40,8 @@
 	Unsettled   int `json:"unsettled"`
 	// Manager is set while this entry owns the pools.
 	Manager *manager.Dump `json:"manager,omitempty"`
+	// Job is set if an unfinished job was asked for that this entry manages.
+	Job *schedule.JobSummary `json:"job,omitempty"`
 }
 
 // Dump returns a summary of the entry.
@@ -63,12 +66,18 @@
 	return d
 }
 
-// DumpHandler serves the summary of the entry as JSON.
+// DumpHandler serves the summary of the entry as JSON, with that of the job that the query names.
 func (n *Node) DumpHandler() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		event.StateDumped.Log(nil)
+		d := n.Dump()
+		if m := n.manager(); m != nil {
+			if j, known := m.DescribeJob(r.URL.Query().Get("job")); known {
+				d.Job = &j
+			}
+		}
 		w.Header().Set("Content-Type", "application/json")
-		if err := json.NewEncoder(w).Encode(n.Dump()); err != nil {
+		if err := json.NewEncoder(w).Encode(d); err != nil {
 			event.ComponentFailed.Log(log.Fields{"part": "dump", "error": err.Error()})
 		}
 	})
