Start no second runs while most runs of a queue are slower

A run that exceeds the 0.95 quantile of its queue by its progress gets a second run beside it, or is restarted. If all runs became slower at once, nearly all got one, which took room and was as slow; their endpoints counted as slow, so that the estimator learned nothing of it either. The share of the last runs of the queue that lag now tells stragglers from a slow queue.

--- a/coordination/schedule/burst_test.go
+++ b/coordination/schedule/burst_test.go
@@ -54,6 +54,8 @@
 	// onOrder, if set, is called with each order, and each of onTick before each plan.
 	onOrder func(Order)
 	onTick  []func()
+	// slowness, if set, is how many times as long runs take that start on an endpoint.
+	slowness func(endpoint string) float64
 }
 
 type simulatedRun struct {
@@ -173,9 +175,11 @@
 		if err != nil {
 			panic(err)
 		}
-		sim.running[o.Endpoint][o.Task] = simulatedRun{
-			ListedRun{Task: o.Task, Run: o.Run}, sim.now, sim.now.Add(sim.jobs[id].durations[ref.Step][ref.Index]),
+		took := sim.jobs[id].durations[ref.Step][ref.Index]
+		if sim.slowness != nil {
+			took = time.Duration(float64(took) * sim.slowness(o.Endpoint))
 		}
+		sim.running[o.Endpoint][o.Task] = simulatedRun{ListedRun{Task: o.Task, Run: o.Run}, sim.now, sim.now.Add(took)}
 	case Stop:
 		if r, runs := sim.running[o.Endpoint][o.Task]; runs {
 			sim.endRun(o.Endpoint, r.listing, EndStopped)
--- a/coordination/schedule/duration.go
+++ b/coordination/schedule/duration.go
@@ -25,6 +25,8 @@
 	observed  int
 	// restarts holds, by queue, how often a new run of a lagging task was faster.
 	restarts map[string]*restartSuccess
+	// stragglers holds, by queue, whether most runs are slower than was learned.
+	stragglers map[string]*duration.Stragglers
 }
 
 // version returns a number that changes when cached expectations are outdated.
@@ -144,6 +146,7 @@
 	}
 	t := r.task
 	s.recordRestart(r, now)
+	s.judge(r, false)
 	if !r.fullRun() {
 		s.observeBound(r, now)
 		return
--- a/coordination/schedule/durationlag.go
+++ b/coordination/schedule/durationlag.go
@@ -56,6 +56,9 @@
 	if projected <= d.Quantile(lagQuantile) {
 		return false
 	}
+	if s.judge(r, true).Common() {
+		return false
+	}
 	// A second run beside the first one loses none of its work.
 	if !t.step.AllowDuplicates {
 		p := s.durations.restarts[t.job.Queue].probability()
@@ -68,6 +71,25 @@
 	return true
 }
 
+// judge records whether a run takes longer than almost all others, unless it was judged before,
+// and returns what is known of the other runs of its queue.
+func (s *Scheduler) judge(r *run, slow bool) *duration.Stragglers {
+	queue := r.task.job.Queue
+	if s.durations.stragglers == nil {
+		s.durations.stragglers = make(map[string]*duration.Stragglers)
+	}
+	q := s.durations.stragglers[queue]
+	if q == nil {
+		q = &duration.Stragglers{}
+		s.durations.stragglers[queue] = q
+	}
+	if !r.judged {
+		r.judged = true
+		q.Observe(slow)
+	}
+	return q
+}
+
 // stalled reports whether the run shows no progress although it should have by its progress
 // so far.
 func (r *run) stalled(now time.Time) bool {
--- a/coordination/schedule/task.go
+++ b/coordination/schedule/task.go
@@ -80,7 +80,9 @@
 	stoppedAt time.Time
 
 	// lagging is set once a second run is likely to end earlier.
-	lagging         bool
+	lagging bool
+	// judged is set once the run counts as slow or not.
+	judged          bool
 	progressPercent int
 	progressAt      time.Time
 	// metric is reported by the endpoint: the tail latency of a serving task in
