Give the property tests of the scheduler one fleet

Cause: the tests of organisations, of handovers and of data centres of jobs repeated the takeover of an owner, the polls, the store's writes and the list of actions. Change: fleetmodel_test.go holds the fleet and its actions for the three; the tests keep their own checks, the distribution of their jobs and the actions that only one of them takes.

--- a/coordination/schedule/fleetmodel_test.go
+++ b/coordination/schedule/fleetmodel_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"testing"
 	"time"
 
 	"pgregory.net/rapid"
@@ -39,8 +38,8 @@
 	issued      int
 }
 
-// organisationModel is a fleet under a sequence of owners, with what its endpoints really run.
-type organisationModel struct {
+// fleetModel is a fleet under a sequence of owners, with what its endpoints really run.
+type fleetModel struct {
 	*rapid.T
 
 	s         *Scheduler
@@ -52,15 +51,22 @@
 	late      []lateOrder
 	// configurations holds the limit on the CPU of organisation a in all versions.
 	configurations []int
-	// onStart, if set, is called for each run that starts.
-	onStart func(o lateOrder)
+	// dataCentres holds those of the endpoints as the owner reads them.
+	dataCentres map[string]string
+	// prepare, load, onConfirm and onStart, if set, are called with the settings of each new
+	// owner, with each record that it loads, with each write that the store has confirmed and
+	// for each run that starts.
+	prepare   func(s *Settings)
+	load      func(r *job.Record)
+	onConfirm func(w Write)
+	onStart   func(o lateOrder)
 }
 
-func newOrganisationModel(t *rapid.T) *organisationModel {
-	m := &organisationModel{
+func newFleetModel(t *rapid.T, endpoints int) *fleetModel {
+	m := &fleetModel{
 		T: t, now: time.UnixMilli(1_700_000_000_000), store: make(map[string]job.Record), jobs: make(map[string]job.Job), configurations: []int{4000},
 	}
-	for i := range 4 {
+	for i := range endpoints {
 		m.endpoints = append(m.endpoints, &simulatedEndpoint{
 			id: fmt.Sprintf("e%d", i), incarnation: 1, running: make(map[string]ListedRun), stopping: make(map[string]bool), highest: make(map[string]int),
 		})
@@ -70,32 +76,39 @@
 }
 
 // pool returns the pool of an endpoint: the last one has its own.
-func (m *organisationModel) pool(e *simulatedEndpoint) string {
+func (m *fleetModel) pool(e *simulatedEndpoint) string {
 	if e == m.endpoints[len(m.endpoints)-1] {
 		return "q"
 	}
 	return "p"
 }
 
-func (m *organisationModel) takeOver() {
+func (m *fleetModel) takeOver() {
 	m.succeed(nil, m.now)
 }
 
 // succeed makes another owner take over, with what the previous one has handed over, if
 // anything.
-func (m *organisationModel) succeed(h *Handover, receivedAt time.Time) {
+func (m *fleetModel) succeed(h *Handover, receivedAt time.Time) {
 	m.owner++
 	m.s = &Scheduler{Settings: testSettings}
 	m.s.Settings.RunNumberBase = m.owner * 1000
+	if m.prepare != nil {
+		m.prepare(&m.s.Settings)
+	}
 	var listed []Endpoint
 	for _, e := range m.endpoints {
-		l := Endpoint{ID: e.id, Pool: m.pool(e), Address: e.id, Capacity: Capacity{CPU: 4000, MemoryMB: 4000}}
+		l := Endpoint{ID: e.id, Pool: m.pool(e), Address: e.id, DataCentre: m.dataCentres[e.id], Capacity: Capacity{CPU: 4000, MemoryMB: 4000}}
 		m.s.AddSettledEndpoint(l, m.now)
 		listed = append(listed, l)
 	}
 	var records []job.Record
 	for _, id := range sortedKeys(m.store) {
-		records = append(records, m.store[id])
+		r := m.store[id]
+		if m.load != nil {
+			m.load(&r)
+		}
+		records = append(records, r)
 	}
 	if h != nil {
 		m.s.LoadHandover(*h, records, receivedAt, m.now)
@@ -108,13 +121,13 @@
 	m.setLimit(m.configurations[len(m.configurations)-1])
 }
 
-func (m *organisationModel) setLimit(cpu int) {
+func (m *fleetModel) setLimit(cpu int) {
 	m.configurations = append(m.configurations, cpu)
 	m.s.SetOrganisations([]organisation.Terms{{Name: "a", Weight: 2, Limit: job.Capacity{CPU: cpu, MemoryMB: 6000}}, {Name: "b", Weight: 1}})
 }
 
 // actual returns what the endpoints run of organisation a.
-func (m *organisationModel) actual() (c job.Capacity) {
+func (m *fleetModel) actual() (c job.Capacity) {
 	for _, e := range m.endpoints {
 		for name := range e.running {
 			if size, organisation := m.task(name); organisation == "a" {
@@ -125,7 +138,7 @@
 	return c
 }
 
-func (m *organisationModel) task(name string) (size job.Capacity, organisation string) {
+func (m *fleetModel) task(name string) (size job.Capacity, organisation string) {
 	id, ref, err := job.ParseTaskName(name)
 	if err != nil {
 		m.Fatal(err)
@@ -135,7 +148,7 @@
 }
 
 // expire ends what runs without a lease.
-func (m *organisationModel) expire() {
+func (m *fleetModel) expire() {
 	for _, e := range m.endpoints {
 		if m.now.Before(e.leaseUntil) {
 			continue
@@ -159,7 +172,7 @@
 }
 
 // execute carries out an order if the endpoint would, and checks the limit after a start.
-func (m *organisationModel) execute(o lateOrder) OrderResult {
+func (m *fleetModel) execute(o lateOrder) OrderResult {
 	e := m.endpoints[o.Endpoint[1]-'0']
 	if o.incarnation != e.incarnation || o.fence < e.fence || m.now.After(o.deadline) || !m.now.Before(e.leaseUntil) {
 		return NotExecuted
@@ -189,7 +202,7 @@
 }
 
 // checkStart checks a start against the highest limit since its order.
-func (m *organisationModel) checkStart(o lateOrder) {
+func (m *fleetModel) checkStart(o lateOrder) {
 	size, organisation := m.task(o.Task)
 	if organisation != "a" {
 		return
@@ -204,7 +217,7 @@
 }
 
 // plan sends the orders of a plan, of which some are executed late or get no answer.
-func (m *organisationModel) plan(t *rapid.T) {
+func (m *fleetModel) plan(t *rapid.T) {
 	m.s.ExpireLeases(m.now)
 	orders := m.s.Plan(m.now, m.now)
 	counted, _ := m.s.organisations.ledger.Running("a")
@@ -229,7 +242,7 @@
 	}
 }
 
-func (m *organisationModel) submit(t *rapid.T) {
+func (m *fleetModel) submit(t *rapid.T) {
 	id := fmt.Sprintf("%016x", len(m.jobs))
 	r := newRecord(id, job.Step{Count: 1})
 	r.Steps = nil
@@ -253,14 +266,19 @@
 	}
 	r.Organisation = rapid.SampledFrom([]string{"a", "a", "b", ""}).Draw(t, "organisation")
 	r.Pool = rapid.SampledFrom([]string{"p", "p", "q"}).Draw(t, "pool")
-	m.jobs[id] = r.Job
+	m.add(r)
+}
+
+// add stores a job and adds it to the scheduler.
+func (m *fleetModel) add(r job.Record) {
+	m.jobs[r.ID] = r.Job
 	r.Steps = append([]job.Step(nil), r.Steps...)
-	m.store[id] = r
+	m.store[r.ID] = r
 	m.s.AddJob(r, m.now)
 }
 
 // poll renews the lease of an endpoint; its answer may be lost.
-func (m *organisationModel) poll(t *rapid.T) {
+func (m *fleetModel) poll(t *rapid.T) {
 	e := rapid.SampledFrom(m.endpoints).Draw(t, "endpoint")
 	m.s.ExtendLease(e.id, m.now)
 	sent := m.now
@@ -275,15 +293,20 @@
 		return
 	}
 	e.renew(m, sent)
-	r := Report{SentAt: sent, ReceivedAt: m.now, Incarnation: e.incarnation, Ended: append([]EndedRun(nil), e.ended...)}
+	m.s.ApplyReport(e.id, e.report(sent, m.now))
+}
+
+// report returns the answer of an endpoint to a poll.
+func (e *simulatedEndpoint) report(sent, received time.Time) (r Report) {
+	r = Report{SentAt: sent, ReceivedAt: received, Incarnation: e.incarnation, Ended: append([]EndedRun(nil), e.ended...)}
 	for _, name := range sortedKeys(e.running) {
 		r.Running = append(r.Running, e.running[name])
 	}
-	m.s.ApplyReport(e.id, r)
+	return r
 }
 
 // renew carries out a poll.
-func (e *simulatedEndpoint) renew(m *organisationModel, sent time.Time) {
+func (e *simulatedEndpoint) renew(m *fleetModel, sent time.Time) {
 	if status, known := m.s.EndpointStatus(e.id); known {
 		for len(e.ended) > 0 && e.ended[0].Number <= status.LastStoredEnd {
 			if e.onAcknowledge != nil {
@@ -298,13 +321,13 @@
 	}
 }
 
-func (m *organisationModel) advance(d time.Duration) {
+func (m *fleetModel) advance(d time.Duration) {
 	m.now = m.now.Add(d)
 	m.expire()
 }
 
 // endRuns ends a run, or those that are being stopped.
-func (m *organisationModel) endRuns(t *rapid.T) {
+func (m *fleetModel) endRuns(t *rapid.T) {
 	e := rapid.SampledFrom(m.endpoints).Draw(t, "endpoint")
 	for _, name := range sortedKeys(e.stopping) {
 		e.end(name, EndStopped)
@@ -314,7 +337,7 @@
 	}
 }
 
-func (m *organisationModel) storeWrites(t *rapid.T) {
+func (m *fleetModel) storeWrites(t *rapid.T) {
 	for _, w := range m.s.Writes(m.now, 0, 5) {
 		switch rapid.IntRange(0, 3).Draw(t, "write") {
 		case 0:
@@ -325,22 +348,15 @@
 		default:
 			m.store[w.Record.ID] = w.Record
 			m.s.ConfirmWrite(w, 1)
+			if m.onConfirm != nil {
+				m.onConfirm(w)
+			}
 		}
 	}
 }
 
-// No sequence of reports, orders, lost answers, lost endpoints, owners and configurations
-// brings what counts against a limit below what runs, and no start exceeds a limit by more
-// than a tenth and one task.
-func TestOrganisationUseProperty(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		m := newOrganisationModel(t)
-		t.Repeat(m.actions())
-	})
-}
-
 // actions returns what may happen to the fleet.
-func (m *organisationModel) actions() map[string]func(*rapid.T) {
+func (m *fleetModel) actions() map[string]func(*rapid.T) {
 	return map[string]func(*rapid.T){
 		"submit": m.submit,
 		"plan":   m.plan,
--- a/coordination/schedule/handover_property_test.go
+++ b/coordination/schedule/handover_property_test.go
@@ -10,9 +10,9 @@
 	"github.com/azurepoint/azurepoint/coordination/job"
 )
 
-// handOver makes another owner take over with what the present one knows. The message may take
+// handOver makes another owner take over with the state that the present one hands over. The message may take
 // time, and the successor may be paused before it uses it.
-func (m *organisationModel) handOver(t *rapid.T) {
+func (m *fleetModel) handOver(t *rapid.T) {
 	body, err := json.Marshal(m.s.HandOver(m.now))
 	if err != nil {
 		t.Fatal(err)
@@ -27,13 +27,13 @@
 	m.succeed(&h, receivedAt)
 }
 
-func (m *organisationModel) pause(t *rapid.T, what string) {
+func (m *fleetModel) pause(t *rapid.T, what string) {
 	m.advance(time.Duration(rapid.SampledFrom([]int{0, 0, 30, 900, 5000}).Draw(t, what)) * time.Millisecond)
 }
 
 // handoverModel checks the starts of a fleet whose owners hand over.
 type handoverModel struct {
-	*organisationModel
+	*fleetModel
 
 	// doneAt holds when a run of a task last ended as done, lapsedAt when the lease of its
 	// endpoint ended after that, and startedAt when a run last started.
@@ -46,7 +46,7 @@
 
 func newHandoverModel(t *rapid.T) *handoverModel {
 	h := &handoverModel{
-		organisationModel: newOrganisationModel(t), doneAt: make(map[string]time.Time), lapsedAt: make(map[string]time.Time),
+		fleetModel: newFleetModel(t, 4), doneAt: make(map[string]time.Time), lapsedAt: make(map[string]time.Time),
 		startedAt: make(map[string]time.Time), acknowledged: make(map[string]bool), failures: make(map[string]int),
 	}
 	h.onStart = h.checkRun
--- a/coordination/schedule/placement_property_test.go
+++ b/coordination/schedule/placement_property_test.go
@@ -10,72 +10,60 @@
 	"github.com/azurepoint/azurepoint/coordination/job"
 )
 
-// placementModel is the fleet of organisationModel in two data centres, under owners of which
-// some are of a release that knows no data centres of jobs.
+// placementModel is the fleet of fleetModel in two data centres, under owners of which some are
+// of a release without data centres of jobs.
 type placementModel struct {
-	*organisationModel
+	*fleetModel
 
-	// known is set while the owner knows data centres of jobs, and since and latest are what
-	// such owners store.
-	known         bool
+	// confines is set while the owner confines jobs, and since and latest are what such owners
+	// store.
+	confines      bool
 	since, latest int64
-	// listedIn is the data centre of e0 as the owner reads it.
-	listedIn string
 	// confinedTo holds the data centre of each job that is not confirmed to be wide.
 	confinedTo map[string]string
 }
 
-// dataCentreOf returns the data centre of an endpoint as the owner reads it. Not every owner
-// knows that of one of them.
-func (m *placementModel) dataCentreOf(e *simulatedEndpoint) string {
-	return map[string]string{"e0": m.listedIn, "e1": "A", "e2": "B", "e3": "B", "e4": "A", "e5": "A", "e6": "B"}[e.id]
-}
-
 func newPlacementModel(t *rapid.T) *placementModel {
-	m := &placementModel{organisationModel: newOrganisationModel(t)}
-	for i := len(m.endpoints); i < 7; i++ {
-		m.endpoints = append(m.endpoints, &simulatedEndpoint{
-			id: fmt.Sprintf("e%d", i), incarnation: 1, running: make(map[string]ListedRun), stopping: make(map[string]bool), highest: make(map[string]int),
-		})
-	}
+	m := &placementModel{fleetModel: newFleetModel(t, 7)}
+	m.dataCentres = map[string]string{"e1": "A", "e2": "B", "e3": "B", "e4": "A", "e5": "A", "e6": "B"}
 	m.configurations = []int{20_000}
+	m.prepare, m.load = m.prepareOwner, m.loadJob
+	m.onConfirm = func(w Write) {
+		if w.Record.DataCentre == "" {
+			delete(m.confinedTo, w.Record.ID)
+		}
+	}
 	m.replaceOwner(t, true)
 	return m
 }
 
-func (m *placementModel) replaceOwner(t *rapid.T, known bool) {
-	m.listedIn = rapid.SampledFrom([]string{"A", ""}).Draw(t, "listedIn")
-	limit := m.configurations[len(m.configurations)-1]
-	m.owner++
-	term := int64(m.owner)
-	m.s = &Scheduler{Settings: testSettings}
-	m.s.Settings.RunNumberBase = m.owner * 1000
-	m.s.Settings.ConfineJobs = known
-	m.known, m.confinedTo = known, make(map[string]string)
-	if known {
-		if m.latest != term-1 {
-			m.since = term
-		}
-		m.latest = term
-		m.s.Settings.Term, m.s.Settings.ConfinedSince = term, m.since
+// replaceOwner makes another owner take over. Not every owner has read the data centre of e0.
+func (m *placementModel) replaceOwner(t *rapid.T, confines bool) {
+	m.dataCentres["e0"] = rapid.SampledFrom([]string{"A", ""}).Draw(t, "listedIn")
+	m.confines, m.confinedTo = confines, make(map[string]string)
+	m.takeOver()
+}
+
+func (m *placementModel) prepareOwner(s *Settings) {
+	s.ConfineJobs = m.confines
+	if !m.confines {
+		return
 	}
-	var listed []Endpoint
-	for _, e := range m.endpoints {
-		l := Endpoint{ID: e.id, Pool: m.pool(e), Address: e.id, DataCentre: m.dataCentreOf(e), Capacity: Capacity{CPU: 4000, MemoryMB: 4000}}
-		m.s.AddSettledEndpoint(l, m.now)
-		listed = append(listed, l)
+	term := int64(m.owner)
+	if m.latest != term-1 {
+		m.since = term
 	}
-	for _, id := range sortedKeys(m.store) {
-		r := m.store[id]
-		if !known {
-			r.DataCentre, r.ConfinedTerm = "", 0
-		} else if r.ConfinedTerm >= m.since {
-			m.confinedTo[id] = r.DataCentre
-		}
-		m.s.LoadJob(r, m.now)
+	m.latest = term
+	s.Term, s.ConfinedSince = term, m.since
+}
+
+// loadJob removes what an owner of the other release does not read from a record.
+func (m *placementModel) loadJob(r *job.Record) {
+	if !m.confines {
+		r.DataCentre, r.ConfinedTerm = "", 0
+	} else if r.ConfinedTerm >= m.since {
+		m.confinedTo[r.ID] = r.DataCentre
 	}
-	m.s.SetEndpoints(listed, m.now)
-	m.setLimit(limit)
 }
 
 func (m *placementModel) submit(t *rapid.T) {
@@ -86,33 +74,14 @@
 	r.Steps[0].Gang = !r.Steps[0].AllowDuplicates && rapid.IntRange(0, 4).Draw(t, "gang") == 0
 	r.Organisation = rapid.SampledFrom([]string{"a", "a", ""}).Draw(t, "organisation")
 	r.Pool = rapid.SampledFrom([]string{"p", "p", "p", "q"}).Draw(t, "pool")
-	if m.known {
+	if m.confines {
 		r.DataCentre = rapid.SampledFrom([]string{"A", "A", "B", ""}).Draw(t, "dataCentre")
 	}
 	if r.DataCentre != "" {
 		r.ConfinedTerm = int64(m.owner)
 		m.confinedTo[r.ID] = r.DataCentre
 	}
-	m.jobs[r.ID] = r.Job
-	m.store[r.ID] = r
-	m.s.AddJob(r, m.now)
-}
-
-func (m *placementModel) storeWrites(t *rapid.T) {
-	for _, w := range m.s.Writes(m.now, 0, 5) {
-		answer := rapid.SampledFrom([]string{"lost", "answerLost", "stored", "stored"}).Draw(t, "write")
-		if answer != "lost" {
-			m.store[w.Record.ID] = w.Record
-		}
-		if answer != "stored" {
-			m.s.FailWrite(w.Record.ID)
-			continue
-		}
-		m.s.ConfirmWrite(w, 1)
-		if w.Record.DataCentre == "" {
-			delete(m.confinedTo, w.Record.ID)
-		}
-	}
+	m.add(r)
 }
 
 // serve has some of the endpoints answer, and carries out a plan.
@@ -123,11 +92,8 @@
 			continue
 		}
 		m.s.ExtendLease(e.id, m.now)
-		e.renew(m.organisationModel, m.now)
-		r := Report{SentAt: m.now, ReceivedAt: m.now.Add(time.Millisecond), Incarnation: e.incarnation, Ended: append([]EndedRun(nil), e.ended...)}
-		for _, name := range sortedKeys(e.running) {
-			r.Running = append(r.Running, e.running[name])
-		}
+		e.renew(m.fleetModel, m.now)
+		r := e.report(m.now, m.now.Add(time.Millisecond))
 		m.advance(time.Millisecond)
 		m.s.ApplyReport(e.id, r)
 	}
@@ -142,8 +108,8 @@
 			continue
 		}
 		for name, r := range known.runs {
-			if d := m.confinedTo[r.task.job.ID]; m.known && r.adoptedAt.IsZero() && d != "" && d != m.dataCentreOf(e) {
-				t.Fatalf("%s started in %q, its job is confined to %s", name, m.dataCentreOf(e), d)
+			if d := m.confinedTo[r.task.job.ID]; m.confines && r.adoptedAt.IsZero() && d != "" && d != m.dataCentres[e.id] {
+				t.Fatalf("%s started in %q, its job is confined to %s", name, m.dataCentres[e.id], d)
 			}
 		}
 	}
@@ -165,32 +131,13 @@
 func TestPlacementProperty(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newPlacementModel(t)
-		actions := map[string]func(*rapid.T){
-			"": m.check, "submit": m.submit, "plan": m.plan, "serve": m.serve, "serveMore": m.serve, "poll": m.poll, "end": m.endRuns,
-			"store": m.storeWrites, "storeMore": m.storeWrites,
-			"late": func(t *rapid.T) {
-				if len(m.late) > 0 {
-					i := rapid.IntRange(0, len(m.late)-1).Draw(t, "order")
-					o := m.late[i]
-					m.late = append(m.late[:i:i], m.late[i+1:]...)
-					m.execute(o)
-				}
-			},
-			"pollAll": func(t *rapid.T) {
-				for range 2 * len(m.endpoints) {
-					m.poll(t)
-				}
-			},
-			"wait": func(t *rapid.T) {
-				m.advance(time.Duration(rapid.SampledFrom([]int{20, 120, 1000, 3000}).Draw(t, "millis")) * time.Millisecond)
-			},
-			"cancel": func(t *rapid.T) {
-				if len(m.jobs) > 0 {
-					m.s.CancelJob(rapid.SampledFrom(sortedKeys(m.jobs)).Draw(t, "job"), m.now)
-				}
-			},
-			"takeOver": func(t *rapid.T) { m.replaceOwner(t, rapid.IntRange(0, 3).Draw(t, "known") > 0) },
+		actions := m.actions()
+		for _, name := range []string{"restart", "configure", "handOver"} {
+			delete(actions, name)
 		}
+		actions[""], actions["submit"], actions["serve"], actions["serveMore"] = m.check, m.submit, m.serve, m.serve
+		actions["storeMore"] = m.storeWrites
+		actions["takeOver"] = func(t *rapid.T) { m.replaceOwner(t, rapid.IntRange(0, 3).Draw(t, "confines") > 0) }
 		t.Repeat(actions)
 	})
 }
