Order maintenance of instances whose endpoint does not answer

A wave would have waited for silent endpoints to its deadline.

Change: only a move needs an endpoint that answers.

--- a/coordination/schedule/balance.go
+++ b/coordination/schedule/balance.go
@@ -86,16 +86,18 @@
 // MayMove reports whether a planned move may still be ordered.
 func (s *Scheduler) MayMove(m Move) bool {
 	e := s.endpoints[m.Endpoint]
-	reserved := s.reservedInstances[m.Instance] || e != nil && e.reservedForMaintenance
-	return !reserved && s.runsNothing(m.Instance, m.Endpoint)
+	if s.reservedInstances[m.Instance] || e != nil && (e.reservedForMaintenance || e.unresponsive()) {
+		return false
+	}
+	return s.runsNothing(m.Instance, m.Endpoint)
 }
 
-// runsNothing reports whether an instance with an endpoint, or with none that is known, may be
-// taken out of service. The order names the instance, so that it would end the tasks of the next
+// runsNothing reports whether nothing is known to run on an instance with an endpoint, or with
+// none that is known. An order names the instance, so that it would end the tasks of the next
 // endpoint there if this one has had its maintenance, been moved or crashed since.
 func (s *Scheduler) runsNothing(instance, id string) bool {
 	if e := s.endpoints[id]; e != nil {
-		return e.listed && !e.unresponsive() && len(e.runs)+len(e.unknownRuns) == 0
+		return e.listed && len(e.runs)+len(e.unknownRuns) == 0
 	}
 	return !slices.ContainsFunc(s.sortedEndpoints, func(e *endpoint) bool { return e.Instance == instance && e.listed && !e.unresponsive() })
 }
