Do not send a start whose run is not wanted any more

A task that allows duplicates gets a second run when the start of the first has no answer or its endpoint none. On an owner without processor the report that the first run had ended as done was applied up to 0.6 s after its answer had arrived, and an order was sent up to two seconds after its plan: the second run started after the owner had been told the end.

The owner now looks just before it sends a start whether the run is still known and not to be stopped. TestStartOfADoneTaskIsNotSent fails without the check.

--- a/coordination/schedule/order.go
+++ b/coordination/schedule/order.go
@@ -78,6 +78,17 @@
 	maxUnansweredOrders = 3
 )
 
+// IsWithdrawn reports whether an order is a start of a run that has ended or is to be stopped, so
+// that it need not be sent.
+func (s *Scheduler) IsWithdrawn(o Order) bool {
+	e := s.endpoints[o.Endpoint]
+	if e == nil || o.Action != Start {
+		return false
+	}
+	r := e.runs[o.Task]
+	return r == nil || r.number != o.Run || r.stopRequested
+}
+
 // RecordOrderResult records the result of an order.
 func (s *Scheduler) RecordOrderResult(o Order, a OrderResult, now time.Time) {
 	e := s.endpoints[o.Endpoint]
--- a/entry/manager/send.go
+++ b/entry/manager/send.go
@@ -28,6 +28,9 @@
 // errUnconfirmed means that an order was not sent because the ownership is unconfirmed.
 var errUnconfirmed = errors.New("manager: the ownership cannot be confirmed")
 
+// errWithdrawn means that a start was not sent because its run is not wanted any more.
+var errWithdrawn = errors.New("manager: the task is done, or the run has ended")
+
 // plannedOrder is an order with its target and the poller of its endpoint, which is nil if the
 // endpoint has none.
 type plannedOrder struct {
@@ -52,7 +55,7 @@
 	planDue := m.planDue
 	m.ordersInFlight.Go(func() {
 		a := m.carryOut(ctx, o)
-		if !errors.Is(a.err, errUnconfirmed) {
+		if !errors.Is(a.err, errUnconfirmed) && !errors.Is(a.err, errWithdrawn) {
 			a.planDue = planDue
 		}
 		m.applyOrderResult(a)
@@ -67,13 +70,25 @@
 	// The process may have been suspended since the order was planned. Another owner
 	// may count on the end of this one's lease.
 	sent := time.Now()
-	if m.Term.Confirmed() {
+	switch {
+	case m.isWithdrawn(o.Order):
+		a.answer, a.err = schedule.AlreadyEnded, errWithdrawn
+	case m.Term.Confirmed():
 		a.answer, a.err = m.callEndpoint(ctx, o)
 		meter.RecordSince(orderMetrics[o.Action], sent)
 	}
 	return a
 }
 
+// isWithdrawn reports whether the run of a start is not wanted any more. On a busy owner reports
+// are applied between the plan and its orders, and may say that the first run of a task has ended
+// as done of which a second one is to start.
+func (m *Manager) isWithdrawn(o schedule.Order) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.scheduler.IsWithdrawn(o)
+}
+
 func (m *Manager) callEndpoint(ctx context.Context, o plannedOrder) (a schedule.OrderResult, err error) {
 	t := o.target
 	run := RunCall{Task: o.Task, Run: o.Run, Fence: m.Term.Number, Percent: o.Percent}
--- a/entry/manager/send_test.go
+++ b/entry/manager/send_test.go
@@ -130,3 +130,52 @@
 		}
 	}
 }
+
+// Guards against a second run of a task that starts after the first has ended as done: a busy
+// owner applied the report of the end after it had planned the second run and before it sent the
+// order.
+func TestStartOfADoneTaskIsNotSent(t *testing.T) {
+	log.SetHandler(discard.Default)
+	endpoints := &fakeEndpoints{}
+	m := &Manager{
+		Settings: Settings{MaxLease: 10 * time.Second}, Term: Term{Number: 1, Confirmed: func() bool { return true }}, Endpoints: endpoints,
+		pollers: make(map[string]*poller), wake: make(chan struct{}, 1), recordWriter: &recordWriter{wake: make(chan struct{}, 1)},
+	}
+	m.scheduler.Settings = m.Settings.schedulerSettings(1)
+	now := time.Now()
+	for _, id := range []string{"e1", "e2"} {
+		m.pollers[id] = &poller{manager: m}
+		m.scheduler.UpdateEndpoints([]schedule.Endpoint{{ID: id, Pool: "p", Capacity: job.Capacity{CPU: 8, MemoryMB: 8}}}, now)
+		m.scheduler.ApplyReport(id, schedule.Report{SentAt: now, ReceivedAt: now, Incarnation: 1})
+	}
+	m.scheduler.AddJob(job.Record{State: job.Queued, Job: job.Job{
+		ID: "0123456789abcdef", Queue: "q", Pool: "p", AcceptedAt: now.UnixMilli(), Objective: job.Objective{MaxAttempts: 2, Stretch: 2, TargetMillis: 1000},
+		Steps: []job.Step{{Count: 1, CPU: 1, EstimateMillis: 400, AllowDuplicates: true}},
+	}}, now)
+	first := m.dueOrders()
+	if len(first) != 1 {
+		t.Fatalf("%d orders, want a start", len(first))
+	}
+	m.applyOrderResult(orderResult{order: first[0].Order, answer: schedule.Unknown})
+	var second []plannedOrder
+	for _, o := range m.dueOrders() {
+		if o.Action == schedule.Start {
+			second = append(second, o)
+		}
+	}
+	if len(second) != 1 {
+		t.Fatalf("%d starts, want one of a second run", len(second))
+	}
+	now = time.Now()
+	m.applyReport(first[0].Endpoint, schedule.Report{
+		SentAt: now, ReceivedAt: now, Incarnation: 1,
+		Ended: []schedule.EndedRun{{Number: 1, Task: first[0].Task, Run: first[0].Run, Reason: schedule.EndDone}},
+	})
+	a := m.carryOut(t.Context(), second[0])
+	if endpoints.starts != 0 || a.answer == schedule.Accepted {
+		t.Errorf("%d starts were sent after the task was done", endpoints.starts)
+	}
+	if m.applyOrderResult(a); m.scheduler.Counts.Refused != 1 {
+		t.Error("the run that was not started does not count as ended")
+	}
+}
