Apply reports that have arrived before leases expire

On an owner without processor hundreds of reports wait for the lock of the manager. An endpoint had answered with the ends of its runs, and 0.6 to 1.1 s later a plan took the lock first, found the endpoint silent and its lease ended, and started the tasks again that were done.

Reports are now kept in a queue with a lock of its own and applied by whoever has the manager's lock next: before leases expire, before a plan, before a start is sent and before an endpoint is taken for ended. TestReceivedReportIsAppliedBeforeLeasesExpire fails without it.

--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -80,6 +80,10 @@
 	waves        map[int64]*waveProgress
 	orders       *recentOrders
 
+	// receivedMu guards received, the reports that have not been applied yet.
+	receivedMu sync.Mutex
+	received   []receivedReport
+
 	lostOnce sync.Once
 	// quiet is closed when the manager has ended to call endpoints and to order instances.
 	quiet chan struct{}
@@ -219,6 +223,7 @@
 	confirmed := m.Term.Confirmed()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.applyReceived()
 	now := time.Now()
 	m.scheduler.ExpireLeases(now)
 	m.pruneUnlisted()
--- a/entry/manager/poll.go
+++ b/entry/manager/poll.go
@@ -216,12 +216,38 @@
 	m.scheduler.ExtendLease(id, time.Now())
 }
 
+// receivedReport is a report that has not been applied yet.
+type receivedReport struct {
+	endpoint string
+	schedule.Report
+}
+
+// receive keeps a report until it is applied. Hundreds of reports may wait for the manager's lock.
+func (m *Manager) receive(id string, r schedule.Report) {
+	m.receivedMu.Lock()
+	defer m.receivedMu.Unlock()
+	m.received = append(m.received, receivedReport{endpoint: id, Report: r})
+}
+
+// applyReceived applies the reports that have arrived; m.mu is held. It comes before every
+// decision that takes an endpoint for silent or a task for unfinished.
+func (m *Manager) applyReceived() {
+	m.receivedMu.Lock()
+	received := m.received
+	m.received = nil
+	m.receivedMu.Unlock()
+	for _, r := range received {
+		m.scheduler.ApplyReport(r.endpoint, r.Report)
+		if len(r.Ended) > 0 {
+			m.endPolls.count(time.Now())
+		}
+	}
+}
+
 func (m *Manager) applyReport(id string, r schedule.Report) {
+	m.receive(id, r)
 	m.mu.Lock()
-	m.scheduler.ApplyReport(id, r)
-	if len(r.Ended) > 0 {
-		m.endPolls.count(time.Now())
-	}
+	m.applyReceived()
 	urgent := m.scheduler.HasUrgentWrites()
 	m.mu.Unlock()
 	if len(r.Ended) > 0 {
@@ -235,6 +261,7 @@
 func (m *Manager) endpointEnded(id string, cause schedule.LossCause) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.applyReceived()
 	m.scheduler.RecordTermination(id, cause, time.Now())
 }
 
--- a/entry/manager/poll_test.go
+++ b/entry/manager/poll_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/azurepoint/azurepoint/coordination/job"
 	"github.com/azurepoint/azurepoint/coordination/schedule"
 )
 
@@ -99,3 +100,38 @@
 	cancel()
 	<-m.pollers["e"].done
 }
+
+// Guards against a task that runs again although the owner has received its end: on a busy owner
+// the report waited for the manager's lock until the lease of its endpoint had ended, and the
+// plan that held the lock took the runs there for lost.
+func TestReceivedReportIsAppliedBeforeLeasesExpire(t *testing.T) {
+	m := &Manager{
+		Settings: Settings{MaxLease: 10 * time.Second}, Term: Term{Number: 1, Confirmed: func() bool { return true }},
+		pollers: make(map[string]*poller), recordWriter: &recordWriter{wake: make(chan struct{}, 1)},
+	}
+	m.scheduler.Settings = m.Settings.schedulerSettings(1)
+	began := time.Now().Add(-10 * time.Second)
+	for _, id := range []string{"e1", "e2"} {
+		m.scheduler.UpdateEndpoints([]schedule.Endpoint{{ID: id, Pool: "p", Capacity: job.Capacity{CPU: 8, MemoryMB: 8}}}, began)
+		m.scheduler.ApplyReport(id, schedule.Report{SentAt: began, ReceivedAt: began, Incarnation: 1})
+	}
+	m.scheduler.AddJob(job.Record{State: job.Queued, Job: job.Job{
+		ID: "0123456789abcdef", Queue: "q", Pool: "p", AcceptedAt: began.UnixMilli(), Objective: job.Objective{MaxAttempts: 2, Stretch: 2, TargetMillis: 1000},
+		Steps: []job.Step{{Count: 1, CPU: 1, EstimateMillis: 400}},
+	}}, began)
+	started := m.scheduler.Plan(began, began)
+	if len(started) != 1 {
+		t.Fatalf("%d orders, want a start", len(started))
+	}
+	o := started[0]
+	m.scheduler.RecordOrderResult(o, schedule.Accepted, began)
+	m.scheduler.RecordUnanswered(o.Endpoint, began.Add(time.Second))
+	answered := began.Add(2 * time.Second)
+	m.receive(o.Endpoint, schedule.Report{
+		SentAt: answered, ReceivedAt: answered, Incarnation: 1,
+		Ended: []schedule.EndedRun{{Number: 1, Task: o.Task, Run: o.Run, Reason: schedule.EndDone}},
+	})
+	if orders := m.dueOrders(); len(orders) > 0 || m.scheduler.Counts.Done != 1 || m.scheduler.Counts.Lost > 0 {
+		t.Errorf("%d orders, %d tasks done and %d runs lost after a report of the end, want 0, 1 and 0", len(orders), m.scheduler.Counts.Done, m.scheduler.Counts.Lost)
+	}
+}
--- a/entry/manager/send.go
+++ b/entry/manager/send.go
@@ -86,6 +86,7 @@
 func (m *Manager) isWithdrawn(o schedule.Order) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.applyReceived()
 	return m.scheduler.IsWithdrawn(o)
 }
 
