--- a/entry/manager/send.go
+++ b/entry/manager/send.go
@@ -120,6 +120,7 @@
 		event.OrderRefused.Log(a.fields("reason"))
 	}
 	m.mu.Lock()
+	m.applyReceived()
 	now := time.Now()
 	if a.order.Action == schedule.Start && !a.planDue.IsZero() {
 		m.pace.Observe(now.Sub(a.planDue), a.answer != schedule.Unknown && a.answer != schedule.Disconnected, now)
