--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -84,6 +84,10 @@
 	waves        map[int64]*waveProgress
 	orders       *recentOrders
 
+	// receivedMu guards received, the reports that have not been applied yet.
+	receivedMu sync.Mutex
+	received   []receivedReport
+
 	lostOnce sync.Once
 	// quiet is closed when the manager has ended to call endpoints and to order instances.
 	quiet chan struct{}
@@ -227,6 +231,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.applyReceived()
 	now := time.Now()
 	// The callers of these jobs were told that no task starts any more. To remove the marks takes
 	// calls to the store.
--- a/entry/manager/send.go
+++ b/entry/manager/send.go
@@ -62,12 +62,14 @@
 	})
 }
 
-// maySend reports whether an order may still be sent. Its job may have been cancelled since the
-// order was planned, and its caller told so.
+// maySend reports whether an order may still be sent. Since it was planned its job may have been
+// cancelled, and its caller told so, and on a busy owner a report may have arrived that says that
+// the first run of a task has ended as done of which a second one is to start.
 func (m *Manager) maySend(o schedule.Order) bool {
 	cancelled := o.Action == schedule.Start && m.IsCancelled != nil && m.IsCancelled(o.Job)
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.applyReceived()
 	now := time.Now()
 	if cancelled {
 		m.scheduler.CancelJob(o.Job, now)
@@ -120,6 +122,7 @@
 		event.OrderRefused.Log(a.fields("reason"))
 	}
 	m.mu.Lock()
+	m.applyReceived()
 	now := time.Now()
 	if a.order.Action == schedule.Start && !a.planDue.IsZero() {
 		m.pace.Observe(now.Sub(a.planDue), a.answer != schedule.Unknown && a.answer != schedule.Disconnected, now)
