Print what the queue of a job is expected to take with the job

The man page test did not ask for the options of explain, which had none, and failed for the new one.

--- a/azurepoint/internal/cli/cli_test.go
+++ b/azurepoint/internal/cli/cli_test.go
@@ -69,7 +69,7 @@
 		t.Fatal(err)
 	}
 	var help strings.Builder
-	for _, args := range [][]string{{"--help"}, {"run", "--help"}, {"check", "--help"}} {
+	for _, args := range [][]string{{"--help"}, {"run", "--help"}, {"check", "--help"}, {"explain", "--help"}} {
 		if code := Run(t.Context(), args, nil, &help, &help); code != ExitDone {
 			t.Fatalf("%v: exit code %d", args, code)
 		}
--- a/azurepoint/internal/cli/expect.go
+++ b/azurepoint/internal/cli/expect.go
@@ -27,18 +27,28 @@
 	StartsInMillis *int64      `json:"startsInMillis"`
 	EndsInMillis   *int64      `json:"endsInMillis"`
 	Untold         string      `json:"untold"`
+	QueueTimes     *times      `json:"queueTimes"`
 }
 
 type stepTimes struct {
-	Tasks        int    `json:"tasks"`
-	Done         int    `json:"done"`
-	Running      int    `json:"running"`
+	Tasks   int `json:"tasks"`
+	Done    int `json:"done"`
+	Running int `json:"running"`
+	times
+}
+
+type times struct {
 	MedianMillis int64  `json:"medianMillis"`
 	P90Millis    int64  `json:"p90Millis"`
 	Key          string `json:"key"`
 	Runs         int    `json:"runs"`
 }
 
+// String returns the times in the format of explain.
+func (t times) String() string {
+	return fmt.Sprintf("median=%s p90=%s runs=%d key=%s", fromMillis(t.MedianMillis), fromMillis(t.P90Millis), t.Runs, t.Key)
+}
+
 // readExpected reads a summary of an entry from a file, and returns what it expects of the job.
 func readExpected(id, name string) (j *jobSummary, err error) {
 	data, err := os.ReadFile(name) //nolint:gosec // the operator names the file
@@ -72,8 +82,10 @@
 	}
 	fmt.Fprintln(out)
 	for i, st := range j.Steps {
-		fmt.Fprintf(out, "  step %d: median=%s p90=%s runs=%d key=%s tasks=%d running=%d done=%d\n",
-			i, fromMillis(st.MedianMillis), fromMillis(st.P90Millis), st.Runs, st.Key, st.Tasks, st.Running, st.Done)
+		fmt.Fprintf(out, "  step %d: %s tasks=%d running=%d done=%d\n", i, st.times, st.Tasks, st.Running, st.Done)
+	}
+	if j.QueueTimes != nil {
+		fmt.Fprintf(out, "  queue %s: %s\n", j.Queue, j.QueueTimes)
 	}
 }
 
--- a/azurepoint/internal/cli/explain_test.go
+++ b/azurepoint/internal/cli/explain_test.go
@@ -62,7 +62,7 @@
 // another entry or job that is taken for one without news.
 func TestExplainExpectedTimes(t *testing.T) {
 	const owner = `{"name":"edge-a","owner":"edge-a","manager":{},"job":{"job":"aa","queue":"quotes","pool":"p","state":"queued",
-		"startsInMillis":1500,"endsInMillis":3750,
+		"startsInMillis":1500,"endsInMillis":3750,"queueTimes":{"medianMillis":1200,"p90Millis":4000,"key":"size","runs":300},
 		"steps":[{"tasks":4,"done":1,"running":2,"medianMillis":900,"p90Millis":2100,"key":"size","runs":40}]}}`
 	for _, c := range []struct {
 		id, dump, want string
@@ -70,6 +70,7 @@
 	}{
 		{"aa", owner, "startsIn=1.5s endsIn=3.75s", ExitDone},
 		{"aa", owner, "median=900ms p90=2.1s runs=40 key=size tasks=4", ExitDone},
+		{"aa", owner, "queue quotes: median=1.2s p90=4s runs=300 key=size", ExitDone},
 		{"bb", owner, `no unfinished job "bb"`, ExitUsage},
 		{"aa", `{"name":"edge-b","owner":"edge-a"}`, "edge-b does not manage jobs, ask edge-a", ExitUsage},
 		{"aa", "nothing", "is no summary of an entry", ExitUsage},
--- a/coordination/schedule/jobstate.go
+++ b/coordination/schedule/jobstate.go
@@ -15,6 +15,9 @@
 	Organisation string      `json:"organisation,omitempty"`
 	State        job.State   `json:"state"`
 	Steps        []StepTimes `json:"steps"`
+	// QueueTimes is what a task of the queue with a typical declared estimate is expected to take,
+	// nil if no run of the queue has ended.
+	QueueTimes *duration.Times `json:"queueTimes,omitempty"`
 	// StartsInMillis is when a job that has not started is expected to, and EndsInMillis when a
 	// job is expected to end, by the work ahead of it in its pool.
 	StartsInMillis *int64 `json:"startsInMillis,omitempty"`
@@ -40,6 +43,10 @@
 	}
 	s.init()
 	summary = JobSummary{Job: id, Queue: j.Queue, Pool: j.Pool, Organisation: j.Organisation, State: j.state}
+	if d, learned := s.durations.estimator.Typical(j.Queue); learned {
+		times := d.Times()
+		summary.QueueTimes = &times
+	}
 	limited := false
 	for i := range j.Steps {
 		times := StepTimes{Times: s.times(j, &j.Steps[i])}
--- a/coordination/schedule/jobstate_test.go
+++ b/coordination/schedule/jobstate_test.go
@@ -32,7 +32,7 @@
 		t.Errorf("%+v, want about 4 s by 40 runs of the image", st)
 	}
 	q := f.s.State(f.now, f.now).Pools[0].QueueTimes["q"]
-	if q.Runs != 80 || q.Key != "image" || q.MedianMillis < 700 || q.MedianMillis > 2500 || q.P90Millis < q.MedianMillis {
+	if *third.QueueTimes != q || q.Runs != 80 || q.Key != "image" || q.MedianMillis < 700 || q.MedianMillis > 2500 || q.P90Millis < q.MedianMillis {
 		t.Errorf("queue %+v, want 80 runs between 0.5 and 4 s", q)
 	}
 	if _, known := f.s.DescribeJob("other", f.now); known {
