Replace figurative words by terms of the field

Change: they have, read, report, call and keep; the store is unreachable, not away. No behaviour changes. Tests: the changed lines are comments and messages, no check is touched.

--- a/coordination/access/view.go
+++ b/coordination/access/view.go
@@ -18,7 +18,7 @@
 	maxClockRatio = 1.02
 )
 
-// Policy says within which time a removed key has to be out of use. The zero value
+// Policy is the time within which a removed key has to be out of use. The zero value
 // does not limit the age of a view.
 type Policy struct {
 	// RevokeWithin is the time from the acknowledgement of a removal after which no request
@@ -53,7 +53,7 @@
 	Allowed Verdict = iota
 	// Unauthorised means that the request has no key or one that no organisation has.
 	Unauthorised
-	// Unconfirmed means that the view of the keys is too old to tell.
+	// Unconfirmed means that the view of the keys is too old for a verdict.
 	Unconfirmed
 )
 
--- a/coordination/check/check.go
+++ b/coordination/check/check.go
@@ -123,7 +123,7 @@
 		case held && holder == o.Terms.Name:
 			d.reportf(place, Warning, "organisation %s has the key twice", holder)
 		case held:
-			d.reportf(place, Error, "organisation %s has the same key: its callers cannot be told from those of %s", holder, o.Terms.Name)
+			d.reportf(place, Error, "organisation %s has the same key: its callers cannot be distinguished from those of %s", holder, o.Terms.Name)
 		default:
 			holders[key] = o.Terms.Name
 		}
--- a/coordination/check/configuration.go
+++ b/coordination/check/configuration.go
@@ -7,12 +7,12 @@
 	"github.com/azurepoint/azurepoint/coordination/organisation"
 )
 
-// Severity says whether a fault keeps a configuration from being used.
+// Severity is whether a fault keeps a configuration from being used.
 type Severity string
 
 // Severities of faults.
 const (
-	// Error marks a configuration that does not do what it says.
+	// Error marks a configuration that does not take effect as written.
 	Error Severity = "error"
 	// Warning marks an entry that is allowed and unlikely to be meant.
 	Warning Severity = "warning"
@@ -67,7 +67,7 @@
 	place *value
 }
 
-// Parse reads a configuration file and returns all its faults of form. The error says that the
+// Parse reads a configuration file and returns all its faults of form. The error means that the
 // file is no JSON at all.
 func Parse(text []byte) (c *Configuration, faults []Fault, err error) {
 	d := &document{source: text}
--- a/coordination/check/difference.go
+++ b/coordination/check/difference.go
@@ -9,7 +9,7 @@
 	"github.com/azurepoint/azurepoint/coordination/job"
 )
 
-// Compare says in operators' words what changes when a configuration takes the place of
+// Compare describes in operators' words what changes when a configuration takes the place of
 // another one. It names no keys, which are secret.
 func Compare(before, after *Configuration) (changes []string) {
 	if after.Version <= before.Version {
--- a/coordination/check/doc.go
+++ b/coordination/check/doc.go
@@ -1,5 +1,5 @@
 // Package check finds the faults of a configuration of queues, pools and organisations before
-// it takes effect, and says in operators' words what it changes. It does no I/O.
+// it takes effect, and describes in operators' words what it changes. It does no I/O.
 //
 // A configuration file is a JSON object in camel case:
 //
--- a/coordination/job/caller.go
+++ b/coordination/job/caller.go
@@ -1,7 +1,7 @@
 package job
 
-// Caller is who asks about a job. The zero value is a caller of an entry that does not
-// identify its callers, which may ask about any job.
+// Caller is who sends a request about a job. The zero value is a caller of an entry that does not
+// identify its callers, which may read any job.
 type Caller struct {
 	// Organisation is the organisation of the caller's key; empty if it needed none.
 	Organisation string
@@ -16,7 +16,7 @@
 	return organisation == "" || other == "" || organisation == other
 }
 
-// MaySee reports whether the caller may ask about a job of an organisation. A job without
+// MaySee reports whether the caller may read a job of an organisation. A job without
 // an organisation is open to all callers.
 func (c Caller) MaySee(organisation string) bool {
 	return !c.Identified || organisation == "" || organisation == c.Organisation
--- a/coordination/job/record.go
+++ b/coordination/job/record.go
@@ -141,7 +141,7 @@
 	}
 	for i := range p.Crashes {
 		if i < 0 || i >= tasks {
-			return errors.Errorf("step %d has %d tasks, and task %d is said to have crashed endpoints", p.Step, tasks, i)
+			return errors.Errorf("step %d has %d tasks, and task %d has crashes of endpoints", p.Step, tasks, i)
 		}
 	}
 	return nil
--- a/coordination/organisation/share.go
+++ b/coordination/organisation/share.go
@@ -84,7 +84,7 @@
 	return over
 }
 
-// attainable returns the part of what an organisation wants in a pool that its limit allows
+// attainable returns the part of what an organisation demands in a pool that its limit allows
 // beside what it has running in the other pools.
 func (l *Ledger) attainable(name string, u Use) job.Capacity {
 	t, known := l.terms[name]
--- a/coordination/outage/returns.go
+++ b/coordination/outage/returns.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	// retries is how often callers ask again.
+	// retries is how often callers repeat a request.
 	retries = 4
 	// minDelay is the shortest delay in whole seconds, as the header has them, and maxDelay
 	// bounds the delay in a long outage, so that callers notice its end.
@@ -16,7 +16,7 @@
 	growthStep = 0.125
 )
 
-// Returns tells callers when to return. The delay grows with the age of the outage, as one that
+// Returns decides when callers return. The delay grows with the age of the outage, as one that
 // has lasted for a while is likely to last about as long again. It grows so far that a caller
 // who was turned away at the begin has an attempt left after the longest outage that is borne,
 // and no further, so that callers return soon after the end. A caller who is turned away later
--- a/coordination/outage/returns_test.go
+++ b/coordination/outage/returns_test.go
@@ -37,7 +37,7 @@
 	return float64(in) / float64(refused), sum / time.Duration(max(in, 1)), fullest
 }
 
-// Load: all callers of a data centre are turned away for 5 s, or the store is away for all for
+// Load: all callers of a data centre are turned away for 5 s, or the store is unreachable for all for
 // 0.5 to 9 s. Guards against callers who have used up their attempts before the outage ends,
 // against delays that are longer than a short outage needs, and against all returning at once.
 func TestCallersOutlastTheOutage(t *testing.T) {
--- a/coordination/schedule/admit.go
+++ b/coordination/schedule/admit.go
@@ -24,7 +24,7 @@
 	// roomPart is the part of a pool, or of an organisation's limit, above which the tasks of
 	// a step count as running in waves.
 	roomPart = 0.25
-	// waitingFactor times the run time of a job is the estimate above which it tells how well
+	// waitingFactor times the run time of a job is the estimate above which it shows how well
 	// waits are estimated.
 	waitingFactor = 2
 	// overdueFactor times its estimate is how long a job is waited for before its estimate
@@ -134,7 +134,7 @@
 	return queues
 }
 
-// admissionRequest returns what the decision on a job needs to know of it.
+// admissionRequest returns the input of the decision on a job.
 func (s *Scheduler) admissionRequest(j *job.Job, now time.Time) (r admission.Request) {
 	state := &jobState{Job: *j}
 	room := s.admissions.rooms[j.Pool]
--- a/coordination/schedule/admit_test.go
+++ b/coordination/schedule/admit_test.go
@@ -16,7 +16,7 @@
 const maxReturns = 4
 
 // doorSimulation is a simulation whose jobs are admitted or refused, and whose refused
-// callers return when they were told to.
+// callers return at the time of their answer.
 type doorSimulation struct {
 	*simulation
 	// all accepts every job.
--- a/coordination/schedule/crash.go
+++ b/coordination/schedule/crash.go
@@ -9,10 +9,10 @@
 
 // Periods and limits for tasks that crash endpoints.
 const (
-	// startupPeriod is how long a run has to be known to live before a crash is no longer
+	// startupPeriod is how long a run has to be known to be active before a crash is no longer
 	// put down to its start.
 	startupPeriod = 250 * time.Millisecond
-	// crashWindow is how long a run has to be known to live before a crash is not put down
+	// crashWindow is how long a run has to be known to be active before a crash is not put down
 	// to it at all.
 	crashWindow = 5 * time.Second
 	// crashDoubt is how long after the loss of an endpoint a suspected task waits for proof
@@ -216,7 +216,7 @@
 }
 
 // resolveTermination ends the doubt about an endpoint that has terminated: a replacement
-// that nobody ordered and no drain announced shows a crash.
+// without an order and without a drain before it shows a crash.
 func (s *Scheduler) resolveTermination(id string, cause LossCause, now time.Time) {
 	e := s.endpoints[id]
 	announced := e != nil && (e.Draining || e.reserved() || e.replacementOrdered)
--- a/coordination/schedule/crash_test.go
+++ b/coordination/schedule/crash_test.go
@@ -30,7 +30,7 @@
 	crashesAt map[string]time.Time
 	// crashed counts the crashes under each task.
 	crashed map[string]int
-	lives   int
+	starts  int
 }
 
 // simulatedInstance is an instance with its present endpoint; downUntil is zero while the
@@ -71,8 +71,8 @@
 // startEndpoint gives an instance a new endpoint and lists it.
 func (c *crashFleet) startEndpoint(i *simulatedInstance) {
 	previous := i.endpoint
-	c.lives++
-	i.endpoint, i.downUntil = fmt.Sprintf("e%d", c.lives), time.Time{}
+	c.starts++
+	i.endpoint, i.downUntil = fmt.Sprintf("e%d", c.starts), time.Time{}
 	c.running[i.endpoint] = make(map[string]ListedRun)
 	var listed []Endpoint
 	for _, o := range c.instances {
@@ -89,7 +89,7 @@
 
 func (c *crashFleet) report(i *simulatedInstance) {
 	i.reportedAt = c.now
-	r := Report{SentAt: c.now.Add(-time.Millisecond), ReceivedAt: c.now, Incarnation: int64(c.lives)}
+	r := Report{SentAt: c.now.Add(-time.Millisecond), ReceivedAt: c.now, Incarnation: int64(c.starts)}
 	if e := c.s.endpoints[i.endpoint]; e != nil && e.incarnation != 0 {
 		r.Incarnation = e.incarnation
 	}
--- a/coordination/schedule/demand_test.go
+++ b/coordination/schedule/demand_test.go
@@ -8,7 +8,7 @@
 	"github.com/azurepoint/azurepoint/coordination/job"
 )
 
-// Guards against sizes by learned run times that nobody switched on, and against work that is
+// Guards against sizes by learned run times that are not switched on, and against work that is
 // expected at once although its step waits for another. The load is a job of two steps of a second
 // each.
 func TestArrivalByLearnedRunTimes(t *testing.T) {
--- a/coordination/schedule/duration.go
+++ b/coordination/schedule/duration.go
@@ -119,7 +119,7 @@
 }
 
 // durationKey returns what the duration of a task of the step may depend on. Local is false
-// for a run away from the task's data.
+// for a run that is not at the task's data.
 func (j *jobState) durationKey(st *job.Step, local bool) (k duration.Key) {
 	k = duration.Key{
 		Queue: j.Queue, Image: st.Image, Organisation: j.Organisation, CPU: st.CPU, MemoryMB: st.MemoryMB,
@@ -159,7 +159,7 @@
 	}
 }
 
-// fullRun reports whether the owner knows how long the run took from its beginning, without
+// fullRun reports whether the owner has the whole time of the run from its beginning, without
 // a part that an earlier run has done.
 func (r *run) fullRun() bool {
 	return !r.task.step.LongRunning && r.adoptedAt.IsZero() && !r.resumed
--- a/coordination/schedule/duration_test.go
+++ b/coordination/schedule/duration_test.go
@@ -70,7 +70,7 @@
 	}
 }
 
-// Guards against runs that say less than they seem to: those of endpoints that are slow,
+// Guards against estimates from runs that show less than others: those of endpoints that are slow,
 // those that continued from a checkpoint, and those of long-running tasks.
 func TestOtherRunsAreNotLearned(t *testing.T) {
 	for name, prepare := range map[string]func(r *run){
--- a/coordination/schedule/durationlag.go
+++ b/coordination/schedule/durationlag.go
@@ -9,7 +9,7 @@
 // Thresholds for lagging runs with learned durations.
 const (
 	// lagQuantile is the quantile of the duration that a run has to exceed by its progress so
-	// that it counts as lagging. Its progress says enough once the run has lasted as long as
+	// that it counts as lagging. Its progress is used once the run has lasted as long as
 	// half of the runs, at progressQuantile.
 	lagQuantile      = 0.95
 	progressQuantile = 0.5
--- a/coordination/schedule/endpoint.go
+++ b/coordination/schedule/endpoint.go
@@ -34,7 +34,7 @@
 	joinedAt time.Time
 	// contacted is set once the endpoint has answered a poll of this owner.
 	contacted bool
-	// handedUnread is set if the earlier owner handed over that it does not know all runs there.
+	// handedUnread is set if the earlier owner handed over that it had not read all runs there.
 	handedUnread bool
 	// unresponsiveSince is the time of the first unanswered call since the last
 	// report; zero if there is none.
--- a/coordination/schedule/handover.go
+++ b/coordination/schedule/handover.go
@@ -6,12 +6,12 @@
 	"github.com/azurepoint/azurepoint/coordination/job"
 )
 
-// Handover is what an owner that has stopped knows of the runs. Its successor waits for no
+// Handover is the state of the runs that an owner which has stopped hands over. Its successor waits for no
 // endpoint to report but the unread ones: a task that is not named has no run elsewhere.
 type Handover struct {
 	// Endpoints are those with runs that may be active, and the unread ones.
 	Endpoints []HandedEndpoint `json:"endpoints,omitempty"`
-	// Jobs are those whose records the owner has not stored as it knows them.
+	// Jobs are those whose records the owner has changed and not stored.
 	Jobs []HandedJob `json:"jobs,omitempty"`
 	// Checkpoints holds the last checkpoints of unfinished tasks by task name.
 	Checkpoints map[string]string `json:"checkpoints,omitempty"`
@@ -22,7 +22,7 @@
 	ID       string `json:"id"`
 	Pool     string `json:"pool,omitempty"`
 	Instance string `json:"instance,omitempty"`
-	// Unread is set if there may be runs that the owner does not know.
+	// Unread is set if there may be runs that the owner has not read.
 	Unread bool `json:"unread,omitempty"`
 	// LeaseMillis is how long after the handover every lease there has ended.
 	LeaseMillis int64       `json:"leaseMillis,omitempty"`
@@ -65,7 +65,7 @@
 	return runs, unread
 }
 
-// HandOver returns what the next owner has to know. No order may be in flight or be sent any
+// HandOver returns the state for the next owner. No order may be in flight or be sent any
 // more, and no report may be applied.
 func (s *Scheduler) HandOver(now time.Time) (h Handover) {
 	for _, id := range sortedKeys(s.endpoints) {
@@ -95,7 +95,7 @@
 	return h
 }
 
-// handOver returns a run as the next owner has to know it.
+// handOver returns a run in the form for the next owner.
 func (r *run) handOver(now time.Time) (handed HandedRun) {
 	handed = HandedRun{
 		Task: r.task.name, Run: r.number, Started: r.state == confirmed, Stop: r.stopRequested, AgeMillis: max(0, now.Sub(r.startedAt).Milliseconds()),
@@ -140,7 +140,7 @@
 	}
 }
 
-// LoadHandover adds the stored jobs of an owner that has handed over, with what it knew of
+// LoadHandover adds the stored jobs of an owner that has handed over, with its state of
 // them. The stored endpoints must have been added before. The times in the handover count from
 // its receipt.
 func (s *Scheduler) LoadHandover(h Handover, records []job.Record, receivedAt, now time.Time) {
@@ -171,7 +171,7 @@
 	}
 }
 
-// applyHandedJob makes a loaded job be stored as the earlier owner knew it.
+// applyHandedJob makes a loaded job be stored as the earlier owner had it.
 func (s *Scheduler) applyHandedJob(c HandedJob, now time.Time) {
 	j := s.jobs[c.ID]
 	s.markDirty(j, now, false)
@@ -181,7 +181,7 @@
 	}
 }
 
-// adoptEndpoint adds the runs that an earlier owner knew on an endpoint. They count as active
+// adoptEndpoint adds the runs that an earlier owner had recorded on an endpoint. They count as active
 // until the endpoint reports or its lease has ended.
 func (s *Scheduler) adoptEndpoint(handed HandedEndpoint, receivedAt, now time.Time) {
 	s.AddSettledEndpoint(Endpoint{ID: handed.ID, Pool: handed.Pool, Instance: handed.Instance}, now)
@@ -196,7 +196,7 @@
 	}
 }
 
-// adoptRun adds a run that an earlier owner knew on an endpoint.
+// adoptRun adds a run that an earlier owner had recorded on an endpoint.
 func (s *Scheduler) adoptRun(e *endpoint, handed HandedRun, receivedAt, now time.Time) {
 	t := s.taskByName(handed.Task)
 	if t == nil {
--- a/coordination/schedule/handover_property_test.go
+++ b/coordination/schedule/handover_property_test.go
@@ -118,7 +118,7 @@
 	return done == j.Steps[step].Count || j.Steps[step].Gang && done > 0
 }
 
-// acknowledge checks an end that the endpoint may forget.
+// acknowledge checks an end that the endpoint may remove from its list.
 func (h *handoverModel) acknowledge(e *simulatedEndpoint, ended EndedRun) {
 	_, st := h.step(ended.Task)
 	if st.LongRunning || st.AllowDuplicates {
--- a/coordination/schedule/handover_test.go
+++ b/coordination/schedule/handover_test.go
@@ -22,9 +22,9 @@
 	return h
 }
 
-// Guards against tasks that wait for endpoints which nobody reaches, although their owner has
-// said what runs there (smdc-tn-grown scale-1: no inherited job started a task for 4.3 s), and
-// against starts beside an endpoint of which the owner did not know all runs.
+// Guards against tasks that wait for endpoints that cannot be reached, although their owner
+// has handed over what runs there (smdc-tn-grown scale-1: no inherited job started a task for 4.3 s), and
+// against starts beside an endpoint of which the owner had not read all runs.
 func TestHandedOverTasksStartBesideUnreachableEndpoint(t *testing.T) {
 	for _, unread := range []bool{false, true} {
 		f := newFixture(t, "e1", "e2")
@@ -66,7 +66,7 @@
 	}
 }
 
-// Guards against tasks that start again after their end, because the owner knew the end and had
+// Guards against tasks that start again after their end, because the owner had read the end and had
 // not stored it, and against ends that are acknowledged before the successor has stored them.
 func TestHandedOverEndsCountBeforeTheyAreStored(t *testing.T) {
 	f := newFixture(t, "e1", "e2")
--- a/coordination/schedule/isolate.go
+++ b/coordination/schedule/isolate.go
@@ -9,7 +9,7 @@
 // holdTime is how long an endpoint is held for a task that no plan reaches any more.
 const holdTime = time.Second
 
-// isolation returns how long a run of the task has to be known to live until other jobs may
+// isolation returns how long a run of the task has to be known to be active until other jobs may
 // start tasks on its endpoint, so that a crash shows who caused it. It is 0 for a task that
 // is not suspected. The tasks of a gang are started together and suspected together.
 func (t *task) isolation(st *stepState) (d time.Duration) {
--- a/coordination/schedule/organisations.go
+++ b/coordination/schedule/organisations.go
@@ -17,7 +17,7 @@
 	reservationDelay = time.Second
 )
 
-// organisations holds what the organisations use, and what one plan needs to know of it.
+// organisations holds what the organisations use, and what one plan needs of it.
 type organisations struct {
 	ledger organisation.Ledger
 	// terms is the list that the ledger has, to notice a new one.
--- a/coordination/schedule/placement_test.go
+++ b/coordination/schedule/placement_test.go
@@ -212,7 +212,7 @@
 }
 
 // Guards against runs in two data centres at a time: an owner of an earlier release has started
-// tasks elsewhere, or a job is stored by an entry that does not know where its tasks run.
+// tasks elsewhere, or a job is stored by an entry that has not read where its tasks run.
 func TestDataCentreOfOtherWriterIsIgnored(t *testing.T) {
 	for term, want := range map[int64]string{0: "[]", 1: "[]", 2: "[A0]"} {
 		f := newPlacementFixture(t, []string{"A0"}, []string{"B0"})
--- a/coordination/schedule/repeat_test.go
+++ b/coordination/schedule/repeat_test.go
@@ -121,7 +121,7 @@
 			}
 		}
 		if !f.s.StartsUsedUp() {
-			t.Error("the plan does not tell that it had too few starts")
+			t.Error("the plan does not report that it had too few starts")
 		}
 	}
 	for range 10 {
--- a/coordination/schedule/room.go
+++ b/coordination/schedule/room.go
@@ -36,7 +36,7 @@
 // candidates holds the endpoints of a pool that accept new tasks.
 type candidates struct {
 	room
-	// byDataCentre holds those of each data centre that was asked for.
+	// byDataCentre holds those of each data centre that was needed.
 	byDataCentre map[string]*room
 	// unread holds the endpoints of the pool that may run tasks of an earlier owner.
 	unread []*endpoint
--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -88,7 +88,7 @@
 	unconfirmedCrashes map[string]map[*task]bool
 	// isolatedEndpoints holds the endpoints with exclusiveTo or heldFor.
 	isolatedEndpoints map[*endpoint]bool
-	// handedOver is set if the earlier owner has handed over what it knew of the runs.
+	// handedOver is set if the earlier owner has handed over its state of the runs.
 	handedOver    bool
 	organisations organisations
 	admissions    admissions
--- a/coordination/schedule/unseen.go
+++ b/coordination/schedule/unseen.go
@@ -16,14 +16,14 @@
 )
 
 // mayRunUnseen reports whether an endpoint may run tasks of an earlier owner that this owner
-// does not know. After a handover these are only the endpoints that the earlier owner had not
-// read itself: it knew all runs on the others.
+// has not read. After a handover these are only the endpoints that the earlier owner had not
+// read itself: it had read all runs on the others.
 func (s *Scheduler) mayRunUnseen(e *endpoint, now time.Time) bool {
 	return !e.contacted && now.Before(e.leaseUntil) && (!s.handedOver || e.handedUnread)
 }
 
 // updateUnseen estimates what runs of an earlier owner take that no endpoint has reported
-// yet: each task of an inherited job may be running where mayRunUnseen says so, but those of a
+// yet: each task of an inherited job may be running where mayRunUnseen is true, but those of a
 // pool together take no more than its unread endpoints have. The estimate may be too high, and
 // never too low, because an endpoint that has reported executes no order of an earlier owner any more.
 func (s *Scheduler) updateUnseen(now, wall time.Time) {
@@ -119,7 +119,7 @@
 }
 
 // releaseSteps frees the memory of a job with a stored final state, of which only the state
-// is asked for from then on. The steps of a job of which unknown runs may be reported stay,
+// is read from then on. The steps of a job of which unknown runs may be reported stay,
 // because they give the sizes of the runs.
 func (j *jobState) releaseSteps() {
 	if !j.storedState.Terminal() || j.storedVersion != j.version || j.storedState == job.Cancelled || j.hasRuns() || j.mayHaveUnseenRuns() {
--- a/coordination/schedule/wave_test.go
+++ b/coordination/schedule/wave_test.go
@@ -73,7 +73,7 @@
 }
 
 // Guards against more instances down than the wave allows after a change of owner: an order
-// of the earlier owner may have been carried out although the list does not say so yet.
+// of the earlier owner may have been carried out although the list does not show it yet.
 func TestInheritedOrderCountsAgainstWave(t *testing.T) {
 	f := newFixture(t, "e1", "e2", "e3")
 	v, observed := testWave(f, 1, "e1", "e2")
--- a/coordination/sizing/arrival.go
+++ b/coordination/sizing/arrival.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// recurrenceWindow is how long an earlier burst is remembered: a pool whose bursts are further
+// recurrenceWindow is how long an earlier burst counts: a pool whose bursts are further
 // apart has given its instances to others in between.
 const recurrenceWindow = 3 * errorWindow
 
@@ -75,7 +75,7 @@
 	return f
 }
 
-// compare remembers the forecast, and returns by how much demand has exceeded its forecasts
+// compare keeps the forecast, and returns by how much demand has exceeded its forecasts
 // in each of two bursts. The first burst after a while keeps nothing: the instances that it
 // leaves serve other pools. A pool may shrink by any of the forecasts of the time that an
 // instance takes to come back, so that the lowest of them counts.
--- a/coordination/sizing/decide.go
+++ b/coordination/sizing/decide.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Reason says why an instance moves.
+// Reason is why an instance moves.
 type Reason string
 
 // Reasons of moves.
@@ -159,7 +159,7 @@
 
 // takeEndpoint takes an endpoint from a list: if possible, one whose maintenance is due or is
 // not. An instance that moves to a pool shortly before its maintenance is out of service twice,
-// and one of the spare pool has its maintenance while nobody needs it.
+// and one of the spare pool has its maintenance while no pool needs it.
 func takeEndpoint(list *[]Endpoint, due bool) (e Endpoint) {
 	i := max(0, slices.IndexFunc(*list, func(e Endpoint) bool { return e.MaintenanceDue == due }))
 	e = (*list)[i]
--- a/coordination/sizing/decide_test.go
+++ b/coordination/sizing/decide_test.go
@@ -112,7 +112,7 @@
 }
 
 // Guards against instances that stay in a pool for a forecast that was wrong: a group of
-// jobs arrives at once and none follow. The error of the forecast is remembered for the time
+// jobs arrives at once and none follow. The error of the forecast is kept for the time
 // of two moves; after three times that, a twentieth of it is left.
 func TestWrongForecast(t *testing.T) {
 	bothPolicies(t, func(t *testing.T, learned bool) {
--- a/coordination/sizing/demand.go
+++ b/coordination/sizing/demand.go
@@ -20,7 +20,7 @@
 	// standard deviation, because a job that waits for an instance costs its caller more than
 	// an instance that waits for a job.
 	noiseVariance = 0.25
-	// errorWindow is how long an error of the forecast is remembered: an instance that leaves
+	// errorWindow is how long an error of the forecast counts: an instance that leaves
 	// and is required again within the time of two moves is better kept.
 	errorWindow = 2 * moveTime
 	// workMemory is the number of jobs over which the mean work of a job is averaged.
@@ -29,7 +29,7 @@
 
 // Demand estimates the work that arrives for a pool. The rate of jobs and the mean work
 // of a job are averaged separately, because the work of a single job varies by an order of
-// magnitude and says little about that of the next.
+// magnitude and is a poor estimate of that of the next.
 type Demand struct {
 	// shortRate and longRate are the jobs a second, averaged over shortWindow and
 	// longWindow as of updatedAt.
--- a/coordination/sizing/demand_test.go
+++ b/coordination/sizing/demand_test.go
@@ -41,7 +41,7 @@
 	}
 }
 
-// Guards against forecasts from run times that nobody knows: until half of the jobs are of
+// Guards against forecasts from run times that are not known: until half of the jobs are of
 // queues with finished runs, the forecast is that of the moving average.
 func TestColdStartForecast(t *testing.T) {
 	d, now := &Demand{}, time.UnixMilli(1_700_000_000_000)
--- a/coordination/sizing/sizingtest/model.go
+++ b/coordination/sizing/sizingtest/model.go
@@ -253,7 +253,7 @@
 	}
 }
 
-// observe returns the fleet as the owner sees it.
+// observe returns the fleet as the owner reads it.
 func (m *Model) observe() (f sizing.Fleet) {
 	f = sizing.Fleet{Spare: Spare, MayRelease: true, Headroom: m.Headroom}
 	for _, name := range m.Names {
--- a/entry/manager/durations_test.go
+++ b/entry/manager/durations_test.go
@@ -22,7 +22,7 @@
 	return e.State(maxStoredQueues)
 }
 
-// Guards against an owner that learns again what the previous one knew, and against records
+// Guards against an owner that learns again what the previous one had learned, and against records
 // of a size that the store refuses.
 func TestNextOwnerLoadsDurations(t *testing.T) {
 	s, owner := claimedStore(t)
--- a/entry/manager/handover.go
+++ b/entry/manager/handover.go
@@ -25,7 +25,7 @@
 	ReceivedAt time.Time
 }
 
-// HandOver returns what the next owner has to know, once this manager calls no endpoint any
+// HandOver returns the state for the next owner, once this manager calls no endpoint any
 // more. known is false if it has not loaded the jobs. If the store can be reached, it first
 // stores what fits in flushTime.
 func (m *Manager) HandOver(ctx context.Context, storeReachable bool) (h schedule.Handover, known bool) {
--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -31,7 +31,7 @@
 	ConfinedSince int64
 	// Confirmed reports whether the ownership is confirmed at the moment.
 	Confirmed func() bool
-	// StoreLost reports whether this entry has lost the store, or is nil if nothing tells.
+	// StoreLost reports whether this entry has lost the store, or is nil if that is not watched.
 	StoreLost func() bool
 	// Lost is called once, when the term is found to be over.
 	Lost func()
--- a/entry/manager/submit.go
+++ b/entry/manager/submit.go
@@ -26,7 +26,7 @@
 	// limitRetryDelay is when a caller may retry a job that the limit of its organisation
 	// never admits; only a new configuration can change that.
 	limitRetryDelay = time.Minute
-	// lostStoreRetryDelay is when an entry may ask an owner again that has lost the store: its
+	// lostStoreRetryDelay is when an entry may call an owner again that has lost the store: its
 	// lease ends after that time at the latest, and another entry takes over.
 	lostStoreRetryDelay = time.Second
 	// lostStoreCheckInterval is how often a submission that waits checks whether the store is
--- a/entry/node/access.go
+++ b/entry/node/access.go
@@ -45,7 +45,7 @@
 	return f
 }
 
-// Admission is what the configuration in force says of a request.
+// Admission is the verdict of the configuration in force on a request.
 type Admission struct {
 	// Configured is false while no configuration is known, and Found if no queue has the
 	// request's host and path.
--- a/entry/node/access_test.go
+++ b/entry/node/access_test.go
@@ -65,7 +65,7 @@
 }
 
 // Guards against entries that serve with a view that is too old, that do not reopen, and
-// that tell the load balancer they are ready meanwhile.
+// that report to the load balancer that they are ready meanwhile.
 func TestEntryClosesAndReopens(t *testing.T) {
 	n := admitNode(organisationConfiguration(1, "north"), 5*time.Second)
 	check := func(when string, want access.Verdict, ready bool) {
@@ -93,7 +93,7 @@
 }
 
 // Guards against a removal of the last organisation that opens all queues to everybody, and
-// against keys that are asked for where there are no organisations.
+// against keys that are required where there are no organisations.
 func TestRequestsWithoutOrganisations(t *testing.T) {
 	n := admitNode(organisationConfiguration(1, "north"), 5*time.Second)
 	n.SetConfiguration(organisationConfiguration(2))
@@ -170,7 +170,7 @@
 	f := newFleet(t)
 	owner, other := f.startPair()
 	stored := organisationJob("60000", "north")
-	// The mark is hidden, so that only the conflict tells the owner of the job.
+	// The mark is hidden, so that the owner learns of the job only from the conflict.
 	value, err := (&job.Record{Job: stored, State: job.Queued}).Encode()
 	if err != nil {
 		t.Fatal(err)
@@ -198,7 +198,7 @@
 	f.loseFirstCommitAnswer()
 	first := make(chan manager.Outcome, 1)
 	go func() {
-		// The owner may take the store for lost on a slow machine, and the entry asks it itself then.
+		// The owner may take the store for lost on a slow machine, and the entry calls it itself then.
 		first <- owner.Submit(t.Context(), organisationJob("60000", "north"), time.Now().Add(4*time.Second)).Outcome
 	}()
 	f.awaitRecord(id, first)
@@ -275,7 +275,7 @@
 	}
 	link.unreachable.Store(false)
 	if got := verdictAt(time.Now().Add(closedRetryDelay)); got != access.Allowed {
-		t.Errorf("%s when callers have been told to retry", got)
+		t.Errorf("%s when callers have been answered to retry", got)
 	}
 	select {
 	case err := <-ended:
--- a/entry/node/entries.go
+++ b/entry/node/entries.go
@@ -178,7 +178,7 @@
 	return errors.Is(n.Store.Renew(ctx, lease), store.ErrLeaseEnded)
 }
 
-// runOwnerLookup asks other entries for the owner while this one cannot reach the store, and
+// runOwnerLookup requests the owner from other entries while this one cannot reach the store, and
 // once if the owner takes longer than suspectAfter, until the context ends. The owner that this
 // entry last read from the store may have ended long before.
 func (n *Node) runOwnerLookup(ctx context.Context) <-chan error {
--- a/entry/node/handover.go
+++ b/entry/node/handover.go
@@ -52,7 +52,7 @@
 )
 
 // watchForHandover ends the term, so that the pools are handed over, once an entry that is much
-// stronger than this one reaches the store and knows of the term, or once others reach the
+// stronger than this one reaches the store and has read the term, or once others reach the
 // store and this one does not.
 func (n *Node) watchForHandover(ctx context.Context, t *heldTerm) {
 	next := time.NewTimer(handoverInterval)
--- a/entry/node/handover_test.go
+++ b/entry/node/handover_test.go
@@ -47,7 +47,7 @@
 	small := f.startWithCores("small", 0.2)
 	f.submit(small, "1111111111111111", "10", job.Step{Count: 1, CPU: 1000})
 	term, _ := small.ownership.current()
-	// An entry that does not know the term has not read it from the store.
+	// An entry without the term has not read it from the store.
 	uninformed := &Node{Name: "uninformed", Store: f.store}
 	uninformed.Init()
 	server := httptest.NewServer(peer.Handler(OwnerServer{Node: uninformed}))
--- a/entry/node/handoverruns_test.go
+++ b/entry/node/handoverruns_test.go
@@ -16,7 +16,7 @@
 	"github.com/azurepoint/azurepoint/entry/standin"
 )
 
-// startThree starts three entries, of which a owns the pools and b is asked first to take over.
+// startThree starts three entries, of which a owns the pools and b gets the first request to take over.
 func (f *fleet) startThree() (a, b, c *entry) {
 	f.t.Helper()
 	a = f.startWithCores("a", 0.4)
@@ -64,12 +64,12 @@
 	})
 }
 
-// inheritedWait is within the time for which a successor waits for an endpoint that nobody
+// inheritedWait is within the time for which a successor waits for an endpoint that no entry
 // reaches, if it was handed nothing.
 const inheritedWait = 2500 * time.Millisecond
 
-// Guards against inherited jobs that wait for an endpoint which nobody reaches, although the
-// owner stopped as planned and knew what runs there (smdc-tn-grown scale-1, roll_term beside a
+// Guards against inherited jobs that wait for an endpoint which no entry reaches, although the
+// owner stopped as planned and had read what runs there (smdc-tn-grown scale-1, roll_term beside a
 // data centre that is cut off: 4.3 s).
 func TestStoppedOwnerHandsRunsOver(t *testing.T) {
 	f := newFleet(t)
@@ -122,7 +122,7 @@
 	f.check()
 }
 
-// Guards against an owner that gives the pools up while the store is away for all, so that they
+// Guards against an owner that gives the pools up while the store is unreachable for all, so that they
 // have no owner when it is back.
 func TestOwnerKeepsPoolsWhileStoreIsAwayForAll(t *testing.T) {
 	for _, fault := range []standin.Fault{standin.FaultRejected, standin.FaultLost} {
--- a/entry/node/marks_test.go
+++ b/entry/node/marks_test.go
@@ -65,7 +65,7 @@
 	}
 	f.await(b, id, job.Cancelled, time.Second)
 	if n, err := b.Pending(t.Context(), "q"); n != 400 {
-		t.Errorf("%d jobs are said to wait, want 400: %v", n, err)
+		t.Errorf("%d jobs are reported to wait, want 400: %v", n, err)
 	}
 	f.await(b, fmt.Sprintf("%016x", 0xa000+399), job.Queued, time.Second)
 	f.check()
@@ -95,12 +95,12 @@
 		for n, seen := before, before; n < before+jobs; seen = n {
 			var err error
 			if n, err = b.Pending(t.Context(), "q"); err != nil || n < seen || n > before+jobs {
-				t.Fatalf("%d jobs are said to wait after %d, of %d: %v", n, seen, before+jobs, err)
+				t.Fatalf("%d jobs are reported to wait after %d, of %d: %v", n, seen, before+jobs, err)
 			}
 		}
 		for k := range 200 {
 			if n, err := b.Pending(t.Context(), "q"); n != before+jobs {
-				t.Fatalf("count %d: %d jobs are said to wait, want %d: %v", k, n, before+jobs, err)
+				t.Fatalf("count %d: %d jobs are reported to wait, want %d: %v", k, n, before+jobs, err)
 			}
 		}
 	}
--- a/entry/node/outages_test.go
+++ b/entry/node/outages_test.go
@@ -38,7 +38,7 @@
 			r := other.Submit(t.Context(), outageJob(n), time.Now().Add(3*time.Second))
 			longest := 700 * time.Millisecond
 			if sent.Sub(lostAt) > 500*time.Millisecond {
-				// The owner knows by now.
+				// The owner has noticed the loss by now.
 				longest = 250 * time.Millisecond
 			}
 			if held := time.Since(sent); r.Outcome != manager.Accepted || held > longest {
@@ -55,8 +55,8 @@
 	}
 }
 
-// Guards against an owner that holds a job which it cannot store, and against one that says of a
-// job which one of its transactions may store that nobody has to expect it.
+// Guards against an owner that holds a job which it cannot store, and against one that answers
+// that a job cannot be stored although one of its transactions may store it.
 func TestOwnerWithoutStoreSaysSoAtOnce(t *testing.T) {
 	f := newFleet(t)
 	a := f.start("a")
@@ -112,7 +112,7 @@
 }
 
 // Load: a data centre is cut off for 5.5 s, and the load balancer goes on to other entries after
-// two failed probes, one second apart. Guards against an entry that says for another second that
+// two failed probes, one second apart. Guards against an entry that answers for another second that
 // it is ready, in which its callers use up their attempts, and against a request that is held to
 // its end although no attempt can succeed any more.
 func TestCutIsFoundByTheNextRequest(t *testing.T) {
--- a/entry/node/owner.go
+++ b/entry/node/owner.go
@@ -62,7 +62,7 @@
 	if !a.Node.storeReach.lost() {
 		v.Record, v.Revision = a.Node.ownership.stored()
 	}
-	// Without the store the owner takes no jobs, and entries without it have nobody else.
+	// Without the store the owner takes no jobs, and entries without it have no other owner.
 	v.Serving = a.Node.ownership.serving() && !a.Node.ownerLostStore()
 	return v
 }
--- a/entry/node/requests.go
+++ b/entry/node/requests.go
@@ -89,7 +89,7 @@
 	return n.logSubmission(j, n.storeDirectly(ctx, j, s, arrived.Add(refuseAfter)), "store", arrived, until)
 }
 
-// ownsJob reports whether this entry owns the pools and knows the job, which is stored then.
+// ownsJob reports whether this entry owns the pools and has the job, which is stored then.
 func (n *Node) ownsJob(id string) bool {
 	m := n.manager()
 	return m != nil && m.HasJob(id)
@@ -185,7 +185,7 @@
 }
 
 // cannotStore reports whether this entry is cut off, so that the caller is better off with its
-// next attempt at another one. A stopping entry looks for no owner and only knows of the store.
+// next attempt at another one. A stopping entry looks for no owner and only checks the store.
 func (n *Node) cannotStore() bool {
 	return n.isolated() || n.stopping.Load() && n.storeReach.lost()
 }
--- a/entry/node/settlement.go
+++ b/entry/node/settlement.go
@@ -71,7 +71,7 @@
 	return strings.Join(names, ", ")
 }
 
-// outcome returns what the caller may be told.
+// outcome returns the answer for the caller.
 func (s *settlement) outcome() manager.Outcome {
 	switch {
 	case s.accepted:
--- a/entry/node/successor.go
+++ b/entry/node/successor.go
@@ -12,7 +12,7 @@
 
 // Bounds of the search for a successor.
 const (
-	// successorFanout is how many of the strongest entries are asked. Some may be cut off, or
+	// successorFanout is how many of the strongest entries get a request. Some may be cut off, or
 	// have lost the store as well.
 	successorFanout = 8
 	// successorTimeout bounds the question, which takes a read of a slow store; entries that
@@ -29,7 +29,7 @@
 
 // findSuccessors returns the entries that answer that they may take over the term, the
 // strongest first. Each has just read from the store that the term's key is unchanged, so that
-// none answers while the store is away for all.
+// none answers while the store is unreachable for all.
 func (n *Node) findSuccessors(ctx context.Context, t *heldTerm, minimum float64) (found []successor) {
 	ctx, cancel := context.WithTimeout(ctx, successorTimeout)
 	defer cancel()
--- a/entry/peer/handover.go
+++ b/entry/peer/handover.go
@@ -35,7 +35,7 @@
 
 // HandoverReply is the answer to a handover.
 type HandoverReply struct {
-	// Taken is set if the entry has claimed the pools; otherwise Reason says why not.
+	// Taken is set if the entry has claimed the pools; otherwise Reason is why not.
 	Taken  bool   `json:"taken"`
 	Reason string `json:"reason,omitempty"`
 	// Record is the stored value of the owner's key and Revision its revision.
@@ -43,7 +43,7 @@
 	Revision int64  `json:"revision,omitempty"`
 }
 
-// readiness is asked and answered before a handover.
+// readiness is the request and the answer before a handover.
 type readiness struct {
 	Revision int64  `json:"revision,omitempty"`
 	May      bool   `json:"may,omitempty"`
@@ -116,7 +116,7 @@
 	return h, err
 }
 
-// MayTakeOver asks another entry whether it may take over from the owner whose key has a
+// MayTakeOver queries another entry whether it may take over from the owner whose key has a
 // revision.
 func (c *Client) MayTakeOver(ctx context.Context, address string, revision int64) (reason string, may bool, err error) {
 	defer fault.Annotate(&err, "peer: ask for a takeover")
