Test large work beside a limit in one table

A gang that needs most of a limit and a task above it were two tests with the same set-up. TestLargeWorkStartsBesideLimit has both cases, with the same loads, times and bounds; both checks are made for each.

--- a/coordination/schedule/organisation_test.go
+++ b/coordination/schedule/organisation_test.go
@@ -118,7 +118,7 @@
 	}
 }
 
-// One floods: a limit holds it, and the others get all that they ask for.
+// One floods: a limit holds it, and the others get all that they request.
 func TestOrganisationFloodsBesideLimit(t *testing.T) {
 	l := newLoad(t, 4, organisation.Terms{Name: "flood", Weight: 1, Limit: job.Capacity{CPU: 10_000}}, organisation.Terms{Name: "small", Weight: 1})
 	l.jobs = map[string]int{"flood": 200, "small": 2}
@@ -130,7 +130,7 @@
 	l.wantPart("small", 0.4, 0.5)
 }
 
-// One floods a pool without limits: the other gets all that it asks for, and the flood the
+// One floods a pool without limits: the other gets all that it requests, and the flood the
 // rest.
 func TestOrganisationFloodsWithoutLimit(t *testing.T) {
 	l := newLoad(t, 4, organisation.Terms{Name: "flood", Weight: 1}, organisation.Terms{Name: "small", Weight: 1})
@@ -176,7 +176,7 @@
 }
 
 // One big and nineteen small organisations of equal weight: the small ones get all that they
-// ask for, although the big one has more jobs than a plan considers.
+// request, although the big one has more jobs than a plan considers.
 func TestOneBigNineteenSmallOrganisations(t *testing.T) {
 	terms := []organisation.Terms{{Name: "big", Weight: 1}}
 	for i := range 19 {
@@ -231,19 +231,29 @@
 	l.wantPart("a", 0.20, 0.30)
 }
 
-// A gang that needs most of its organisation's limit starts although small tasks of the
-// organisation could always use the room.
-func TestGangStartsBesideLimit(t *testing.T) {
-	l := newLoad(t, 4, organisation.Terms{Name: "a", Limit: job.Capacity{CPU: 8000}})
-	l.jobs["a"] = 20
-	l.play(time.Second)
-	gang := job.Step{Count: 7, CPU: 1000, MemoryMB: 100, EstimateMillis: 400, Gang: true}
-	l.submit("gang", "a", gang)
-	l.jobs["a"]++
-	l.play(6 * time.Second)
-	l.wantState("gang", job.Completed)
-	if l.most["a"] > 8000 {
-		t.Errorf("ran %d at most, above the limit", l.most["a"])
+// Guards against a gang that needs most of its organisation's limit, or a single task that is
+// larger than it, being kept from it by small tasks of the organisation, which could always use
+// the room.
+func TestLargeWorkStartsBesideLimit(t *testing.T) {
+	for name, c := range map[string]struct {
+		limit, others, seconds, most int
+		step                         job.Step
+	}{
+		"gang": {8000, 20, 6, 8000, job.Step{Count: 7, CPU: 1000, MemoryMB: 100, EstimateMillis: 400, Gang: true}},
+		"task": {2000, 5, 10, 2000 + 3000, job.Step{Count: 1, CPU: 3000, EstimateMillis: 400}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newLoad(t, 4, organisation.Terms{Name: "a", Limit: job.Capacity{CPU: c.limit}})
+			l.jobs["a"] = c.others
+			l.play(time.Second)
+			l.submit(name, "a", c.step)
+			l.jobs["a"]++
+			l.play(time.Duration(c.seconds) * time.Second)
+			l.wantState(name, job.Completed)
+			if l.most["a"] > c.most {
+				t.Errorf("ran %d at most, want %d", l.most["a"], c.most)
+			}
+		})
 	}
 }
 
@@ -288,21 +298,6 @@
 	l.wantState("gang", job.Completed)
 }
 
-// A single task that is larger than the limit runs although smaller ones of its organisation
-// could always use the limit.
-func TestTaskLargerThanLimit(t *testing.T) {
-	l := newLoad(t, 4, organisation.Terms{Name: "a", Limit: job.Capacity{CPU: 2000}})
-	l.jobs["a"] = 5
-	l.play(time.Second)
-	l.submit("large", "a", job.Step{Count: 1, CPU: 3000, EstimateMillis: 400})
-	l.jobs["a"]++
-	l.play(10 * time.Second)
-	l.wantState("large", job.Completed)
-	if l.most["a"] > 2000+3000 {
-		t.Errorf("ran %d at most, above the limit and one task", l.most["a"])
-	}
-}
-
 // A step that its organisation's limit holds back keeps no task of others from starting.
 func TestLimitHoldsOnlyItsOrganisation(t *testing.T) {
 	l := newLoad(t, 4, organisation.Terms{Name: "a", Limit: job.Capacity{CPU: 1000}}, organisation.Terms{Name: "b"})
@@ -387,7 +382,7 @@
 	}
 }
 
-// A timed job whose occurrences are still to come wants nothing of the pool.
+// A timed job whose occurrences are still to come has no demand in the pool.
 func TestFutureOccurrencesAreNotWanted(t *testing.T) {
 	l := newLoad(t, 1, organisation.Terms{Name: "a"}, organisation.Terms{Name: "b"})
 	r := newRecord("timed", organisationTask)
@@ -400,7 +395,7 @@
 	}
 }
 
-// The metrics name the organisations that use most, and no more than asked for.
+// The metrics name the organisations that use most, and no more than requested.
 func TestOrganisationUses(t *testing.T) {
 	l := newLoad(t, 2, organisation.Terms{Name: "a", Limit: job.Capacity{CPU: 2000}}, organisation.Terms{Name: "b"}, organisation.Terms{Name: "idle"})
 	l.submit("a", "a", organisationTask)
