Join tests of crashing tasks with the same set-up

The crash that comes before the answer and the proof of two losses are cases lostAnswers and proofs of TestTaskThatCrashesEndpointsIsGivenUp, with the same run, times and bounds; longLived is called longRunning. The orders that did not reach a dead endpoint and those that were cut off are the cases of TestOrderThatWasNotCarriedOutIsNoCrash, with their answers and checks; both check now that the job runs before it completes.

--- a/coordination/schedule/crash_test.go
+++ b/coordination/schedule/crash_test.go
@@ -112,6 +112,22 @@
 	c.s.RecordDisconnected(i.endpoint, c.now)
 }
 
+// planOne returns the only start of a plan and its instance.
+func (c *crashFleet) planOne() (start Order, i *simulatedInstance) {
+	c.t.Helper()
+	starts := c.startOrders(c.s.Plan(c.now, c.now))
+	if len(starts) != 1 {
+		c.t.Fatalf("orders %v, want one start", starts)
+	}
+	return starts[0], c.instanceOf(starts[0].Endpoint)
+}
+
+// restart gives an instance another endpoint after restartTime.
+func (c *crashFleet) restart(i *simulatedInstance) {
+	c.now = c.now.Add(restartTime)
+	c.startEndpoint(i)
+}
+
 func (c *crashFleet) instanceOf(endpoint string) *simulatedInstance {
 	for _, i := range c.instances {
 		if i.endpoint == endpoint && i.downUntil.IsZero() {
@@ -189,22 +205,36 @@
 }
 
 // Guards against a task that crashes one endpoint after the other: lost runs were not
-// counted, so that it was started again for as long as its job lived.
+// counted, so that it was started again for as long as its job lived. Guards also against a crash
+// that is not counted because the answer to the start was lost with the endpoint, and against a
+// third start while two losses under a task wait for proof: the crashes of a task whose copies run
+// at the same time are proved one after the other.
 func TestTaskThatCrashesEndpointsIsGivenUp(t *testing.T) {
-	for name, step := range map[string]job.Step{
-		"plain":      {Count: 1, CPU: 1000},
-		"siblings":   {Count: 6, CPU: 1000},
-		"duplicates": {Count: 1, CPU: 1000, AllowDuplicates: true},
-		"gang":       {Count: 3, CPU: 1000, Gang: true},
-		"longLived":  {Count: 2, CPU: 1000, LongRunning: true},
+	for name, test := range map[string]struct {
+		step        job.Step
+		loseAnswers bool
+		// seconds are simulated; the job has to have failed after 20.
+		seconds, least, most int
+	}{
+		"plain":       {step: job.Step{Count: 1}, seconds: 20, least: 2, most: 3},
+		"siblings":    {step: job.Step{Count: 6}, seconds: 20, least: 2, most: 3},
+		"duplicates":  {step: job.Step{Count: 1, AllowDuplicates: true}, seconds: 20, least: 2, most: 3},
+		"gang":        {step: job.Step{Count: 3, Gang: true}, seconds: 20, least: 2, most: 3},
+		"longRunning": {step: job.Step{Count: 2, LongRunning: true}, seconds: 20, least: 2, most: 3},
+		"lostAnswers": {step: job.Step{Count: 1, AllowDuplicates: true}, loseAnswers: true, seconds: 20, most: 5},
+		"proofs":      {step: job.Step{Count: 1, AllowDuplicates: true}, seconds: 10, least: 2, most: 2},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := newCrashFleet(t, 8, crashOnStart(firstTask("crashing")))
-			task := c.addJob("crashing", step)
-			c.runFor(20 * time.Second)
-			c.wantState("crashing", job.Failed)
-			if n := c.crashed[task]; n < 2 || n > 3 {
-				t.Errorf("%d endpoints crashed under the task, want 2 or 3", n)
+			c.loseAnswers = test.loseAnswers
+			test.step.CPU = 1000
+			task := c.addJob("crashing", test.step)
+			c.runFor(time.Duration(test.seconds) * time.Second)
+			if test.seconds >= 20 {
+				c.wantState("crashing", job.Failed)
+			}
+			if n := c.crashed[task]; n < test.least || n > test.most {
+				t.Errorf("%d endpoints crashed under the task, want %d to %d", n, test.least, test.most)
 			}
 		})
 	}
--- a/coordination/schedule/crashcount_test.go
+++ b/coordination/schedule/crashcount_test.go
@@ -128,48 +128,35 @@
 	}
 }
 
-// Guards against giving up a task whose orders never reached the endpoints that crashed: it
-// did not run there.
-func TestOrderToADeadEndpointIsNoCrash(t *testing.T) {
-	c := newCrashFleet(t, 6, crashOnStart())
-	task := c.addJob("j", job.Step{Count: 1, CPU: 1000})
-	for range 5 {
-		starts := c.startOrders(c.s.Plan(c.now, c.now))
-		if len(starts) != 1 {
-			t.Fatalf("orders %v, want one start", starts)
-		}
-		i := c.instanceOf(starts[0].Endpoint)
-		c.s.RecordOrderResult(starts[0], Unknown, c.now)
-		c.crash(i)
-		c.now = c.now.Add(restartTime)
-		c.startEndpoint(i)
-	}
-	c.wantState("j", job.Running)
-	if n := len(c.s.taskByName(task).crashes); n != 5 {
-		t.Errorf("%d crashes, want the 5 losses", n)
-	}
-	c.runFor(2 * time.Second)
-	c.wantState("j", job.Completed)
-}
-
-// Guards against giving up a task under which one endpoint has crashed: the order to start it
-// on another one came when that had just crashed, and the connection ended without an answer.
-func TestOrderThatWasCutOffIsNoCrash(t *testing.T) {
-	c := newCrashFleet(t, 6, crashOnStart())
-	c.addJob("j", job.Step{Count: 1, CPU: 1000})
-	for _, answer := range []OrderResult{Disconnected, Accepted, Disconnected} {
-		starts := c.startOrders(c.s.Plan(c.now, c.now))
-		if len(starts) != 1 {
-			t.Fatalf("orders %v, want one start", starts)
-		}
-		c.s.RecordOrderResult(starts[0], answer, c.now)
-		i := c.instanceOf(starts[0].Endpoint)
-		c.crash(i)
-		c.now = c.now.Add(restartTime)
-		c.startEndpoint(i)
+// Guards against giving up a task whose orders never reached the endpoints that crashed, so that it
+// did not run there, and one under which one endpoint has crashed: the order to start it on another
+// one came when that had just crashed, and the connection ended without an answer.
+func TestOrderThatWasNotCarriedOutIsNoCrash(t *testing.T) {
+	for name, test := range map[string]struct {
+		answers []OrderResult
+		// losses are those that count before the task is done, or 0 if any may.
+		losses int
+	}{
+		"dead":   {[]OrderResult{Unknown, Unknown, Unknown, Unknown, Unknown}, 5},
+		"cutOff": {[]OrderResult{Disconnected, Accepted, Disconnected}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCrashFleet(t, 6, crashOnStart())
+			task := c.addJob("j", job.Step{Count: 1, CPU: 1000})
+			for _, answer := range test.answers {
+				start, i := c.planOne()
+				c.s.RecordOrderResult(start, answer, c.now)
+				c.crash(i)
+				c.restart(i)
+			}
+			c.wantState("j", job.Running)
+			if n := len(c.s.taskByName(task).crashes); test.losses > 0 && n != test.losses {
+				t.Errorf("%d crashes, want the %d losses", n, test.losses)
+			}
+			c.runFor(2 * time.Second)
+			c.wantState("j", job.Completed)
+		})
 	}
-	c.runFor(2 * time.Second)
-	c.wantState("j", job.Completed)
 }
 
 // Guards against giving up a task after two endpoints that fell silent were replaced: they may
@@ -184,8 +171,7 @@
 		}
 		i := c.instanceOf(starts[0].Endpoint)
 		c.s.RecordUnanswered(i.endpoint, c.now)
-		c.now = c.now.Add(restartTime)
-		c.startEndpoint(i)
+		c.restart(i)
 		c.confirmWrites()
 		want := job.Running
 		if n == maxCrashes {
@@ -215,19 +201,6 @@
 	}
 }
 
-// Guards against a crash that is not counted because the answer to the start was lost with
-// the endpoint.
-func TestCrashBeforeTheAnswerCounts(t *testing.T) {
-	c := newCrashFleet(t, 8, crashOnStart(firstTask("crashing")))
-	c.loseAnswers = true
-	task := c.addJob("crashing", job.Step{Count: 1, CPU: 1000, AllowDuplicates: true})
-	c.runFor(20 * time.Second)
-	c.wantState("crashing", job.Failed)
-	if n := c.crashed[task]; n > 5 {
-		t.Errorf("%d endpoints crashed under the task, want at most 5", n)
-	}
-}
-
 // Guards against a task that crashes endpoints some time after its start, while later starts
 // of other jobs are suspected in its place.
 func TestLateCrashesCount(t *testing.T) {
@@ -343,17 +316,6 @@
 	}
 }
 
-// Guards against a third start while two losses under a task wait for proof: the crashes of
-// a task whose copies run at the same time are proved one after the other.
-func TestTaskAwaitsProofOfTwoLosses(t *testing.T) {
-	c := newCrashFleet(t, 8, crashOnStart(firstTask("crashing")))
-	task := c.addJob("crashing", job.Step{Count: 1, CPU: 1000, AllowDuplicates: true})
-	c.runFor(10 * time.Second)
-	if n := c.crashed[task]; n != 2 {
-		t.Errorf("%d endpoints crashed under the task, want 2", n)
-	}
-}
-
 // Guards against an endpoint that restarts under its own identifier between two polls: the
 // new incarnation is the only sign of the crash.
 func TestRestartUnderTheSameIdentifierCounts(t *testing.T) {
