--- a/entry/store/follow_test.go
+++ b/entry/store/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -55,6 +56,18 @@
 	return c.changes, c.revision, c.err
 }
 
+// play runs a follower until it has made the scripted calls.
+func (s *scriptedStore) play(t *testing.T, f *Follower) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := f.Run(ctx)
+	<-s.done
+	cancel()
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+}
+
 // Guards against a view that is confirmed as of the arrival of an answer, by a call without
 // one or by one whose history was dropped, or before its changes are applied; and against a
 // wait of the settings at the start, and a long one when an answer is due after a failure.
@@ -80,30 +93,17 @@
 			return wait
 		},
 	}
-	ctx, cancel := context.WithCancel(t.Context())
-	ended := f.Run(ctx)
-	<-s.done
-	cancel()
-	if err := <-ended; err != nil {
-		t.Fatal(err)
-	}
+	s.play(t, f)
 	want := []time.Duration{10 * time.Second, 11 * time.Second, 14 * time.Second, 27 * time.Second}
-	if len(confirmed) != len(want) {
-		t.Fatalf("confirmed as of %v, want %v", confirmed, want)
-	}
-	for i := range want {
-		if confirmed[i] != want[i] {
-			t.Errorf("confirmed as of %v, want %v", confirmed, want)
-		}
+	if !slices.Equal(confirmed, want) {
+		t.Errorf("confirmed as of %v, want %v", confirmed, want)
 	}
 	if confirmedBeforeChange != 2 {
 		t.Errorf("the changes were applied after %d confirmations, want 2", confirmedBeforeChange)
 	}
 	wantWaits := []time.Duration{1001 * time.Millisecond, 1002 * time.Millisecond, confirmWait, 1003 * time.Millisecond, 1004 * time.Millisecond}
-	for i := range wantWaits {
-		if len(s.waits) != len(wantWaits) || s.waits[i] != wantWaits[i] {
-			t.Fatalf("watches waited %v, want %v", s.waits, wantWaits)
-		}
+	if !slices.Equal(s.waits, wantWaits) {
+		t.Errorf("watches waited %v, want %v", s.waits, wantWaits)
 	}
 }
 
@@ -121,13 +121,7 @@
 		Store: s, Prefix: "x/", Reset: func([]Item, int64) {}, Apply: func([]Change) {},
 		OnUnreachable: func(error) {}, OnRecovered: func() {}, OnConfirmed: func(time.Duration) { confirmations++ },
 	}
-	ctx, cancel := context.WithCancel(t.Context())
-	ended := f.Run(ctx)
-	<-s.done
-	cancel()
-	if err := <-ended; err != nil {
-		t.Fatal(err)
-	}
+	s.play(t, f)
 	if s.ranges != 2 || confirmations != 3 {
 		t.Errorf("%d reads of all keys and %d confirmations, want 2 and 3", s.ranges, confirmations)
 	}
