--- a/entry/node/creation_test.go
+++ b/entry/node/creation_test.go
@@ -57,15 +57,7 @@
 // storedState returns the state of a job in the store.
 func (f *fleet) storedState(id string) job.State {
 	f.t.Helper()
-	item, found, err := f.store.Get(f.t.Context(), manager.JobKey(id))
-	if err != nil || !found {
-		f.t.Fatal(found, err)
-	}
-	r, err := job.Decode(item.Value, item.Revision)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	return r.State
+	return f.storedJob(id).State
 }
 
 // startPair starts two entries and returns the owner first. A job that an entry accepts may be
