Split the start and the claim of a term by duty

Cause: runTerm built the manager and ended the term, tryLoad read the store and filled the scheduler, claim wrote the keys and took the term over. Comments in node.go name what an entry has read. Behaviour is unchanged.

--- a/entry/manager/load.go
+++ b/entry/manager/load.go
@@ -9,7 +9,9 @@
 
 	"github.com/azurepoint/azurepoint/coordination/job"
 	"github.com/azurepoint/azurepoint/coordination/retry"
+	"github.com/azurepoint/azurepoint/coordination/schedule"
 	"github.com/azurepoint/azurepoint/entry/event"
+	"github.com/azurepoint/azurepoint/entry/store"
 )
 
 // load reads the records of all jobs; no write of the previous owner can succeed any
@@ -29,34 +31,51 @@
 	}
 }
 
+// storedState is what an owner reads in the store before it serves.
+type storedState struct {
+	jobs, cancelled []store.Item
+	endpoints       []schedule.Endpoint
+}
+
 func (m *Manager) tryLoad(ctx context.Context) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	items, _, err := m.Store.Range(ctx, jobPrefix)
+	stored, err := m.readStored(ctx)
 	if err != nil {
 		return err
 	}
-	cancelled, _, err := m.Store.Range(ctx, CancelPrefix)
-	if err != nil {
-		return err
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.addStored(stored, time.Now())
+	m.loaded = true
+	event.OwnershipReady.Log(log.Fields{"term": m.Term.Number, "jobs": len(stored.jobs), "endpoints": len(m.recorded)})
+	return nil
+}
+
+// readStored reads the records of jobs, cancellations, recent orders and endpoints.
+func (m *Manager) readStored(ctx context.Context) (s storedState, err error) {
+	if s.jobs, _, err = m.Store.Range(ctx, jobPrefix); err != nil {
+		return s, err
 	}
-	if err = m.orders.load(ctx, m.Store); err != nil {
-		return err
+	if s.cancelled, _, err = m.Store.Range(ctx, CancelPrefix); err != nil {
+		return s, err
 	}
-	known, err := m.endpointRecords.load(ctx, m.Store)
-	if err != nil {
-		return err
+	if err = m.orders.load(ctx, m.Store); err != nil {
+		return s, err
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	now := time.Now()
-	for _, e := range known {
+	s.endpoints, err = m.endpointRecords.load(ctx, m.Store)
+	return s, err
+}
+
+// addStored adds what was read to the scheduler; m.mu is held.
+func (m *Manager) addStored(s storedState, now time.Time) {
+	for _, e := range s.endpoints {
 		m.recorded[e.ID] = e
 		m.pollersDue[e.ID] = true
 		m.scheduler.AddSettledEndpoint(e, now)
 	}
 	var records []job.Record
-	for _, i := range items {
+	for _, i := range s.jobs {
 		r, err := job.Decode(i.Value, i.Revision)
 		if err != nil {
 			event.RecordInvalid.Log(log.Fields{"key": i.Key, "error": err.Error()})
@@ -68,13 +87,10 @@
 	// A job that was cancelled while there was no owner must not start before this
 	// entry's watch reports the cancel mark.
 	m.cancelledEarly = make(map[string]bool)
-	for _, i := range cancelled {
+	for _, i := range s.cancelled {
 		id := strings.TrimPrefix(i.Key, CancelPrefix)
 		if !m.scheduler.CancelJob(id, now) {
 			m.cancelledEarly[id] = true
 		}
 	}
-	m.loaded = true
-	event.OwnershipReady.Log(log.Fields{"term": m.Term.Number, "jobs": len(items), "endpoints": len(m.recorded)})
-	return nil
 }
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -43,9 +43,9 @@
 	Machines  manager.Machines
 	Reports   manager.WaveReports
 	Manager   manager.Settings
-	// Access says for how long a removed key may still be served.
+	// Access is for how long a removed key may still be served.
 	Access access.Policy
-	// Returns says when callers return that are turned away in an outage.
+	// Returns decides when callers return that are turned away in an outage.
 	Returns outage.Returns
 
 	// view is how recent the configuration is.
@@ -77,7 +77,7 @@
 	noHandoverUntil, noStoreHandoverUntil time.Time
 	// handovers receives the handovers of other entries while this one may claim.
 	handovers chan *received
-	// suspected asks for a probe of the store, and ownerSuspected for a lookup of the owner.
+	// suspected requests a probe of the store, and ownerSuspected a lookup of the owner.
 	suspected, ownerSuspected chan struct{}
 	// cancelsChanged and inboxChanged wake the servers of the marks.
 	cancelsChanged, inboxChanged chan struct{}
@@ -149,65 +149,6 @@
 	return err
 }
 
-// runTerm manages the pools until the term or the context ends; inherited is what the previous
-// owner has handed over, or nil.
-func (n *Node) runTerm(ctx context.Context, t *heldTerm, inherited *manager.Inheritance) {
-	event.OwnershipTaken.Log(log.Fields{"term": t.number, "revision": t.revision})
-	termCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	m := &manager.Manager{
-		Settings: n.managerSettings(), Store: n.Store, Endpoints: n.Endpoints, Directory: n.Directory, Machines: n.Machines, Reports: n.Reports, Holder: n.Name,
-		Pools: n.pools, Organisations: n.organisations, Inherited: inherited,
-		Term: manager.Term{
-			Owner:  store.Condition{Key: manager.OwnerKey, Revision: t.revision},
-			Number: t.number, ConfinedSince: t.confinedSince,
-			Confirmed: func() bool { return n.ownership.confirmed(t) },
-			StoreLost: n.ownerLostStore,
-			Lost:      t.end,
-		},
-	}
-	m.Init()
-	ended := m.Run(termCtx)
-	n.setActive(m)
-	leaseDone := make(chan error, 1)
-	go func() {
-		n.ownership.keepLease(termCtx, t)
-		leaseDone <- nil
-	}()
-	handoverDone := make(chan error, 1)
-	go func() {
-		n.watchForHandover(termCtx, t)
-		handoverDone <- nil
-	}()
-	n.serveControl(termCtx, t, m)
-	n.setActive(nil)
-	planned := ctx.Err() != nil && !t.over()
-	t.end()
-	cancel()
-	<-leaseDone
-	<-handoverDone
-	reason := t.reason
-	if planned && reason == "" {
-		reason = reasonStop
-	}
-	taken := reason != "" && n.handOver(context.WithoutCancel(ctx), t, m, reason)
-	if err := <-ended; err != nil {
-		event.ComponentFailed.Log(log.Fields{"part": "manager", "error": err.Error()})
-	}
-	switch {
-	case taken:
-		n.ownership.dropTerm(t)
-		return
-	case reason == "" && ctx.Err() == nil:
-		event.OwnershipLost.Log(log.Fields{"term": t.number})
-		n.ownership.dropTerm(t)
-		return
-	}
-	if err := n.ownership.releaseTerm(context.WithoutCancel(ctx), t); err != nil {
-		event.OwnershipLost.Log(log.Fields{"term": t.number, "error": err.Error()})
-	}
-}
-
 // SetManagerSettings sets the settings of the next manager, which is created with the
 // next term.
 func (n *Node) SetManagerSettings(s manager.Settings) {
@@ -315,7 +256,7 @@
 	n.stopping.Store(true)
 }
 
-// Ready reports whether this entry can serve callers: it knows the configuration, may rely
+// Ready reports whether this entry can serve callers: it has read the configuration, may rely
 // on its keys, and reaches the owner or the store.
 func (n *Node) Ready() bool {
 	return n.configuration.Load() != nil && !n.stopping.Load() && !n.isolated() && !n.accessClosed()
--- a/entry/node/ownership.go
+++ b/entry/node/ownership.go
@@ -282,16 +282,22 @@
 		number: number, confinedSince: since, revision: written, lease: lease, confirmed: true,
 		confirmedUntil: granted + ownerLease - ownerLeaseMargin, lost: make(chan struct{}), renewalFailed: make(chan struct{}, 1),
 	}
+	o.hold(t, record, value)
+	return t, nil
+}
+
+// hold makes a claimed term the one of this process; record and value are those of the owner's
+// key.
+func (o *ownership) hold(t *heldTerm, record ownerRecord, value []byte) {
 	o.mu.Lock()
+	defer o.mu.Unlock()
 	o.held = t
-	if written >= o.revision {
-		o.owner, o.revision, o.record = record, written, value
+	if t.revision >= o.revision {
+		o.owner, o.revision, o.record = record, t.revision, value
 	} else {
 		// A later revision of the key was seen before the answer to this claim.
 		t.end()
 	}
-	o.mu.Unlock()
-	return t, nil
 }
 
 // serving reports whether this process owns the pools with a confirmed lease; it may
