--- a/coordination/access/doc.go
+++ b/coordination/access/doc.go
@@ -11,7 +11,7 @@
 // has passed since then, because a removal that the view lacks was acknowledged later and
 // the request was sent before it is checked. After that the entry serves no request that
 // needs a key until a call confirms its view again. Time is the time since boot, so that a
-// suspended process notices on waking how old its view is.
+// process that was suspended reads how old its view is.
 //
 // The bound of an entry that has lost its source counts from the last call before the
 // loss, which was sent up to two intervals between confirmations before. The interval is a
--- a/coordination/organisation/ledger_test.go
+++ b/coordination/organisation/ledger_test.go
@@ -110,7 +110,7 @@
 	}
 }
 
-// Guards against accounts that outlive their organisation, or end before its runs.
+// Guards against accounts that remain after their organisation, or end before its runs.
 func TestAccountsOfRemovedOrganisations(t *testing.T) {
 	l := newLedger(Terms{Weight: 1})
 	l.Start("a", job.Capacity{CPU: 1})
--- a/coordination/outage/returns.go
+++ b/coordination/outage/returns.go
@@ -6,7 +6,7 @@
 	// retries is how often callers repeat a request.
 	retries = 4
 	// minDelay is the shortest delay in whole seconds, as the header has them, and maxDelay
-	// bounds the delay in a long outage, so that callers notice its end.
+	// bounds the delay in a long outage, so that callers return after its end.
 	minDelay = time.Second
 	maxDelay = 15 * time.Second
 	// defaultBearable is the length of an outage that is borne where the platform names none:
--- a/coordination/schedule/admit.go
+++ b/coordination/schedule/admit.go
@@ -81,7 +81,7 @@
 
 // Admit decides whether a new job is accepted, and sets whether it is beyond its
 // organisation's rate. Starts is the number of starts a second that the owner can send, or 0
-// if that is not the limit. A job that is not stored later has to be forgotten.
+// if that is not the limit. A job that is not stored later has to be removed.
 func (s *Scheduler) Admit(j *job.Job, starts float64, now time.Time) (r Refusal, accepted bool) {
 	s.init()
 	o, a := &s.organisations, &s.admissions
--- a/coordination/schedule/crashcount_test.go
+++ b/coordination/schedule/crashcount_test.go
@@ -222,8 +222,8 @@
 	}
 }
 
-// Guards against adding up the crashes of a long-running task over its whole life.
-func TestCrashesOfALongLifeDoNotAddUp(t *testing.T) {
+// Guards against adding up the crashes of a long-running task over its whole run time.
+func TestCrashesOfALongRunDoNotAddUp(t *testing.T) {
 	c := newCrashFleet(t, 4, crashOnStart())
 	c.runTime = time.Hour
 	task := c.addJob("j", job.Step{Count: 1, CPU: 1000, LongRunning: true})
--- a/coordination/schedule/handover_test.go
+++ b/coordination/schedule/handover_test.go
@@ -135,7 +135,7 @@
 }
 
 // Guards against runs that a handover leaves out: one beside another run of the same task that
-// the owner believed in, second runs, and those of an endpoint that has left the list.
+// the owner counted as active, second runs, and those of an endpoint that has left the list.
 func TestHandoverNamesAllRuns(t *testing.T) {
 	f := newFixture(t, "e1", "e2")
 	r := newRecord("a", job.Step{Count: 1, CPU: 1000, AllowDuplicates: true, KeepCheckpoints: true})
--- a/entry/node/outages_test.go
+++ b/entry/node/outages_test.go
@@ -120,7 +120,7 @@
 	b := f.start("b")
 	f.submit(b, "1111111111111111", "10", job.Step{Count: 1, CPU: 1000})
 	b.Returns = outage.NewReturns(6 * time.Second)
-	// The owner is an entry that the cut has made silent; b has read it from the store.
+	// The owner is an entry that does not answer after the cut; b has read it from the store.
 	b.ownership.mu.Lock()
 	held := b.ownership.held
 	b.ownership.mu.Unlock()
@@ -185,7 +185,7 @@
 	}
 }
 
-// Load: a caller that was turned away comes back with 100 ms left, to an entry that is sound.
+// Load: a caller that was turned away returns with 100 ms left, to an entry that is sound.
 // Guards against a refusal of a job that could be stored in time, against one without time being
 // reported as an outage, and against an unsettled answer that does not name its attempts.
 func TestLittleTimeIsUsed(t *testing.T) {
