--- a/entry/node/marks_test.go
+++ b/entry/node/marks_test.go
@@ -66,7 +66,7 @@
 	}
 	f.await(b, id, job.Cancelled, time.Second)
 	if n, err := b.Pending(t.Context(), "q"); n != 400 {
-		t.Errorf("%d jobs are said to wait, want 400: %v", n, err)
+		t.Errorf("%d jobs are reported to wait, want 400: %v", n, err)
 	}
 	f.await(b, fmt.Sprintf("%016x", 0xa000+399), job.Queued, time.Second)
 	f.check()
