Let transactions of a handover's test begin at any time

Cause: TestHandOverStoresReportedEnds hung once beside a load of 50. Its sleep took longer than the time between two transactions, so that a second one began and waited for the test for good.

Change: the store of the test holds all transactions back that begin before it is released, and rejects all of them or none.

--- a/entry/manager/fake_test.go
+++ b/entry/manager/fake_test.go
@@ -17,8 +17,6 @@
 	// delayed instead, for the test to execute.
 	loseAnswer, delay bool
 	delayed           []store.Transaction
-	// reject rejects the next transaction.
-	reject bool
 	// onCommit, if set, is called during each transaction.
 	onCommit func()
 }
@@ -44,10 +42,6 @@
 	if s.onCommit != nil {
 		s.onCommit()
 	}
-	if s.reject {
-		s.reject = false
-		return 0, store.ErrRejected
-	}
 	if s.delay {
 		s.delay = false
 		s.delayed = append(s.delayed, t)
--- a/entry/manager/handover_test.go
+++ b/entry/manager/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -10,19 +11,41 @@
 	"github.com/azurepoint/azurepoint/entry/store"
 )
 
+// heldStore holds the transactions back that are sent before release is closed, and then rejects
+// them if it is to.
+type heldStore struct {
+	fakeStore
+
+	mu                  sync.Mutex
+	committing, release chan struct{}
+	rejects             bool
+}
+
+func (s *heldStore) Commit(ctx context.Context, t store.Transaction) (revision int64, err error) {
+	select {
+	case <-s.release:
+	default:
+		s.committing <- struct{}{}
+		<-s.release
+		if s.rejects {
+			return 0, store.ErrRejected
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fakeStore.Commit(ctx, t)
+}
+
 // Guards against a task that the next owner starts again although its end was reported: the
 // write of the end was rejected or had not been sent when the owner stopped, and the handover
 // did not arrive.
 func TestHandOverStoresReportedEnds(t *testing.T) {
 	for _, rejected := range []bool{false, true} {
-		committing, release := make(chan struct{}), make(chan struct{})
-		s := &fakeStore{revision: 1, items: make(map[string]store.Item)}
-		m := newSubmitManager(s)
-		s.onCommit = func() {
-			committing <- struct{}{}
-			<-release
-			s.reject = rejected
+		s := &heldStore{
+			fakeStore: fakeStore{revision: 1, items: make(map[string]store.Item)}, committing: make(chan struct{}, maxConcurrentCommits),
+			release: make(chan struct{}), rejects: rejected,
 		}
+		m := newSubmitManager(s)
 		for n := range 2 {
 			r := job.Record{Job: newSubmission(n), State: job.Queued, Revision: 1}
 			r.Steps[0].Count = 1
@@ -42,7 +65,7 @@
 		m.scheduler.ApplyReport("a", schedule.Report{SentAt: time.Now(), ReceivedAt: time.Now(), Incarnation: 1, Ended: ended[:1]})
 		m.recordWriter.trigger()
 		select {
-		case <-committing:
+		case <-s.committing:
 		case <-time.After(5 * time.Second):
 			t.Fatal("the first end is not stored")
 		}
@@ -57,8 +80,7 @@
 			close(handedOver)
 		}()
 		time.Sleep(5 * time.Millisecond)
-		s.onCommit = nil
-		close(release)
+		close(s.release)
 		<-handedOver
 		if err := <-written; err != nil {
 			t.Fatal(err)
