Make the model in one place in the tests of pool sizes

Eight tests made the model and set its policy in the same way, and three wrote the same change of a load. bothPolicies makes the model; the loads are sizingtest.Change.

--- a/coordination/sizing/decide_test.go
+++ b/coordination/sizing/decide_test.go
@@ -9,11 +9,18 @@
 	"github.com/azurepoint/azurepoint/coordination/sizing/sizingtest"
 )
 
-// bothPolicies runs a test with pools sized by the moving average of each queue, and by
-// learned run times.
-func bothPolicies(t *testing.T, test func(t *testing.T, learned bool)) {
+// loads are the jobs a second of each pool.
+type loads = map[string]func(second float64) (rate float64)
+
+// bothPolicies runs a test with a model whose pools are sized by the moving average of each
+// queue, and by learned run times.
+func bothPolicies(t *testing.T, perPool, spare int, l loads, test func(t *testing.T, m *sizingtest.Model)) {
 	for name, learned := range map[string]bool{"mean": false, "learned": true} {
-		t.Run(name, func(t *testing.T) { test(t, learned) })
+		t.Run(name, func(t *testing.T) {
+			m := sizingtest.New(perPool, spare, l)
+			m.Learned = learned
+			test(t, m)
+		})
 	}
 }
 
@@ -23,14 +30,12 @@
 // arrived work is late by 0.8 s of the peak rate, an eighth of a burst of 10 s with a mean
 // of 0.64 of its peak. With the forecast, less than half of that may be late.
 func TestAlternatingBursts(t *testing.T) {
-	bothPolicies(t, func(t *testing.T, learned bool) {
-		const peak, seconds = 120, 10
-		loads := make(map[string]func(float64) float64)
-		for i, name := range []string{"a", "b", "c", "d"} {
-			loads[name] = sizingtest.Wave(5+seconds*float64(i), seconds, peak)
-		}
-		m := sizingtest.New(40, 30, loads)
-		m.Learned = learned
+	const peak, seconds = 120, 10
+	bursts := make(loads)
+	for i, name := range []string{"a", "b", "c", "d"} {
+		bursts[name] = sizingtest.Wave(5+seconds*float64(i), seconds, peak)
+	}
+	bothPolicies(t, 40, 30, bursts, func(t *testing.T, m *sizingtest.Model) {
 		m.Run(5 + 4*seconds + 5)
 		direct, viaSpare := m.CountMoves()
 		t.Logf("%.3f in time, %d direct moves, %d from or to the spare pool, %.0f instance-seconds", m.OnTimeShare(), direct, viaSpare, m.PoolSeconds)
@@ -96,10 +101,8 @@
 // Guards against a pool that grows only once its tasks wait. The load of one pool rises by
 // 20 tasks a second each second, the others are idle.
 func TestRisingQueue(t *testing.T) {
-	bothPolicies(t, func(t *testing.T, learned bool) {
-		rising := func(second float64) float64 { return min(100, max(1, 20*(second-5))) }
-		m := sizingtest.New(30, 30, map[string]func(float64) float64{"a": rising, "b": sizingtest.Constant(0.5), "c": sizingtest.Constant(0.5), "d": sizingtest.Constant(0.5)})
-		m.Learned = learned
+	rising := func(second float64) float64 { return min(100, max(1, 20*(second-5))) }
+	bothPolicies(t, 30, 30, loads{"a": rising, "b": sizingtest.Constant(0.5), "c": sizingtest.Constant(0.5), "d": sizingtest.Constant(0.5)}, func(t *testing.T, m *sizingtest.Model) {
 		m.Run(20)
 		t.Logf("%.3f in time, %d moves, %d in the pool", m.OnTimeShare(), len(m.Moves), m.Count("a"))
 		if m.OnTimeShare() < 0.98 {
@@ -115,15 +118,13 @@
 // jobs arrives at once and none follow. The error of the forecast is kept for the time
 // of two moves; after three times that, a twentieth of it is left.
 func TestWrongForecast(t *testing.T) {
-	bothPolicies(t, func(t *testing.T, learned bool) {
-		group := func(second float64) float64 {
-			if second >= 5 && second < 5.3 {
-				return 200
-			}
-			return 0.5
-		}
-		m := sizingtest.New(20, 40, map[string]func(float64) float64{"a": group, "b": sizingtest.Constant(0.5)})
-		m.Learned = learned
+	group := func(second float64) float64 {
+		if second >= 5 && second < 5.3 {
+			return 200
+		}
+		return 0.5
+	}
+	bothPolicies(t, 20, 40, loads{"a": group, "b": sizingtest.Constant(0.5)}, func(t *testing.T, m *sizingtest.Model) {
 		m.Run(5)
 		before := m.Count("a")
 		m.Run(5.3 + 3*sizing.ErrorWindow.Seconds())
@@ -137,9 +138,7 @@
 // Guards against moves that take the endpoints of long-running tasks, and against a pool
 // that has no endpoint beside them for its first short tasks.
 func TestLongRunningTasksOverAPool(t *testing.T) {
-	bothPolicies(t, func(t *testing.T, learned bool) {
-		m := sizingtest.New(20, 0, map[string]func(float64) float64{"a": sizingtest.Constant(0.2), "b": sizingtest.Wave(3, 6, 60)})
-		m.Learned = learned
+	bothPolicies(t, 20, 0, loads{"a": sizingtest.Constant(0.2), "b": sizingtest.Wave(3, 6, 60)}, func(t *testing.T, m *sizingtest.Model) {
 		for _, i := range m.Instances[:20] {
 			i.LongRunning = i.Name < "i012"
 		}
@@ -156,9 +155,7 @@
 
 // Guards against instances that go back and forth while all pools lack them.
 func TestAllPoolsFull(t *testing.T) {
-	bothPolicies(t, func(t *testing.T, learned bool) {
-		m := sizingtest.New(20, 0, map[string]func(float64) float64{"a": sizingtest.Constant(60), "b": sizingtest.Constant(60), "c": sizingtest.Constant(60)})
-		m.Learned = learned
+	bothPolicies(t, 20, 0, loads{"a": sizingtest.Constant(60), "b": sizingtest.Constant(60), "c": sizingtest.Constant(60)}, func(t *testing.T, m *sizingtest.Model) {
 		m.Run(1)
 		m.Moves = nil
 		m.Run(15)
@@ -172,17 +169,9 @@
 // Guards against a burst that gets no instances because the spare pool is empty: other
 // pools give theirs, and those that work off late jobs are cleared of them.
 func TestEmptySparePool(t *testing.T) {
-	bothPolicies(t, func(t *testing.T, learned bool) {
-		m := sizingtest.New(30, 0, map[string]func(float64) float64{
-			"late": func(second float64) float64 {
-				if second < 3 {
-					return 200
-				}
-				return 0.5
-			},
-			"burst": sizingtest.Wave(6, 8, 50),
-		})
-		m.Learned = learned
+	bothPolicies(t, 30, 0, loads{
+		"late": sizingtest.Change(3, 200, 0.5), "burst": sizingtest.Wave(6, 8, 50),
+	}, func(t *testing.T, m *sizingtest.Model) {
 		m.Run(14)
 		t.Logf("%.3f in time, %d moves, %d in the pool with the burst", m.OnTimeShare(), len(m.Moves), m.Count("burst"))
 		if late := m.Overdue("burst"); late > 0 {
@@ -194,14 +183,7 @@
 // Guards against a pool that gives away endpoints while its others are under maintenance:
 // those do not count, and what the demand requires stays.
 func TestPoolShrinksDuringMaintenance(t *testing.T) {
-	bothPolicies(t, func(t *testing.T, learned bool) {
-		m := sizingtest.New(40, 10, map[string]func(float64) float64{"a": func(second float64) float64 {
-			if second < 8 {
-				return 30
-			}
-			return 5
-		}, "b": sizingtest.Constant(5)})
-		m.Learned = learned
+	bothPolicies(t, 40, 10, loads{"a": sizingtest.Change(8, 30, 5), "b": sizingtest.Constant(5)}, func(t *testing.T, m *sizingtest.Model) {
 		m.Run(5)
 		taken := m.Instances[:10]
 		for _, i := range taken {
@@ -229,15 +211,13 @@
 // can move: two moves take 4 s, the demand is on and off for 1 s. Following it would take 120
 // moves in each of 10 cycles; the error of the forecast has to save a quarter of them.
 func TestFlappingDemand(t *testing.T) {
-	bothPolicies(t, func(t *testing.T, learned bool) {
-		flapping := func(second float64) float64 {
-			if second > 5 && int(second)%2 == 1 {
-				return 60
-			}
-			return 1
-		}
-		m := sizingtest.New(70, 30, map[string]func(float64) float64{"a": flapping, "b": sizingtest.Constant(1)})
-		m.Learned = learned
+	flapping := func(second float64) float64 {
+		if second > 5 && int(second)%2 == 1 {
+			return 60
+		}
+		return 1
+	}
+	bothPolicies(t, 70, 30, loads{"a": flapping, "b": sizingtest.Constant(1)}, func(t *testing.T, m *sizingtest.Model) {
 		m.Run(10)
 		m.Moves = nil
 		m.Run(30)
--- a/coordination/sizing/sizingtest/load.go
+++ b/coordination/sizing/sizingtest/load.go
@@ -26,7 +26,7 @@
 		{Name: "burst from cold", Seconds: 16, Cold: true, Loads: map[string]func(float64) float64{"a": Wave(2, 10, 50), "b": quiet, "c": quiet, "d": quiet}},
 		{Name: "heavy-tailed run times", Seconds: 48, Loads: byTurns(10)},
 		{Name: "poisoned queue", Seconds: 40, Loads: map[string]func(float64) float64{"a": Constant(6), "b": Constant(6), "c": Constant(6), "d": quiet}, Draw: poisoned},
-		{Name: "demand that stops", Seconds: 30, Loads: map[string]func(float64) float64{"a": until(10, 50), "b": until(18, 25), "c": quiet, "d": quiet}},
+		{Name: "demand that stops", Seconds: 30, Loads: map[string]func(float64) float64{"a": Change(10, 50, 0), "b": Change(18, 25, 0), "c": quiet, "d": quiet}},
 	}
 }
 
@@ -39,15 +39,6 @@
 	return loads
 }
 
-func until(end, rate float64) func(float64) float64 {
-	return func(second float64) float64 {
-		if second < end {
-			return rate
-		}
-		return 0
-	}
-}
-
 // NewModel returns a model with the load.
 func (l Load) NewModel(seed int64) (m *Model) {
 	m = New(60, 50, l.Loads)
--- a/coordination/sizing/sizingtest/model.go
+++ b/coordination/sizing/sizingtest/model.go
@@ -391,3 +391,13 @@
 func Constant(rate float64) func(second float64) float64 {
 	return func(float64) float64 { return rate }
 }
+
+// Change returns a load that changes once, at a second.
+func Change(at, before, after float64) func(second float64) float64 {
+	return func(second float64) float64 {
+		if second < at {
+			return before
+		}
+		return after
+	}
+}
