--- a/entry/node/placement_test.go
+++ b/entry/node/placement_test.go
@@ -55,12 +55,7 @@
 			t.Errorf("job %s is confined to %q by term %d, want %s", id, r.DataCentre, r.ConfinedTerm, want)
 		}
 	}
-	f.endpoints.SetFault(func(_, endpoint string) standin.Fault {
-		if endpoint == "e0" {
-			return standin.FaultLost
-		}
-		return standin.FaultNone
-	})
+	f.cutOff("e0")
 	a.kill()
 	begun := time.Now()
 	f.await(b, "bbbbbbbbbbbbbbbb", job.Completed, 3500*time.Millisecond)
