End a poll of the stand-in with the process that it reached

Cause: TestCrashingTasksUnderFaults reported, in 1 to 2 of 12 to 36 runs without processor time, a start after an acknowledged end. The stand-in let a waiting poll go on with the process that followed a crash, if its goroutine had slept through the restart, so that ends were acknowledged by the numbers of the process before. A connection ends with its process.

Change: such a poll is disconnected.

--- a/entry/standin/endpoint.go
+++ b/entry/standin/endpoint.go
@@ -342,8 +342,10 @@
 
 func (e *Endpoints) hold(ctx context.Context, id string, c manager.PollCall) (look manager.PollReply, err error) {
 	until := time.Now().Add(c.Wait)
+	called := e.life(id)
 	for {
-		if e.isDown(id) {
+		// The connection ends with the process, also if the next one is up by now.
+		if f := e.life(id); f == nil || f != called {
 			return manager.PollReply{}, manager.ErrDisconnected
 		}
 		e.mu.Lock()
