--- a/azurepoint/internal/cli/expect.go
+++ b/azurepoint/internal/cli/expect.go
@@ -26,7 +26,7 @@
 	Steps          []stepTimes `json:"steps"`
 	StartsInMillis *int64      `json:"startsInMillis"`
 	EndsInMillis   *int64      `json:"endsInMillis"`
-	Untold         string      `json:"untold"`
+	Reason         string      `json:"reason"`
 	QueueTimes     *times      `json:"queueTimes"`
 }
 
@@ -77,8 +77,8 @@
 	if j.EndsInMillis != nil {
 		fmt.Fprintf(out, " endsIn=%s", fromMillis(*j.EndsInMillis))
 	}
-	if j.Untold != "" {
-		fmt.Fprintf(out, " untold=%s", j.Untold)
+	if j.Reason != "" {
+		fmt.Fprintf(out, " reason=%s", j.Reason)
 	}
 	fmt.Fprintln(out)
 	for i, st := range j.Steps {
--- a/coordination/schedule/jobstate.go
+++ b/coordination/schedule/jobstate.go
@@ -22,9 +22,9 @@
 	// job is expected to end, by the work ahead of it in its pool.
 	StartsInMillis *int64 `json:"startsInMillis,omitempty"`
 	EndsInMillis   *int64 `json:"endsInMillis,omitempty"`
-	// Untold is the reason why these times cannot be told: "long-running", "limit" while the limit
+	// Reason is why these times are not known: "long-running", "limit" while the limit
 	// of the organisation holds the job back, or "no endpoints" of the pool are in service.
-	Untold string `json:"untold,omitempty"`
+	Reason string `json:"reason,omitempty"`
 }
 
 // StepTimes is what a task of a step is expected to take.
@@ -60,11 +60,11 @@
 	s.updateBacklogs(0, now)
 	switch {
 	case j.longRunning():
-		summary.Untold = "long-running"
+		summary.Reason = "long-running"
 	case limited:
-		summary.Untold = "limit"
+		summary.Reason = "limit"
 	case s.admissions.backlogs[j.Pool] == nil:
-		summary.Untold = "no endpoints"
+		summary.Reason = "no endpoints"
 	default:
 		summary.addTurn(s.turnOf(j, now), now)
 	}
--- a/coordination/schedule/jobstate_test.go
+++ b/coordination/schedule/jobstate_test.go
@@ -55,7 +55,7 @@
 	f.s.AddJob(elsewhere, f.now)
 	f.planAndAccept()
 	for id, want := range map[string]string{"lasting": "long-running", "held": "limit", "elsewhere": "no endpoints"} {
-		if s, _ := f.s.DescribeJob(id, f.now); s.Untold != want || s.StartsInMillis != nil || s.EndsInMillis != nil {
+		if s, _ := f.s.DescribeJob(id, f.now); s.Reason != want || s.StartsInMillis != nil || s.EndsInMillis != nil {
 			t.Errorf("%s: %+v, want no times because of %q", id, s, want)
 		}
 	}
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -43,7 +43,7 @@
 	Machines  manager.Machines
 	Reports   manager.WaveReports
 	Manager   manager.Settings
-	// Access is for how long a removed key may still be served.
+	// Access bounds for how long a removed key is served.
 	Access access.Policy
 	// Returns decides when callers return that are turned away in an outage.
 	Returns outage.Returns
