Describe a job with the starts that its owner can send

Cause: the summary of a job gathered the accepted work without a limit of the owner's starts, and the decisions on new jobs used that for up to a second.

Change: it passes the owner's limit as a refusal does.

--- a/coordination/schedule/jobstate.go
+++ b/coordination/schedule/jobstate.go
@@ -35,8 +35,9 @@
 	duration.Times
 }
 
-// DescribeJob returns what is expected of an unfinished job; known is false if there is none.
-func (s *Scheduler) DescribeJob(id string, now time.Time) (summary JobSummary, known bool) {
+// DescribeJob returns what is expected of an unfinished job; known is false if there is none. Starts
+// is the number of starts a second that the owner can send, or 0 if that is not the limit.
+func (s *Scheduler) DescribeJob(id string, starts float64, now time.Time) (summary JobSummary, known bool) {
 	j := s.jobs[id]
 	if j == nil || j.state.Terminal() {
 		return JobSummary{}, false
@@ -57,7 +58,7 @@
 		}
 		summary.Steps = append(summary.Steps, times)
 	}
-	s.updateBacklogs(0, now)
+	s.updateBacklogs(starts, now)
 	switch {
 	case j.longRunning():
 		summary.Reason = "long-running"
--- a/coordination/schedule/jobstate_test.go
+++ b/coordination/schedule/jobstate_test.go
@@ -20,11 +20,11 @@
 	f.s.AddJob(newRecord("second", imageStep("a")), f.now)
 	f.s.AddJob(newRecord("third", imageStep("b")), f.now)
 	f.planAndAccept()
-	first, _ := f.s.DescribeJob("first", f.now)
+	first, _ := f.s.DescribeJob("first", 0, f.now)
 	if first.StartsInMillis != nil || first.EndsInMillis == nil || *first.EndsInMillis < 300 || *first.EndsInMillis > 900 {
 		t.Errorf("a running job: %+v, want an end in about 500 ms and no start", first)
 	}
-	third, _ := f.s.DescribeJob("third", f.now)
+	third, _ := f.s.DescribeJob("third", 0, f.now)
 	if third.StartsInMillis == nil || *third.StartsInMillis < 700 || *third.StartsInMillis > 1600 {
 		t.Fatalf("a waiting job: %+v, want a start in about 1 s", third)
 	}
@@ -35,7 +35,7 @@
 	if *third.QueueTimes != q || q.Runs != 80 || q.Key != "image" || q.MedianMillis < 700 || q.MedianMillis > 2500 || q.P90Millis < q.MedianMillis {
 		t.Errorf("queue %+v, want 80 runs between 0.5 and 4 s", q)
 	}
-	if _, known := f.s.DescribeJob("other", f.now); known {
+	if _, known := f.s.DescribeJob("other", 0, f.now); known {
 		t.Error("a job that does not exist is described")
 	}
 }
@@ -55,7 +55,7 @@
 	f.s.AddJob(elsewhere, f.now)
 	f.planAndAccept()
 	for id, want := range map[string]string{"lasting": "long-running", "held": "limit", "elsewhere": "no endpoints"} {
-		if s, _ := f.s.DescribeJob(id, f.now); s.Reason != want || s.StartsInMillis != nil || s.EndsInMillis != nil {
+		if s, _ := f.s.DescribeJob(id, 0, f.now); s.Reason != want || s.StartsInMillis != nil || s.EndsInMillis != nil {
 			t.Errorf("%s: %+v, want no times because of %q", id, s, want)
 		}
 	}
--- a/entry/manager/dump.go
+++ b/entry/manager/dump.go
@@ -36,7 +36,8 @@
 func (m *Manager) DescribeJob(id string) (summary schedule.JobSummary, known bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.scheduler.DescribeJob(id, time.Now())
+	now := time.Now()
+	return m.scheduler.DescribeJob(id, m.pace.Limit(now), now)
 }
 
 // countCreations returns how many new jobs are not stored yet.
