Keep a cancelled job from being stored by a late write

Cause: a cancellation that finds no record was acknowledged from the read alone. The write that creates the job had got no answer; the store executes it later, and its condition, a key that does not exist, still held. Nobody has to hand the pools over for that: a write of an entry that stored the job without the owner carries a mark, so that the running owner starts the job at once.

Change: a cancellation that finds no record stores a tombstone under the job's key, under the condition that the key has not changed, before it is acknowledged. Every write that creates a job needs a key that does not exist, so none can succeed any more, whoever sent it and whoever owns the pools by then. It is shown to nobody as a job, and a submission that arrives after it is refused. If the job was stored between the read and the tombstone, the cancellation continues with the stored one.

--- a/coordination/job/record.go
+++ b/coordination/job/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -40,6 +41,18 @@
 	Revision int64 `json:"-"`
 }
 
+// NewTombstone returns the record of a job that was cancelled before it was stored. A write that creates
+// the job needs a key that does not exist, so that it fails while the tombstone has the key.
+func NewTombstone(id, organisation string, at time.Time) (r Record) {
+	return Record{Job: Job{ID: id, Organisation: organisation}, State: Cancelled, EndedAt: at.UnixMilli()}
+}
+
+// IsTombstone reports whether the job was cancelled before it was stored. The records of other cancelled
+// jobs keep their steps.
+func (r *Record) IsTombstone() bool {
+	return r.State == Cancelled && len(r.Steps) == 0
+}
+
 // Progress holds the done tasks, the failed runs and the lost endpoints of one step.
 type Progress struct {
 	Occurrence int   `json:"occurrence,omitempty"`
--- a/entry/manager/creation.go
+++ b/entry/manager/creation.go
@@ -46,7 +46,9 @@
 	// organisation is the organisation of the job.
 	organisation string
 	outcome      Outcome
-	done         chan struct{}
+	// tombstone is set if the job is refused because it was cancelled before it was stored.
+	tombstone bool
+	done      chan struct{}
 	// sent is set while a transaction may store the job, and settled once the outcome is
 	// known.
 	sent, settled bool
@@ -150,6 +152,14 @@
 	return c.cancelled
 }
 
+// refuseCancelled sets the outcome of a new job that was cancelled before it was stored.
+func (rw *recordWriter) refuseCancelled(w *recordWrite) {
+	rw.mu.Lock()
+	defer rw.mu.Unlock()
+	w.creation.tombstone = !w.creation.settled
+	rw.settle(w.creation, w.Record.ID, Refused)
+}
+
 func (rw *recordWriter) finishCreation(w *recordWrite, outcome Outcome) {
 	rw.mu.Lock()
 	defer rw.mu.Unlock()
--- a/entry/manager/load.go
+++ b/entry/manager/load.go
@@ -93,7 +93,8 @@
 	return decodeRecords(items), cancelled, err
 }
 
-// decodeRecords decodes the records of jobs. One that cannot be read is logged and left out.
+// decodeRecords decodes the records of jobs, without tombstones. One that cannot be read is logged and
+// left out.
 func decodeRecords(items []store.Item) (records []job.Record) {
 	records = make([]job.Record, 0, len(items))
 	for _, i := range items {
@@ -102,7 +103,9 @@
 			event.RecordInvalid.Log(log.Fields{"key": i.Key, "error": input.Excerpt(err)})
 			continue
 		}
-		records = append(records, r)
+		if !r.IsTombstone() {
+			records = append(records, r)
+		}
 	}
 	return records
 }
--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -389,14 +389,17 @@
 	return added
 }
 
-// adoptRecord passes a job that another entry has stored to the scheduler, and reports
-// whether the record is valid.
+// adoptRecord passes a job that another entry has stored to the scheduler, unless the record is a
+// tombstone, and reports whether the record is valid.
 func (m *Manager) adoptRecord(item store.Item, cancelled bool) (valid bool) {
 	r, err := decodeJob(item)
 	if err != nil {
 		event.RecordInvalid.Log(log.Fields{"key": item.Key, "error": input.Excerpt(err)})
 		return false
 	}
+	if r.IsTombstone() {
+		return true
+	}
 	if m.addJob(r, cancelled) {
 		event.JobAdopted.Log(log.Fields{"job": r.ID, "queue": r.Queue, "pool": r.Pool, "term": m.Term.Number})
 		m.trigger()
--- a/entry/manager/recordwriter.go
+++ b/entry/manager/recordwriter.go
@@ -272,6 +272,8 @@
 			remaining = append(remaining, w)
 		case bytes.Equal(item.Value, w.value):
 			rw.markStored([]*recordWrite{w}, item.Revision)
+		case w.creation != nil && isTombstone(item, w.creation.organisation):
+			rw.refuseCancelled(w)
 		case w.creation != nil:
 			rw.finishCreation(w, rw.adoptExisting(w, item))
 		default:
--- a/entry/manager/submit.go
+++ b/entry/manager/submit.go
@@ -124,7 +124,7 @@
 	for {
 		select {
 		case <-c.done:
-			return Reply{Outcome: c.outcome, RetryAfter: refusedRetryDelay, Reason: "the store does not take the job"}
+			return c.reply()
 		case <-ctx.Done():
 			return Reply{Outcome: m.recordWriter.withdraw(c, j.ID), RetryAfter: refusedRetryDelay, Reason: "the caller's deadline"}
 		case <-m.over:
@@ -137,6 +137,14 @@
 	}
 }
 
+// reply returns the reply to a submission whose outcome is known.
+func (c *creation) reply() (r Reply) {
+	if c.tombstone {
+		return TombstoneReply()
+	}
+	return Reply{Outcome: c.outcome, RetryAfter: refusedRetryDelay, Reason: "the store does not take the job"}
+}
+
 // lostStoreReply returns the reply to a submission that waits while the store is lost. An entry
 // that reaches the store can store the job itself, also if a transaction of this owner may do so:
 // both add the same record, and only if there is none.
--- a/entry/node/history_test.go
+++ b/entry/node/history_test.go
@@ -42,6 +42,9 @@
 	// handovers makes owners follow each other sooner, and most of them stop, or lose the store
 	// while the others reach it.
 	handovers bool
+	// cancelsEarly makes every second caller cancel its job while it is submitted, and some submit it
+	// again afterwards.
+	cancelsEarly bool
 
 	mu      sync.Mutex
 	entries []*entry
@@ -221,6 +224,10 @@
 	if crashes {
 		j.Spec = standin.CrashSpec
 	}
+	var early sync.WaitGroup
+	if h.cancelsEarly && h.rng.below(2) == 0 {
+		early.Go(func() { h.cancelEarly(id, v) })
+	}
 	for attempt := 0; attempt < 5 && !v.accepted && !v.refused; attempt++ {
 		var twin sync.WaitGroup
 		if h.rng.below(2) == 0 {
@@ -234,6 +241,12 @@
 		h.record(v, h.randomEntry().Submit(h.t.Context(), j, time.Now().Add(callerTimeout)))
 		twin.Wait()
 	}
+	early.Wait()
+	if h.cancelsEarly && h.rng.below(2) == 0 {
+		// A repeated submission arrives late.
+		time.Sleep(time.Duration(h.rng.below(int(2 * cancelBound))))
+		h.record(v, h.randomEntry().Submit(h.t.Context(), j, time.Now().Add(callerTimeout)))
+	}
 	if v.accepted && h.rng.below(3) == 0 {
 		h.cancelJob(id, v)
 	}
@@ -263,9 +276,31 @@
 			return
 		}
 		if err == nil {
-			h.mu.Lock()
-			v.cancelledAt = time.Now()
-			h.mu.Unlock()
+			h.recordCancellation(v)
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// recordCancellation records that a cancellation is acknowledged, unless an earlier one was.
+func (h *history) recordCancellation(v *callerView) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if v.cancelledAt.IsZero() {
+		v.cancelledAt = time.Now()
+	}
+}
+
+// cancelEarly cancels a job whose submission may have no answer yet.
+func (h *history) cancelEarly(id string, v *callerView) {
+	time.Sleep(time.Duration(h.rng.below(int(2 * callerTimeout))))
+	for range 40 {
+		ctx, cancel := context.WithTimeout(h.t.Context(), callerTimeout)
+		_, err := h.randomEntry().Cancel(ctx, id, job.Caller{})
+		cancel()
+		if err == nil {
+			h.recordCancellation(v)
 			return
 		}
 		time.Sleep(100 * time.Millisecond)
--- a/entry/node/requests.go
+++ b/entry/node/requests.go
@@ -135,10 +135,20 @@
 	return r, err
 }
 
-// isOtherJob reports whether a stored record is the job of another organisation.
-func isOtherJob(item store.Item, j job.Job) bool {
-	r, err := job.Decode(item.Value, item.Revision)
-	return err == nil && !job.MayBeSameJob(r.Organisation, j.Organisation)
+// refusalByRecord returns the refusal of a job whose key has the record of another organisation's job, or
+// a tombstone.
+func refusalByRecord(item store.Item, j job.Job) (r manager.Reply, refused bool) {
+	stored, err := job.Decode(item.Value, item.Revision)
+	switch {
+	case err != nil:
+		return manager.Reply{}, false
+	case !job.MayBeSameJob(stored.Organisation, j.Organisation):
+		return manager.Reply{Outcome: manager.Refused, RetryAfter: refusedRetryDelay, Reason: "another organisation's job has this identifier"}, true
+	case stored.IsTombstone():
+		return manager.TombstoneReply(), true
+	default:
+		return manager.Reply{}, false
+	}
 }
 
 // storeDirectly stores a job with an inbox mark, so that the owner adopts it.
@@ -167,8 +177,10 @@
 			return manager.Reply{Outcome: manager.Accepted}
 		}
 		var conflict *store.ConflictError
-		if errors.As(err, &conflict) && len(t.Conditions) > 0 && isOtherJob(conflict.Current[manager.JobKey(j.ID)], j) {
-			return manager.Reply{Outcome: manager.Refused, RetryAfter: refusedRetryDelay, Reason: "another organisation's job has this identifier"}
+		if errors.As(err, &conflict) && len(t.Conditions) > 0 {
+			if r, refused := refusalByRecord(conflict.Current[manager.JobKey(j.ID)], j); refused {
+				return r
+			}
 		}
 		if a == storeFound && len(t.Conditions) > 0 {
 			// The stored record is of the same job. Its writer may have given it up
@@ -237,7 +249,7 @@
 		return "", false, nil
 	}
 	r, err := job.Decode(item.Value, item.Revision)
-	if err == nil && !caller.MaySee(r.Organisation) {
+	if err == nil && (!caller.MaySee(r.Organisation) || r.IsTombstone()) {
 		return "", false, nil
 	}
 	return r.State, err == nil, err
@@ -267,8 +279,9 @@
 	return state, known, err
 }
 
-// Cancel cancels a job through the owner or, if no owner answers, with a cancel mark
-// for the next one.
+// Cancel cancels a job through the owner or, if no owner answers or the owner does not have the job, in
+// the store. known is false if there is no such job; none with this identifier is created for
+// manager.TombstoneRetention then.
 func (n *Node) Cancel(ctx context.Context, id string, caller job.Caller) (known bool, err error) {
 	for range 2 {
 		known, err = n.cancelAtOwner(ctx, id, caller)
@@ -280,20 +293,7 @@
 		}
 		retry.Sleep(ctx, ownerPollInterval)
 	}
-	readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	item, found, err := n.Store.Get(readCtx, manager.JobKey(id))
-	if err != nil || !found {
-		return false, err
-	}
-	if r, err := job.Decode(item.Value, item.Revision); err == nil && !caller.MaySee(r.Organisation) {
-		return false, nil
-	}
-	err = n.commit(ctx, store.Transaction{Puts: []store.Put{{Key: manager.CancelPrefix + id, Value: []byte(n.Name)}}})
-	if err == nil {
-		event.JobCancelled.Log(log.Fields{"job": id, "by": "store"})
-	}
-	return err == nil, err
+	return n.cancelInStore(ctx, id, caller)
 }
 
 func (n *Node) cancelAtOwner(ctx context.Context, id string, caller job.Caller) (known bool, err error) {
--- a/entry/node/unreliablestore_test.go
+++ b/entry/node/unreliablestore_test.go
@@ -24,6 +24,9 @@
 	watchesHang, marksUnread atomic.Bool
 	// beforeRange, if set, is called before a prefix is read.
 	beforeRange atomic.Pointer[func(prefix string)]
+	// holdsBack, if set, reports whether a transaction is kept from the store, which may receive
+	// it later, and gets no answer.
+	holdsBack atomic.Pointer[func(t store.Transaction) bool]
 }
 
 // errUnreachable returns the error of a call while the store is unreachable.
@@ -109,6 +112,10 @@
 	if s.awaitDelay(ctx) != nil {
 		return 0, store.ErrNoAnswer
 	}
+	if holdsBack := s.holdsBack.Load(); holdsBack != nil && (*holdsBack)(t) {
+		<-ctx.Done()
+		return 0, store.ErrNoAnswer
+	}
 	return s.Store.Commit(ctx, t)
 }
 
