Adopt jobs that the store adds after their submission has ended

Callers saw: a job that was answered 504 stays queued, counts in no number of waiting jobs, and starts with the next owner, hours later if the owner lasts.

Cause: the owner forgot a creation once its outcome was unsettled. Its write may be executed afterwards, and nothing has the owner read the job then: a write by another entry carries a mark, one by the owner does not.

Change: the owner reads such a job again 1, 2, 4, 8 and 16 s after the end of its submission and adopts it if it is stored. Writes of one owner fail once there is another, which reads all jobs.

Measured: TestJobStoredByLateWriteIsAdopted failed before (queued 6 s after the write, with the owner unchanged) and passes.

--- a/entry/manager/creation.go
+++ b/entry/manager/creation.go
@@ -76,6 +76,9 @@
 	}
 	delete(rw.creations, id)
 	c.settled, c.outcome = true, outcome
+	if outcome == Unsettled {
+		rw.late.add(id, time.Now())
+	}
 	close(c.done)
 }
 
--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -177,7 +177,7 @@
 		return nil
 	}
 	orderers := []<-chan error{m.runWaves(ctx), m.runMoves(ctx)}
-	components := []<-chan error{m.recordWriter.run(ctx), m.Directory.Follow(ctx, m.resetEndpoints, m.applyListChange), m.runEndpointRecording(ctx), m.runCleanup(ctx), m.runDurations(ctx)}
+	components := []<-chan error{m.recordWriter.run(ctx), m.Directory.Follow(ctx, m.resetEndpoints, m.applyListChange), m.runEndpointRecording(ctx), m.runCleanup(ctx), m.runDurations(ctx), m.runLateCreations(ctx)}
 	orderCtx, cutOrders := context.WithCancel(context.WithoutCancel(ctx))
 	defer cutOrders()
 	m.runPlanner(ctx, orderCtx)
--- a/entry/manager/recordwriter.go
+++ b/entry/manager/recordwriter.go
@@ -84,6 +84,8 @@
 	queue     []*recordWrite
 	// ended is set once nothing is written any more.
 	ended bool
+	// late holds the new jobs whose outcome is Unsettled.
+	late lateCreations
 
 	wake chan struct{}
 	// over is closed when no transaction is in flight any more.
--- a/entry/node/tombstone_test.go
+++ b/entry/node/tombstone_test.go
@@ -291,6 +291,27 @@
 	f.check()
 }
 
+// Guards against a job that starts hours later, with the next owner: the write that creates it got no
+// answer and was executed after its submission had ended, while the owner stayed the same.
+func TestJobStoredByLateWriteIsAdopted(t *testing.T) {
+	f := newFleet(t)
+	owner, other := f.startPair()
+	l := holdCreation(owner, id)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	if r := owner.manager().Submit(ctx, newTestJob(), time.Now().Add(time.Second)); r.Outcome != manager.Unsettled {
+		t.Fatalf("outcome %s, want unsettled", r.Outcome)
+	}
+	owner.storeLink.holdsBack.Store(nil)
+	time.Sleep(2 * time.Second)
+	l.release(f)
+	f.await(other, id, job.Completed, 6*time.Second)
+	if owner.manager() == nil {
+		t.Error("the owner has changed")
+	}
+	f.check()
+}
+
 // Guards against a cancellation by which one organisation learns of another one's job, or stops it.
 func TestCancellationOfAnotherOrganisationIsNotSeen(t *testing.T) {
 	f := newFleet(t)
