Do not refuse a job that another entry has stored

Callers saw: a job whose first submission was stored by an entry without the owner is submitted again and refused, because the owner has no room and has not adopted the job yet. A refusal says that the job never runs; it then runs. The caller may have submitted it under another identifier.

Cause: a refusal is decided from the jobs that the owner has adopted, although the mark of the stored job has arrived.

Change: a refusal of a job with such a mark becomes "not known yet", as after an attempt of the same entry without an answer.

Measured: TestStoredJobIsNotRefused failed before (refused, notOwner) and passes.

--- a/entry/node/owner.go
+++ b/entry/node/owner.go
@@ -17,7 +17,7 @@
 // Submit stores a job, if this entry is the owner.
 func (a OwnerServer) Submit(ctx context.Context, j job.Job, until time.Time) (r manager.Reply) {
 	if m := a.Node.manager(); m != nil {
-		return a.Node.unsettled.correct(j.ID, m.Submit(ctx, j, until))
+		return a.Node.correctOutcome(j.ID, m.Submit(ctx, j, until))
 	}
 	return manager.Reply{Outcome: manager.NotOwner}
 }
--- a/entry/node/requests.go
+++ b/entry/node/requests.go
@@ -95,10 +95,10 @@
 	return m != nil && m.HasJob(id)
 }
 
-// logSubmission corrects the outcome for earlier unsettled attempts, counts it, and
-// logs it unless the owner has accepted the job.
+// logSubmission corrects the outcome for other attempts, counts it, and logs it unless the owner has
+// accepted the job.
 func (n *Node) logSubmission(j job.Job, r manager.Reply, decidedBy string, arrived, until time.Time) manager.Reply {
-	r = n.unsettled.correct(j.ID, r)
+	r = n.correctOutcome(j.ID, r)
 	owner, _ := n.ownership.current()
 	fields := log.Fields{
 		"job": j.ID, "queue": j.Queue, "by": decidedBy, "term": owner.Term, "reason": r.Reason, "retryAfterMillis": r.RetryAfter.Milliseconds(),
--- a/entry/node/settlement.go
+++ b/entry/node/settlement.go
@@ -83,6 +83,21 @@
 	}
 }
 
+// correctOutcome returns the reply with the outcome Unsettled in place of a refusal, if another attempt may
+// have stored the job or its mark shows that one has.
+func (n *Node) correctOutcome(id string, r manager.Reply) manager.Reply {
+	r = n.unsettled.correct(id, r)
+	if r.Outcome == manager.Accepted || r.Outcome == manager.Unsettled {
+		return r
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if _, stored := n.inbox[id]; stored {
+		r.Outcome, r.Reason = manager.Unsettled, "another entry has stored the job"
+	}
+	return r
+}
+
 // ownerAttempt returns what a call of the owner has shown.
 func ownerAttempt(r manager.Reply, err error) attempt {
 	switch {
--- a/entry/node/tombstone_test.go
+++ b/entry/node/tombstone_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/azurepoint/azurepoint/coordination/job"
 	"github.com/azurepoint/azurepoint/entry/manager"
+	"github.com/azurepoint/azurepoint/entry/standin"
 	"github.com/azurepoint/azurepoint/entry/store"
 )
 
@@ -312,6 +313,28 @@
 	f.check()
 }
 
+// Guards against a refusal, which says that the job never runs, of a job that another entry has stored
+// and that the owner has not adopted yet: its caller submits it under another identifier, and both run.
+func TestStoredJobIsNotRefused(t *testing.T) {
+	for _, outcome := range []manager.Outcome{manager.Refused, manager.NotOwner} {
+		n := &Node{Store: &standin.Store{}}
+		n.Init()
+		if r := n.logSubmission(newTestJob(), manager.Reply{Outcome: outcome}, "owner", time.Now(), time.Now()); r.Outcome != outcome {
+			t.Errorf("a job that is not stored: %s instead of %s", r.Outcome, outcome)
+		}
+		mark := store.Change{Item: store.Item{Key: manager.InboxPrefix + id, Value: []byte("q"), Revision: 1}}
+		n.applyMark(mark)
+		if r := n.logSubmission(newTestJob(), manager.Reply{Outcome: outcome}, "owner", time.Now(), time.Now()); r.Outcome != manager.Unsettled {
+			t.Errorf("a job that is stored: %s instead of %s", r.Outcome, outcome)
+		}
+		mark.Removed = true
+		n.applyMark(mark)
+		if r := n.logSubmission(newTestJob(), manager.Reply{Outcome: outcome}, "owner", time.Now(), time.Now()); r.Outcome != outcome {
+			t.Errorf("a job that the owner has adopted: %s instead of %s", r.Outcome, outcome)
+		}
+	}
+}
+
 // Guards against a cancellation by which one organisation learns of another one's job, or stops it.
 func TestCancellationOfAnotherOrganisationIsNotSeen(t *testing.T) {
 	f := newFleet(t)
