Test cancellations whose tombstone is not stored

A cancellation is not acknowledged when the write of its tombstone has no answer, or when the lease of the tombstone has ended, as after a suspension.

--- a/entry/manager/submit.go
+++ b/entry/manager/submit.go
@@ -245,8 +245,8 @@
 	return state, known, owner
 }
 
-// cancelNewJob cancels a job whose creation is pending, as Cancel does. A creation without
-// an answer may be stored after the caller has been told that there is no such job.
+// cancelNewJob cancels a job whose creation is pending, as Cancel does. That there is none does not show
+// that no job will be stored: a creation without an answer, or one of another entry, still may be.
 func (m *Manager) cancelNewJob(ctx context.Context, id string, caller job.Caller) (state job.State, known, owner bool) {
 	c, pending := m.recordWriter.cancelCreation(id, caller)
 	if !pending {
--- a/entry/node/tombstone_test.go
+++ b/entry/node/tombstone_test.go
@@ -252,6 +252,32 @@
 	f.check()
 }
 
+// Guards against a cancellation that is acknowledged without a tombstone: its write has no answer, or was
+// sent by a process that was suspended until the lease of the tombstone had ended.
+func TestCancellationWithoutTombstoneIsNotAcknowledged(t *testing.T) {
+	f := newFleet(t)
+	_, other := f.startPair()
+	for name, beforeTombstone := range map[string]func(t store.Transaction) bool{
+		"no answer": func(store.Transaction) bool { return true },
+		"lease ended": func(t store.Transaction) bool {
+			if err := f.store.Revoke(f.t.Context(), t.Puts[0].Lease); err != nil {
+				f.t.Error(err)
+			}
+			return false
+		},
+	} {
+		isTombstone := func(t store.Transaction) bool {
+			return len(t.Puts) > 0 && t.Puts[0].Key == manager.JobKey(id) && beforeTombstone(t)
+		}
+		other.storeLink.holdsBack.Store(&isTombstone)
+		if known, err := other.Cancel(t.Context(), id, job.Caller{}); err == nil {
+			t.Errorf("%s: known %v, want an error", name, known)
+		}
+		other.storeLink.holdsBack.Store(nil)
+	}
+	f.check()
+}
+
 // Guards against an identifier that is shown as a job because it was cancelled, although nobody
 // submitted it, by this owner or the next one, and against a submission after the cancellation that is
 // accepted.
