Keep late calls of the store's stand-in from writing returned results

Cause: a call with FaultDelayed is executed after its caller has returned, and set the results of Get, Range, Watch and Grant, which the return was reading. Commit avoided that already. It is a fault of the stand-in, older than this change; no entry is affected.

Change: late calls write to variables of their own, which are read only if the call was answered.

--- a/entry/standin/store.go
+++ b/entry/standin/store.go
@@ -78,7 +78,8 @@
 	return choose(call)
 }
 
-// withFault executes a call with the fault that was chosen for it.
+// withFault executes a call with the fault that was chosen for it. A late call is executed after its
+// caller has returned, so that execute must not set the caller's results.
 func (s *Store) withFault(ctx context.Context, call string, execute func() error) error {
 	switch s.chooseFault(call) {
 	case FaultRejected:
@@ -101,40 +102,55 @@
 
 // Get returns the item of a key.
 func (s *Store) Get(ctx context.Context, key string) (item store.Item, found bool, err error) {
+	var read store.Item
+	var present bool
 	err = s.withFault(ctx, "get", func() error {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.beginCall()
-		item, found = s.items[key]
+		read, present = s.items[key]
 		return nil
 	})
-	return item, found, err
+	if err != nil {
+		return store.Item{}, false, err
+	}
+	return read, present, nil
 }
 
 // Range returns all items below a prefix.
 func (s *Store) Range(ctx context.Context, prefix string) (items []store.Item, revision int64, err error) {
+	var read []store.Item
+	var asOf int64
 	err = s.withFault(ctx, "range", func() error {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.beginCall()
 		for _, k := range slices.Sorted(maps.Keys(s.items)) {
 			if strings.HasPrefix(k, prefix) {
-				items = append(items, s.items[k])
+				read = append(read, s.items[k])
 			}
 		}
-		revision = s.revision
+		asOf = s.revision
 		return nil
 	})
-	return items, revision, err
+	if err != nil {
+		return nil, 0, err
+	}
+	return read, asOf, nil
 }
 
 // Watch waits for changes below a prefix.
 func (s *Store) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (changes []store.Change, revision int64, err error) {
+	var read []store.Change
+	var asOf int64
 	err = s.withFault(ctx, "watch", func() (err error) {
-		changes, revision, err = s.watch(ctx, prefix, after, wait)
+		read, asOf, err = s.watch(ctx, prefix, after, wait)
 		return err
 	})
-	return changes, revision, err
+	if err != nil {
+		return nil, 0, err
+	}
+	return read, asOf, nil
 }
 
 func (s *Store) watch(ctx context.Context, prefix string, after int64, wait time.Duration) (changes []store.Change, revision int64, err error) {
@@ -170,7 +186,6 @@
 
 // Commit applies a transaction.
 func (s *Store) Commit(ctx context.Context, t store.Transaction) (revision int64, err error) {
-	// A late call sets committed after Commit has returned.
 	var committed int64
 	err = s.withFault(ctx, "commit", func() (err error) {
 		s.mu.Lock()
@@ -260,16 +275,20 @@
 
 // Grant creates a lease.
 func (s *Store) Grant(ctx context.Context, lifetime time.Duration) (lease int64, err error) {
+	var granted int64
 	err = s.withFault(ctx, "grant", func() error {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.beginCall()
 		s.lastLease++
-		lease = s.lastLease
-		s.leases[lease] = &storeLease{until: time.Now().Add(lifetime), lifetime: lifetime}
+		granted = s.lastLease
+		s.leases[granted] = &storeLease{until: time.Now().Add(lifetime), lifetime: lifetime}
 		return nil
 	})
-	return lease, err
+	if err != nil {
+		return 0, err
+	}
+	return granted, nil
 }
 
 // Renew extends a lease.
