--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -8,6 +8,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -259,13 +260,22 @@
 	e.intercept = f
 }
 
+// Ports of entries lie below those that the system gives to outgoing channels, so that a free one
+// stays free until the entry listens.
+const (
+	firstPort = 20_000
+	lastPort  = 32_000
+)
+
+// freePort returns a port on loopback on which nobody listens.
 func freePort() int {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return 0
+	for {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+			_ = l.Close()
+			return port
+		}
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
 }
 
 // addEntry starts an entry.
@@ -307,9 +317,22 @@
 	}
 	s.entries = append(s.entries, e)
 	e.start()
+	if !waitFor(5*time.Second, e.listens) {
+		s.fail("%s does not listen", e.name)
+	}
 	return e
 }
 
+// listens reports whether the entry takes channels of clients.
+func (e *entry) listens() bool {
+	c, err := net.Dial("tcp", e.front)
+	if err != nil {
+		return false
+	}
+	_ = c.Close()
+	return true
+}
+
 // start starts the process of the entry by the command of the deploy file.
 func (e *entry) start() {
 	log, err := os.OpenFile(filepath.Join(e.stage.dir, e.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -480,6 +503,16 @@
 	}
 }
 
+// play plays a case. A fault of the stand-ins makes it one that could not run.
+func (s *stage) play(play func(s *stage, trouble bool), trouble bool) {
+	defer func() {
+		if r := recover(); r != nil {
+			s.fail("%v", r)
+		}
+	}()
+	play(s, trouble)
+}
+
 var cases = map[string]func(s *stage, trouble bool){}
 
 func main() {
@@ -512,19 +545,26 @@
 	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	trouble := os.Getenv("TROUBLE") != "0"
 	s.record("case %s, trouble %v", *name, trouble)
+	interrupts := make(chan os.Signal, 1)
+	signal.Notify(interrupts, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-interrupts
+		s.endAll()
+		os.Exit(2)
+	}()
 	s.serveCloud()
 	if len(s.unable) == 0 {
-		play(s, trouble)
+		s.play(play, trouble)
 	}
 	s.endAll()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	code := 0
 	switch {
-	case len(s.broken) > 0:
-		code = 1
 	case len(s.unable) > 0:
 		code = 2
+	case len(s.broken) > 0:
+		code = 1
 	}
 	s.line("result %d: %d times broken", code, len(s.broken))
 	for _, b := range append(s.broken[:min(len(s.broken), 5):min(len(s.broken), 5)], s.unable...) {
--- a/review/stage/worker.go
+++ b/review/stage/worker.go
@@ -247,7 +247,10 @@
 		writeJSON(rw, 400, map[string]any{"clockMs": l.clock()})
 		return
 	}
-	if hook := w.stage.onOrder; hook != nil && hook(w, l, r.URL.Path, o, rw) {
+	w.stage.mu.Lock()
+	hook := w.stage.onOrder
+	w.stage.mu.Unlock()
+	if hook != nil && hook(w, l, r.URL.Path, o, rw) {
 		return
 	}
 	w.mu.Lock()
