Keep SIGHUP and a closed log from ending the daemon with requests in hand

Callers saw: a request in hand got no answer when azurepointd got a SIGHUP, as operators send to have settings read, or when the reader of its log ended, at any time.

Cause: neither signal was handled, and the default action of SIGHUP and of SIGPIPE on the standard error ends the process.

Change: the signals are handled from before the first request and stay so. SIGHUP is logged (new event 1011); settings are read at the start only. demo stops its processes on SIGHUP, since the daemons would otherwise outlive a closed terminal.

--- a/azurepointd/internal/cli/cli.go
+++ b/azurepointd/internal/cli/cli.go
@@ -36,7 +36,7 @@
 }
 
 // Main runs the program and returns its exit code. SIGTERM and SIGINT start a planned
-// stop; SIGUSR1 writes a state dump to stderr.
+// stop; SIGUSR1 writes a state dump to stderr; SIGHUP changes nothing.
 func Main(arguments []string, stdout, stderr io.Writer) (code int) {
 	var o options
 	parser, err := arg.NewParser(arg.Config{Program: "azurepointd", Out: stderr}, &o)
@@ -72,12 +72,12 @@
 }
 
 func run(s settings.Settings, stdout, stderr io.Writer) (err error) {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	dumpSignals := make(chan os.Signal, 1)
-	signal.Notify(dumpSignals, syscall.SIGUSR1)
-	defer signal.Stop(dumpSignals)
-	return newDaemon(s).run(ctx, dumpSignals, stdout, stderr)
+	// The signals stay registered: the default action of some ends the daemon with requests in hand.
+	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	received := make(chan os.Signal, 2)
+	signal.Notify(received, syscall.SIGUSR1, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
+	return newDaemon(s).run(ctx, received, stdout, stderr)
 }
 
 func configureLog(l settings.Log, stderr io.Writer) {
--- a/azurepointd/internal/cli/daemon.go
+++ b/azurepointd/internal/cli/daemon.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -137,7 +138,7 @@
 
 // run starts all parts, serves until the context ends, and then stops the parts
 // without cutting off requests in flight, within stopTimeout.
-func (d *daemon) run(ctx context.Context, dumpSignals <-chan os.Signal, stdout, stderr io.Writer) (err error) {
+func (d *daemon) run(ctx context.Context, received <-chan os.Signal, stdout, stderr io.Writer) (err error) {
 	event.Starting.Log(log.Fields{"entry": d.settings.Entry.Name, "dataCentre": d.settings.Entry.DataCentre})
 	if err = d.listen(ctx, stdout); err != nil {
 		return err
@@ -156,8 +157,12 @@
 			event.PartFailed.Log(log.Fields{"part": e.part, "error": fmt.Sprint(e.err)})
 			stopWork()
 			return errors.Wrapf(e.err, "cli: %s ended", e.part)
-		case <-dumpSignals:
-			d.dump(stderr)
+		case s := <-received:
+			if s == syscall.SIGHUP {
+				event.HangupIgnored.Log(nil)
+			} else {
+				d.dump(stderr)
+			}
 		}
 	}
 }
--- a/azurepointd/internal/event/daemon.go
+++ b/azurepointd/internal/event/daemon.go
@@ -13,4 +13,5 @@
 	StopTimedOut    = Event{Number: 1008, Level: log.WarnLevel, Text: "stopped with requests still open"}
 	PartFailed      = Event{Number: 1009, Level: log.ErrorLevel, Text: "part of the daemon ended with an error"}
 	StateDumped     = Event{Number: 1010, Level: log.InfoLevel, Text: "state dump written"}
+	HangupIgnored   = Event{Number: 1011, Level: log.InfoLevel, Text: "SIGHUP ignored; settings are read at the start"}
 )
--- a/demo/internal/cli/cli.go
+++ b/demo/internal/cli/cli.go
@@ -58,7 +58,8 @@
 		fmt.Fprintln(stderr, "demo:", err)
 		return exitUsage
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	// A closed terminal sends SIGHUP, which the daemons of the fleet survive.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer stop()
 	return run(ctx, o, stdout, stderr)
 }
