Hold only the work in use, and refuse jobs beyond the memory of an entry

Cause: an owner created every task of every occurrence when it accepted or loaded a job, and kept them until the job ended: 4.8 MB for one run a minute for a week, 6.6 MB for a step of 20,000 tasks. Nothing compared what was accepted with the memory of the entries, and each next owner had to load it.

Change: occurrences and tasks are in use from when a plan needs them until they are done and have no run; the others take a bit. Sums over a job's work count the others as before. What a job may take until its end is counted, and jobs beyond 64 MB in all are refused with a time to return; the limit is that of the smallest entry, since any entry may own the pools next. The load frees the stored form as it reads the records.

Evidence: TestWaitingWorkTakesTheMemoryItIsCountedWith, 13 of 16 shapes of work failed before (47 to 334 MB counted as 8), none now.

--- a/coordination/schedule/admit.go
+++ b/coordination/schedule/admit.go
@@ -249,7 +249,7 @@
 		a.overShare[pool] = make(map[string]bool)
 		for _, j := range s.activeJobs[pool] {
 			if j.longRunning() {
-				for _, o := range j.occurrences {
+				for _, o := range j.occurrences.items {
 					for _, st := range o.steps {
 						held[j.Organisation] = held[j.Organisation].Plus(limitSize(st.step).Times(st.running))
 					}
@@ -290,7 +290,13 @@
 
 // workLeft returns the expected work of a job's tasks that are due and not done.
 func (s *Scheduler) workLeft(j *jobState, now time.Time) (work admission.Amount) {
-	for _, o := range j.occurrences {
+	if due := j.untouchedDue(now); due > 0 {
+		for i := range j.Steps {
+			st := &j.Steps[i]
+			work = work.Plus(admission.AmountOf(taskSize(st), s.expected(j, st)*float64(due*st.Count), due*st.Count))
+		}
+	}
+	for _, o := range j.occurrences.items {
 		if o.dueMillis > now.UnixMilli() {
 			break
 		}
@@ -298,7 +304,7 @@
 			if st.complete() {
 				continue
 			}
-			left := len(st.tasks) - st.done
+			left := st.left()
 			running := min(st.running, left)
 			part := float64(left-running) + s.runningPart(j, st, now)*float64(running)
 			work = work.Plus(admission.AmountOf(taskSize(st.step), s.expected(j, st.step)*part, left-running))
--- a/coordination/schedule/crash.go
+++ b/coordination/schedule/crash.go
@@ -73,9 +73,9 @@
 
 // loadCrashes indexes the stored crashes of a job.
 func (s *Scheduler) loadCrashes(j *jobState, now time.Time) {
-	for _, o := range j.occurrences {
+	for _, o := range j.occurrences.items {
 		for _, st := range o.steps {
-			for _, t := range st.tasks {
+			for _, t := range st.tasks.items {
 				for i := range t.crashes {
 					t.crashes[i].doubtUntil = now.Add(inheritedCrashDoubt)
 					s.indexCrash(t, &t.crashes[i])
--- a/coordination/schedule/demand.go
+++ b/coordination/schedule/demand.go
@@ -62,7 +62,7 @@
 	if j.lateness != onTime || !s.learnedSizes() {
 		return 0
 	}
-	for _, o := range j.occurrences {
+	for _, o := range j.occurrences.items {
 		runs, follows := 0.0, 0.0
 		for _, st := range o.steps {
 			switch {
@@ -70,7 +70,7 @@
 			case st.running > 0:
 				runs += s.remainingOfRuns(j, st, now)
 			case !o.dependenciesDone(st):
-				follows += s.expected(j, st.step) * float64(st.step.CPU) * float64(len(st.tasks)-st.done)
+				follows += s.expected(j, st.step) * float64(st.step.CPU) * float64(st.left())
 			}
 		}
 		if runs > 0 {
@@ -83,7 +83,7 @@
 // remainingOfRuns returns the expected work that is left of the running tasks of a step.
 func (s *Scheduler) remainingOfRuns(j *jobState, st *stepState, now time.Time) (work float64) {
 	elapsed, cpu, runs := time.Duration(0), 0.0, 0
-	for _, t := range st.tasks {
+	for _, t := range st.tasks.items {
 		for _, r := range t.runs {
 			elapsed += now.Sub(r.startedAt)
 			cpu += float64(r.size.CPU)
--- a/coordination/schedule/division.go
+++ b/coordination/schedule/division.go
@@ -100,13 +100,20 @@
 
 // wanted returns what the tasks take whose turn has come.
 func (j *jobState) wanted(wall time.Time) (c Capacity) {
-	for _, o := range j.occurrences {
+	if due := j.untouchedDue(wall); due > 0 {
+		for i := range j.Steps {
+			if st := &j.Steps[i]; len(st.DependsOn) == 0 {
+				c = c.Plus(taskSize(st).Times(due * st.Count))
+			}
+		}
+	}
+	for _, o := range j.occurrences.items {
 		if o.dueMillis > 0 && wall.UnixMilli() < o.dueMillis {
 			break
 		}
 		for _, st := range o.steps {
 			if !st.complete() && o.dependenciesDone(st) {
-				c = c.Plus(taskSize(st.step).Times(max(len(st.tasks)-st.done, st.running)))
+				c = c.Plus(taskSize(st.step).Times(max(st.left(), st.running)))
 			}
 		}
 	}
@@ -115,7 +122,7 @@
 
 // running returns what the runs of the job take.
 func (j *jobState) running() (c Capacity) {
-	for _, o := range j.occurrences {
+	for _, o := range j.occurrences.items {
 		for _, st := range o.steps {
 			c = c.Plus(taskSize(st.step).Times(st.running))
 		}
--- a/coordination/schedule/drain.go
+++ b/coordination/schedule/drain.go
@@ -72,14 +72,24 @@
 // never wait, and when it is due.
 func (s *Scheduler) remainingRun(j *jobState, now time.Time) (due time.Time, run time.Duration) {
 	due = now
-	if len(j.occurrences) == 0 {
+	last := j.occurrences.total - 1
+	if last < 0 {
 		return due, 0
 	}
-	o := j.occurrences[len(j.occurrences)-1]
-	if o.dueMillis > 0 {
-		due = latest(due, time.UnixMilli(o.dueMillis))
+	if at := j.dueAt(last); at > 0 {
+		due = latest(due, time.UnixMilli(at))
 	}
 	left := 0.0
+	o, used := j.occurrences.find(last)
+	switch {
+	case !used && j.occurrences.isClosed(last):
+		return due, 0
+	case !used:
+		for i := range j.Steps {
+			left += s.expected(j, &j.Steps[i])
+		}
+		return due, input.Milliseconds(left)
+	}
 	for _, st := range o.steps {
 		if !st.complete() {
 			left += s.remainingOfStep(j, st, s.expected(j, st.step), now)
@@ -94,7 +104,7 @@
 		return meanRunningPart
 	}
 	elapsed, runs := time.Duration(0), 0
-	for _, t := range st.tasks {
+	for _, t := range st.tasks.items {
 		for _, r := range t.runs {
 			elapsed += now.Sub(r.startedAt)
 			runs++
--- a/coordination/schedule/duration.go
+++ b/coordination/schedule/duration.go
@@ -196,11 +196,11 @@
 // remainingOfStep returns how long, in milliseconds, the step is expected to take until all
 // its tasks are done, if a task takes the given time.
 func (s *Scheduler) remainingOfStep(j *jobState, st *stepState, task float64, now time.Time) float64 {
-	if s.Settings.MeanDurations || st.running == 0 {
+	if s.Settings.MeanDurations || st.running == 0 || st.tasks.untouched > 0 {
 		return task
 	}
 	latest := time.Time{}
-	for _, t := range st.tasks {
+	for _, t := range st.tasks.items {
 		switch {
 		case t.done:
 			continue
--- a/coordination/schedule/evacuate.go
+++ b/coordination/schedule/evacuate.go
@@ -68,7 +68,7 @@
 		Job: r.task.job.ID, Task: r.task.name, Endpoint: r.endpoint.ID, Run: r.number, Draining: r.endpoint.Draining,
 		Unavailable: unavailable, MaxUnavailable: max(st.step.MaxUnavailable, 1),
 	}
-	for _, t := range st.tasks {
+	for _, t := range st.tasks.items {
 		for _, o := range t.runs {
 			if at := o.endpoint.reportedAt; t != r.task && (v.OldestReport.IsZero() || at.Before(v.OldestReport)) {
 				v.OldestReport = at
@@ -100,7 +100,7 @@
 
 // stepState returns the step of the task.
 func (t *task) stepState() *stepState {
-	return t.job.occurrences[t.ref.Occurrence].steps[t.ref.Step]
+	return t.of
 }
 
 // stopTime returns the longest local time until the end of a run is reported that is ordered to
@@ -132,7 +132,8 @@
 // countUnavailable returns how many tasks of a step, other than except, are not
 // certain to be serving.
 func (s *Scheduler) countUnavailable(st *stepState, except *task, now time.Time) (count int) {
-	for _, t := range st.tasks {
+	count = st.step.Count - len(st.tasks.items)
+	for _, t := range st.tasks.items {
 		if t != except && !s.isServing(t, now) {
 			count++
 		}
--- a/coordination/schedule/handover.go
+++ b/coordination/schedule/handover.go
@@ -132,9 +132,9 @@
 
 // addCheckpoints adds the checkpoints of the job's unfinished tasks.
 func (j *jobState) addCheckpoints(byTask map[string]string) {
-	for _, o := range j.occurrences {
+	for _, o := range j.occurrences.items {
 		for _, st := range o.steps {
-			for _, t := range st.tasks {
+			for _, t := range st.tasks.items {
 				if t.checkpoint != "" && !t.done {
 					byTask[t.name] = t.checkpoint
 				}
--- a/coordination/schedule/handover_test.go
+++ b/coordination/schedule/handover_test.go
@@ -170,7 +170,7 @@
 	if got := f.s.jobs["a"].findTask(job.TaskRef{}).checkpoint; got != "half" {
 		t.Errorf("the checkpoint is %q", got)
 	}
-	if number := f.s.jobs["b"].occurrences[0].steps[0].gangRunNumber; number < 7 {
+	if number := f.s.jobs["b"].occurrences.items[0].steps[0].gangRunNumber; number < 7 {
 		t.Errorf("the next run of the gang follows %d", number)
 	}
 }
--- a/coordination/schedule/isolate.go
+++ b/coordination/schedule/isolate.go
@@ -16,7 +16,7 @@
 	if !st.step.Gang {
 		return t.ownIsolation()
 	}
-	for _, m := range st.tasks {
+	for _, m := range st.tasks.items {
 		d = max(d, m.ownIsolation())
 	}
 	return d
--- a/coordination/schedule/jobstate.go
+++ b/coordination/schedule/jobstate.go
@@ -51,10 +51,12 @@
 	limited := false
 	for i := range j.Steps {
 		times := StepTimes{Times: s.times(j, &j.Steps[i])}
-		for _, o := range j.occurrences {
+		times.Tasks, times.Done = j.occurrences.total*j.Steps[i].Count, j.countFinished()*j.Steps[i].Count
+		limited = limited || !j.started && j.occurrences.untouched > 0 && len(j.Steps[i].DependsOn) == 0 && s.limited(j, &j.Steps[i])
+		for _, o := range j.occurrences.items {
 			st := o.steps[i]
-			times.Tasks, times.Done, times.Running = times.Tasks+len(st.tasks), times.Done+st.done, times.Running+st.running
-			limited = limited || !j.started && o.dependenciesDone(st) && s.limited(st)
+			times.Done, times.Running = times.Done+st.done, times.Running+st.running
+			limited = limited || !j.started && o.dependenciesDone(st) && s.limited(j, st.step)
 		}
 		summary.Steps = append(summary.Steps, times)
 	}
@@ -86,9 +88,9 @@
 }
 
 // limited reports whether the limit of the organisation holds a task of the step back.
-func (s *Scheduler) limited(st *stepState) bool {
-	o, name := &s.organisations, st.tasks[0].job.Organisation
-	return name != "" && o.ledger.Active() && !o.ledger.MayStart(name, limitSize(st.step), 1, o.unseen[name])
+func (s *Scheduler) limited(j *jobState, st *job.Step) bool {
+	o, name := &s.organisations, j.Organisation
+	return name != "" && o.ledger.Active() && !o.ledger.MayStart(name, limitSize(st), 1, o.unseen[name])
 }
 
 // turnOf returns the turn of a job that is not long-running, in a pool with endpoints.
--- a/coordination/schedule/load.go
+++ b/coordination/schedule/load.go
@@ -97,19 +97,31 @@
 // waitingWork returns the expected work of a job's tasks that could start now, in
 // milliseconds times thousandths of a core.
 func (s *Scheduler) waitingWork(j *jobState) (work float64) {
-	for _, o := range j.occurrences {
+	if waiting := j.occurrences.untouched; waiting > 0 {
+		for i := range j.Steps {
+			if st := &j.Steps[i]; len(st.DependsOn) == 0 {
+				work += float64(waiting*st.Count) * s.sizingDuration(j, st) * float64(st.CPU)
+			}
+		}
+	}
+	for _, o := range j.occurrences.items {
 		for _, st := range o.steps {
 			if st.complete() || !o.dependenciesDone(st) {
 				continue
 			}
-			waiting := 0
-			for _, t := range st.tasks {
-				if !t.done && len(t.runs) == 0 {
-					waiting++
-				}
-			}
-			work += float64(waiting) * s.sizingDuration(j, st.step) * float64(st.step.CPU)
+			work += float64(st.waiting()) * s.sizingDuration(j, st.step) * float64(st.step.CPU)
 		}
 	}
 	return work
 }
+
+// waiting returns how many tasks are not done and have no run.
+func (s *stepState) waiting() (count int) {
+	count = s.tasks.untouched
+	for _, t := range s.tasks.items {
+		if !t.done && len(t.runs) == 0 {
+			count++
+		}
+	}
+	return count
+}
--- a/coordination/schedule/order.go
+++ b/coordination/schedule/order.go
@@ -201,7 +201,7 @@
 	if !gang.step.Gang {
 		return
 	}
-	for _, t := range gang.tasks {
+	for _, t := range gang.tasks.items {
 		for _, o := range t.runs {
 			if o.number == r.number && !o.stopRequested {
 				s.requestStop(o)
--- a/coordination/schedule/organisations.go
+++ b/coordination/schedule/organisations.go
@@ -157,7 +157,7 @@
 // mayStart reports whether the limit of the job's organisation allows count tasks of the
 // step to start together.
 func (s *Scheduler) mayStart(st *stepState, count int, now time.Time) bool {
-	o, j := &s.organisations, st.tasks[0].job
+	o, j := &s.organisations, st.job
 	if j.Organisation == "" || !o.ledger.Active() {
 		return true
 	}
@@ -186,7 +186,7 @@
 
 // holdStart records that a limit holds back the start of count tasks of a step.
 func (s *Scheduler) holdStart(st *stepState, count int, now time.Time) {
-	o, j := &s.organisations, st.tasks[0].job
+	o, j := &s.organisations, st.job
 	if !st.heldByLimit {
 		st.heldByLimit = true
 		s.Counts.HeldByLimit++
--- a/coordination/schedule/organisationuse.go
+++ b/coordination/schedule/organisationuse.go
@@ -56,13 +56,20 @@
 
 // waitingTasks returns how many tasks have no run although their turn has come.
 func (j *jobState) waitingTasks(wall time.Time) (count int) {
-	for _, o := range j.occurrences {
+	if due := j.untouchedDue(wall); due > 0 {
+		for i := range j.Steps {
+			if st := &j.Steps[i]; len(st.DependsOn) == 0 {
+				count += due * st.Count
+			}
+		}
+	}
+	for _, o := range j.occurrences.items {
 		if o.dueMillis > 0 && wall.UnixMilli() < o.dueMillis {
 			break
 		}
 		for _, st := range o.steps {
 			if !st.complete() && o.dependenciesDone(st) {
-				count += max(0, len(st.tasks)-st.done-st.running)
+				count += max(0, st.left()-st.running)
 			}
 		}
 	}
--- a/coordination/schedule/placement.go
+++ b/coordination/schedule/placement.go
@@ -186,7 +186,7 @@
 		c.pledged = make(map[*endpoint]gangUsage)
 	}
 	if st.step.Gang {
-		if _, refused := s.chooseForGang(st, c.endpoints, c.pledged); refused == nil {
+		if _, refused := s.chooseForGang(st, w.task, c.endpoints, c.pledged); refused == nil {
 			s.widen(w.task.job, now)
 		}
 		return
@@ -196,7 +196,7 @@
 		return
 	}
 	use := c.pledged[e]
-	use.capacity = use.capacity.Plus(need.Times(max(1, len(st.tasks)-st.done-st.running)))
+	use.capacity = use.capacity.Plus(need.Times(max(1, st.left()-st.running)))
 	c.pledged[e] = use
 	s.widen(w.task.job, now)
 }
--- a/coordination/schedule/plan.go
+++ b/coordination/schedule/plan.go
@@ -81,13 +81,16 @@
 		return
 	}
 	var work, chain, total float64
-	for _, o := range j.occurrences {
-		for _, st := range o.steps {
-			duration := s.expected(j, st.step)
-			total += duration
-			if !st.complete() {
+	for i := range j.Steps {
+		st := &j.Steps[i]
+		duration := s.expected(j, st)
+		total += duration * float64(j.occurrences.total)
+		chain += duration * float64(j.occurrences.untouched)
+		work += duration * float64(max(st.CPU, 1)) * float64(j.occurrences.untouched*st.Count)
+		for _, o := range j.occurrences.items {
+			if st := o.steps[i]; !st.complete() {
 				chain += s.remainingOfStep(j, st, duration, now)
-				work += duration * float64(max(st.step.CPU, 1)) * float64(len(st.tasks)-st.done)
+				work += duration * float64(max(st.step.CPU, 1)) * float64(st.left())
 			}
 		}
 	}
@@ -121,26 +124,40 @@
 	if !mayStartAll {
 		s.countAwaiting(j, wall)
 	}
-	for _, o := range j.occurrences {
+	for _, o := range j.occurrences.items {
 		if o.dueMillis > 0 && wall.UnixMilli() < o.dueMillis {
+			return orders
+		}
+		orders = append(orders, s.planOccurrence(o, c, mayStartAll, now)...)
+	}
+	for s.startsLeft > 0 && (len(j.occurrences.items) == 0 || c.canFit(j.needs.smallest)) {
+		o := j.nextDue(wall)
+		if o == nil {
 			break
 		}
-		for _, st := range o.steps {
-			if st.complete() || !o.dependenciesDone(st) || !mayStartAll && !st.step.AllowDuplicates {
-				continue
-			}
-			if st.step.Gang {
-				orders = append(orders, s.planGang(st, c, now)...)
-				continue
-			}
-			orders = append(orders, s.planStep(st, c, now)...)
+		orders = append(orders, s.planOccurrence(o, c, mayStartAll, now)...)
+	}
+	return orders
+}
+
+// planOccurrence starts the tasks of an occurrence that is due, of all steps or only of those that allow
+// duplicates.
+func (s *Scheduler) planOccurrence(o *occurrence, c *candidates, allSteps bool, now time.Time) (orders []Order) {
+	for _, st := range o.steps {
+		if st.complete() || !o.dependenciesDone(st) || !allSteps && !st.step.AllowDuplicates {
+			continue
+		}
+		if st.step.Gang {
+			orders = append(orders, s.planGang(st, c, now)...)
+			continue
 		}
+		orders = append(orders, s.planStep(st, c, now)...)
 	}
 	return orders
 }
 
 func (s *Scheduler) planStep(st *stepState, c *candidates, now time.Time) (orders []Order) {
-	for _, t := range st.tasks {
+	for t := st.after(-1); t != nil; t = st.after(t.ref.Index) {
 		if t.done || now.Before(t.notBefore) || !t.needsRun() || t.awaitsProof(now) {
 			continue
 		}
@@ -189,17 +206,21 @@
 // planGang starts all tasks of a gang, or none.
 func (s *Scheduler) planGang(st *stepState, c *candidates, now time.Time) (orders []Order) {
 	runNumber := max(st.gangRunNumber, s.Settings.RunNumberBase)
-	for _, t := range st.tasks {
+	first := st.after(-1)
+	if first == nil {
+		return nil
+	}
+	for _, t := range st.tasks.items {
 		if len(t.runs) > 0 || now.Before(t.notBefore) || t.awaitsProof(now) {
 			return nil
 		}
 		runNumber = max(runNumber, t.lastRun)
 	}
-	if s.withholds(c, st.tasks[0].job) || !s.mayStart(st, len(st.tasks), now) {
+	if s.withholds(c, st.job) || !s.mayStart(st, st.step.Count, now) {
 		return nil
 	}
-	r := c.in(st.tasks[0].job.startsIn)
-	chosen, refused := s.chooseForGang(st, r.endpoints, make(map[*endpoint]gangUsage))
+	r := c.in(st.job.startsIn)
+	chosen, refused := s.chooseForGang(st, first, r.endpoints, make(map[*endpoint]gangUsage))
 	if refused != nil {
 		if refused.isolation(st) == 0 || !s.holdEndpoint(st, refused, c.endpoints, now) {
 			s.wantRoom(c, st, refused, now)
@@ -208,12 +229,13 @@
 	}
 	st.gangRunNumber = runNumber + 1
 	checkpoint := ""
-	for _, t := range st.tasks {
+	members := st.allTasks()
+	for _, t := range members {
 		if t.checkpoint != "" {
 			checkpoint = t.checkpoint
 		}
 	}
-	for i, t := range st.tasks {
+	for i, t := range members {
 		t.checkpoint = checkpoint
 		orders = append(orders, s.startRun(t, chosen[i], st.gangRunNumber, now))
 	}
@@ -222,9 +244,14 @@
 }
 
 // chooseForGang returns an endpoint for each task of a gang, or the first task for which
-// there is none. It adds what they take to usage.
-func (s *Scheduler) chooseForGang(st *stepState, candidates []*endpoint, usage map[*endpoint]gangUsage) (chosen []*endpoint, refused *task) {
-	for _, t := range st.tasks {
+// there is none. It adds what they take to usage. A task that has not been used has the endpoint that
+// any would have.
+func (s *Scheduler) chooseForGang(st *stepState, anyTask *task, candidates []*endpoint, usage map[*endpoint]gangUsage) (chosen []*endpoint, refused *task) {
+	for i := range st.step.Count {
+		t, used := st.tasks.find(i)
+		if !used {
+			t = anyTask
+		}
 		e := s.chooseEndpoint(st, t, candidates, usage)
 		if e == nil {
 			return nil, t
@@ -320,7 +347,7 @@
 	if !s.step.SameRack {
 		return ""
 	}
-	for _, t := range s.tasks {
+	for _, t := range s.tasks.items {
 		for _, r := range t.runs {
 			return r.endpoint.Rack
 		}
@@ -331,7 +358,7 @@
 // countStepTasks returns how many tasks of the step, other than t, run on the
 // endpoint.
 func (e *endpoint) countStepTasks(st *stepState, t *task) (tasks int) {
-	for _, o := range st.tasks {
+	for _, o := range st.tasks.items {
 		if o != t && e.runs[o.name] != nil {
 			tasks++
 		}
--- a/coordination/schedule/ranking_test.go
+++ b/coordination/schedule/ranking_test.go
@@ -142,7 +142,7 @@
 	r := newRecord("00000000000000ff", job.Step{Count: 3, CPU: 4000, EstimateMillis: 500})
 	r.Progress = []job.Progress{{Crashes: map[int][]job.Crash{2: {{Run: 1, Endpoint: "x", AtStart: true, Confirmed: true}}}}}
 	f.s.AddJob(r, f.now)
-	e, suspect := f.s.endpoints["a"], f.s.jobs[r.ID].occurrences[0].steps[0].tasks[2]
+	e, suspect := f.s.endpoints["a"], f.s.jobs[r.ID].occurrences.items[0].steps[0].task(2)
 	e.heldFor, e.heldUntil = suspect, f.now.Add(holdTime)
 	for range 2 {
 		f.now = f.now.Add(holdTime / 2)
--- a/coordination/schedule/report.go
+++ b/coordination/schedule/report.go
@@ -189,6 +189,7 @@
 		s.recordEnd(e, t, ending, now)
 		pending.job, pending.version = t.job, t.job.version
 		pending.waited = t.job.storedVersion < t.job.version
+		t.release()
 	}
 	e.unstoredEnds = append(e.unstoredEnds, pending)
 }
@@ -230,26 +231,21 @@
 
 // markDone records that a task is done. One done task completes its whole gang.
 func (s *Scheduler) markDone(j *jobState, t *task, now time.Time) {
-	st := j.occurrences[t.ref.Occurrence].steps[t.ref.Step]
 	members := []*task{t}
 	if t.step.Gang {
-		members = st.tasks
+		members = slices.Clone(t.of.tasks.items)
 	}
-	for _, m := range members {
-		if m.done {
-			continue
-		}
-		m.done = true
-		st.done++
-		s.Counts.Done++
-		for _, r := range m.runs {
-			if !t.step.Gang {
-				s.requestStop(r)
-			}
+	s.Counts.Done += int64(t.of.markDone(members))
+	if !t.step.Gang {
+		for _, r := range t.runs {
+			s.requestStop(r)
 		}
 	}
 	j.started = true
 	s.markDirty(j, now, false)
+	for _, m := range members {
+		m.release()
+	}
 	s.finishIfComplete(j, now)
 }
 
@@ -315,7 +311,7 @@
 	s.countStart(adopted)
 	t.runs = append(t.runs, adopted)
 	if t.step.Gang {
-		st := t.job.occurrences[t.ref.Occurrence].steps[t.ref.Step]
+		st := t.of
 		st.gangRunNumber = max(st.gangRunNumber, l.Run)
 	}
 	s.updateRun(adopted, l, r)
--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -67,10 +67,10 @@
 	// activeJobs holds the jobs of each pool whose state is not final, in the order in which
 	// they were added, so that sums over them do not depend on the order of a map.
 	activeJobs map[string][]*jobState
-	// addedJobs counts the jobs that were added.
-	addedJobs int64
-	demands   map[string]*sizing.Demand
-	rankings  map[string]*jobRanking
+	// addedJobs counts the jobs that were added, and heldBytes the memory of those with steps.
+	addedJobs, heldBytes int64
+	demands              map[string]*sizing.Demand
+	rankings             map[string]*jobRanking
 	// reservedInstances holds the names of the instances that are reserved for their
 	// maintenance, so that no pool takes them from the spare pool.
 	reservedInstances map[string]bool
@@ -189,6 +189,9 @@
 	j.inherited = inherited
 	s.loadDataCentre(j)
 	s.jobs[r.ID] = j
+	if len(r.Steps) > 0 {
+		s.holdMemory(j)
+	}
 	if r.State.Terminal() {
 		return
 	}
@@ -263,9 +266,9 @@
 	j.endedAt = now.UnixMilli()
 	s.markDirty(j, now, true)
 	s.removeActiveJob(j)
-	for _, o := range j.occurrences {
+	for _, o := range j.occurrences.items {
 		for _, st := range o.steps {
-			for _, t := range st.tasks {
+			for _, t := range st.tasks.items {
 				for _, r := range t.runs {
 					s.requestStop(r)
 				}
@@ -324,7 +327,7 @@
 		j.urgent = false
 	}
 	s.queueRecord(j)
-	j.releaseSteps()
+	s.releaseSteps(j)
 	waiting := j.endsWait
 	j.endsWait = nil
 	for _, e := range waiting {
@@ -358,6 +361,7 @@
 		}
 	}
 	for _, r := range removed {
+		s.freeMemory(s.jobs[r.ID])
 		delete(s.jobs, r.ID)
 	}
 	return removed
@@ -395,7 +399,8 @@
 			Inferred: !EndReason(reason).reported(),
 		})
 	}
-	r.task.job.releaseSteps()
+	r.task.release()
+	s.releaseSteps(r.task.job)
 }
 
 func latest(a, b time.Time) time.Time {
--- /dev/null
+++ b/coordination/schedule/step.go
@@ -0,0 +1,332 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"github.com/azurepoint/azurepoint/coordination/job"
+)
+
+// maxWaitingOccurrences limits the occurrences of a job that are in use without a run. An occurrence
+// that is due is used once there may be room for it, so that only those wait here whose tasks find no
+// endpoint for another reason.
+const maxWaitingOccurrences = 64
+
+// stepState holds one step of one occurrence with those of its tasks that have been started, or are
+// next to start, and are not done.
+type stepState struct {
+	job        *jobState
+	occurrence *occurrence
+	step       *job.Step
+	index      int
+	tasks      sequence[*task]
+	done       int
+	// running counts the runs of the tasks that may be active.
+	running int
+	// gangRunNumber is the run number that all tasks of the gang share.
+	gangRunNumber int
+	// heldByLimit is set once the limit of the organisation has held back a start of the
+	// step, and aboveLimit once the step is found to be a gang that is larger than the limit.
+	heldByLimit, aboveLimit bool
+}
+
+func (s *stepState) complete() bool {
+	return s.done == s.step.Count
+}
+
+// left returns how many tasks are not done.
+func (s *stepState) left() int {
+	return s.step.Count - s.done
+}
+
+// task returns the task with an index.
+func (s *stepState) task(index int) (t *task) {
+	if t, used := s.tasks.find(index); used {
+		return t
+	}
+	ref := job.TaskRef{Occurrence: s.occurrence.index, Step: s.index, Index: index}
+	t = &task{ref: ref, name: ref.TaskName(s.job.ID), job: s.job, step: s.step, of: s, done: s.tasks.isClosed(index)}
+	s.tasks.put(index, t)
+	return t
+}
+
+// allTasks returns all tasks, as those of a gang that starts.
+func (s *stepState) allTasks() []*task {
+	for index := range s.step.Count {
+		s.task(index)
+	}
+	return s.tasks.items
+}
+
+// after returns the first task after an index that is not finished, or nil. The tasks up to that index must
+// have been used.
+func (s *stepState) after(index int) (t *task) {
+	i, _ := slices.BinarySearch(s.tasks.indexes, index+1)
+	untouched := s.tasks.firstUntouched()
+	if i < len(s.tasks.items) && s.tasks.indexes[i] < untouched {
+		return s.tasks.items[i]
+	}
+	if untouched < s.step.Count {
+		return s.task(untouched)
+	}
+	return nil
+}
+
+// markDone records that tasks in use are done, and reports how many were not. The tasks of a gang are
+// done together.
+func (s *stepState) markDone(members []*task) (count int) {
+	for _, t := range members {
+		if !t.done {
+			t.done = true
+			count++
+		}
+	}
+	s.done += count
+	if s.step.Gang {
+		// Those that are not in use.
+		count += s.step.Count - s.done
+		s.done = s.step.Count
+		s.tasks.closeAll()
+	}
+	return count
+}
+
+// release frees a task that is done and has no run, and its occurrence after the last one.
+func (t *task) release() {
+	if !t.done || len(t.runs) > 0 {
+		return
+	}
+	if used, _ := t.of.tasks.find(t.ref.Index); used == t {
+		t.of.tasks.close(t.ref.Index)
+		t.of.occurrence.release(t.job)
+	}
+}
+
+// occurrence is one execution of all steps of a job.
+type occurrence struct {
+	index     int
+	dueMillis int64
+	steps     []*stepState
+}
+
+// dependenciesDone reports whether all steps that s depends on are complete.
+func (o *occurrence) dependenciesDone(s *stepState) bool {
+	for _, a := range s.step.DependsOn {
+		if !o.steps[a].complete() {
+			return false
+		}
+	}
+	return true
+}
+
+func (o *occurrence) complete() bool {
+	for _, s := range o.steps {
+		if !s.complete() {
+			return false
+		}
+	}
+	return true
+}
+
+// waits reports whether tasks are left and none of them runs.
+func (o *occurrence) waits() bool {
+	return !o.complete() && !slices.ContainsFunc(o.steps, func(s *stepState) bool { return s.running > 0 })
+}
+
+// release frees an occurrence of which all tasks are done and have no run.
+func (o *occurrence) release(j *jobState) {
+	for _, s := range o.steps {
+		if !s.complete() || len(s.tasks.items) > 0 {
+			return
+		}
+	}
+	if used, _ := j.occurrences.find(o.index); used == o {
+		j.occurrences.close(o.index)
+	}
+}
+
+// dueAt returns when an occurrence is due, in Unix milliseconds; 0 means at once.
+func (j *jobState) dueAt(index int) (millis int64) {
+	if j.Repeat == 0 {
+		return 0
+	}
+	return j.StartAt + int64(index)*j.IntervalMillis
+}
+
+// occurrence returns the occurrence with an index.
+func (j *jobState) occurrence(index int) (o *occurrence) {
+	if o, used := j.occurrences.find(index); used {
+		return o
+	}
+	o = &occurrence{index: index, dueMillis: j.dueAt(index)}
+	finished := j.occurrences.isClosed(index)
+	steps := make([]stepState, len(j.Steps))
+	for i := range steps {
+		s := &steps[i]
+		s.job, s.occurrence, s.step, s.index, s.tasks = j, o, &j.Steps[i], i, newSequence[*task](j.Steps[i].Count)
+		if finished {
+			s.done = s.step.Count
+			s.tasks.closeAll()
+		}
+		o.steps = append(o.steps, s)
+	}
+	j.occurrences.put(index, o)
+	return o
+}
+
+// nextDue returns the first occurrence that has not been used, if it is due, or nil. A job of which many
+// occurrences wait gets none.
+func (j *jobState) nextDue(wall time.Time) (o *occurrence) {
+	index := j.occurrences.firstUntouched()
+	if index == j.occurrences.total || j.dueAt(index) > wall.UnixMilli() {
+		return nil
+	}
+	waiting := 0
+	for _, o := range j.occurrences.items {
+		if o.waits() {
+			waiting++
+		}
+	}
+	if waiting >= maxWaitingOccurrences {
+		return nil
+	}
+	return j.occurrence(index)
+}
+
+// untouchedDue returns how many occurrences are due by a time and have not been used.
+func (j *jobState) untouchedDue(at time.Time) (count int) {
+	if j.occurrences.untouched == 0 {
+		return 0
+	}
+	since := at.UnixMilli() - j.StartAt
+	switch {
+	case since < 0:
+		return 0
+	case j.IntervalMillis == 0:
+		return j.occurrences.untouched
+	}
+	return j.occurrences.untouchedBefore(int(min(since/j.IntervalMillis+1, int64(j.occurrences.total))))
+}
+
+// countFinished returns how many occurrences are finished and no longer in use.
+func (j *jobState) countFinished() (count int) {
+	count = j.occurrences.total - j.occurrences.untouched
+	return count - len(j.occurrences.items)
+}
+
+func (j *jobState) restoreProgress(p job.Progress) {
+	if p.Occurrence >= j.occurrences.total || p.Step >= len(j.Steps) {
+		return
+	}
+	o := j.occurrence(p.Occurrence)
+	s := o.steps[p.Step]
+	for _, i := range p.Done {
+		if i < s.step.Count && !s.tasks.isClosed(i) {
+			s.tasks.close(i)
+			s.done++
+		}
+	}
+	for i, n := range p.Failures {
+		if i < s.step.Count && !s.tasks.isClosed(i) {
+			s.task(i).failures = n
+		}
+	}
+	for i, lost := range p.Crashes {
+		if i >= s.step.Count || s.tasks.isClosed(i) {
+			continue
+		}
+		t := s.task(i)
+		for _, c := range lost {
+			t.crashes = append(t.crashes, crash{Crash: c})
+		}
+	}
+	j.started = true
+	o.release(j)
+}
+
+// findTask returns the task that a reference identifies, or nil.
+func (j *jobState) findTask(r job.TaskRef) *task {
+	if r.Occurrence < 0 || r.Occurrence >= j.occurrences.total || r.Step < 0 || r.Step >= len(j.Steps) {
+		return nil
+	}
+	if r.Index < 0 || r.Index >= j.Steps[r.Step].Count {
+		return nil
+	}
+	return j.occurrence(r.Occurrence).steps[r.Step].task(r.Index)
+}
+
+// record returns the record of the job in its current state.
+func (j *jobState) record() job.Record {
+	r := job.Record{Job: j.Job, State: j.state, EndedAt: j.endedAt, Revision: j.storedRevision}
+	for index := range j.occurrences.total {
+		o, used := j.occurrences.find(index)
+		if !used && !j.occurrences.isClosed(index) {
+			continue
+		}
+		for i := range j.Steps {
+			p := job.Progress{Occurrence: index, Step: i}
+			if used {
+				o.steps[i].addProgress(&p)
+			} else {
+				p.Done = allIndexes(j.Steps[i].Count)
+			}
+			if len(p.Done) > 0 || len(p.Failures) > 0 || len(p.Crashes) > 0 {
+				r.Progress = append(r.Progress, p)
+			}
+		}
+	}
+	return r
+}
+
+func allIndexes(count int) (indexes []int) {
+	indexes = make([]int, count)
+	for i := range indexes {
+		indexes[i] = i
+	}
+	return indexes
+}
+
+// doneIndexes returns the indexes of the done tasks.
+func (s *stepState) doneIndexes() (indexes []int) {
+	if s.done == 0 {
+		return nil
+	}
+	for i := range s.step.Count {
+		if t, used := s.tasks.find(i); used && t.done || !used && s.tasks.isClosed(i) {
+			indexes = append(indexes, i)
+		}
+	}
+	return indexes
+}
+
+// addProgress adds the stored part of the step's state.
+func (s *stepState) addProgress(p *job.Progress) {
+	p.Done = s.doneIndexes()
+	for _, t := range s.tasks.items {
+		if len(t.failures) > 0 {
+			if p.Failures == nil {
+				p.Failures = make(map[int][]int)
+			}
+			p.Failures[t.ref.Index] = t.failures
+		}
+		if len(t.crashes) > 0 && !t.done {
+			if p.Crashes == nil {
+				p.Crashes = make(map[int][]job.Crash)
+			}
+			p.Crashes[t.ref.Index] = t.crashRecords()
+		}
+	}
+}
+
+// complete reports whether all tasks of all occurrences are done.
+func (j *jobState) complete() bool {
+	if j.occurrences.total == 0 || j.occurrences.untouched > 0 {
+		return false
+	}
+	for _, o := range j.occurrences.items {
+		if !o.complete() {
+			return false
+		}
+	}
+	return true
+}
--- a/coordination/schedule/task.go
+++ b/coordination/schedule/task.go
@@ -12,6 +12,8 @@
 	name string
 	job  *jobState
 	step *job.Step
+	// of is the step with its other tasks.
+	of *stepState
 
 	done bool
 	// failures holds the numbers of the failed runs.
@@ -113,42 +115,6 @@
 	return c
 }
 
-// stepState holds the tasks of one step of one occurrence.
-type stepState struct {
-	step  *job.Step
-	index int
-	tasks []*task
-	done  int
-	// running counts the runs of the tasks that may be active.
-	running int
-	// gangRunNumber is the run number that all tasks of the gang share.
-	gangRunNumber int
-	// heldByLimit is set once the limit of the organisation has held back a start of the
-	// step, and aboveLimit once the step is found to be a gang that is larger than the limit.
-	heldByLimit, aboveLimit bool
-}
-
-func (s *stepState) complete() bool {
-	return s.done == len(s.tasks)
-}
-
-// occurrence is one execution of all steps of a job.
-type occurrence struct {
-	index     int
-	dueMillis int64
-	steps     []*stepState
-}
-
-// dependenciesDone reports whether all steps that s depends on are complete.
-func (o *occurrence) dependenciesDone(s *stepState) bool {
-	for _, a := range s.step.DependsOn {
-		if !o.steps[a].complete() {
-			return false
-		}
-	}
-	return true
-}
-
 // jobState holds a job and its scheduling state.
 type jobState struct {
 	job.Job
@@ -156,8 +122,10 @@
 	// number counts the jobs of the scheduler in the order in which they were added.
 	number      int64
 	state       job.State
-	occurrences []*occurrence
-	endedAt     int64
+	occurrences sequence[*occurrence]
+	// heldBytes is what the job counts in the scheduler's memory.
+	heldBytes int64
+	endedAt   int64
 	// inherited is set for jobs that an earlier owner accepted. Endpoints that have
 	// not reported to this owner may run their tasks.
 	inherited bool
@@ -209,15 +177,9 @@
 		return j
 	}
 	j.needs = needsOf(j.Steps)
-	for k := range r.Occurrences() {
-		o := &occurrence{index: k}
-		if r.Repeat > 0 {
-			o.dueMillis = r.StartAt + int64(k)*r.IntervalMillis
-		}
-		for i := range j.Steps {
-			o.steps = append(o.steps, newStepState(j, k, i))
-		}
-		j.occurrences = append(j.occurrences, o)
+	j.occurrences = newSequence[*occurrence](j.Occurrences())
+	if r.Repeat == 0 {
+		j.occurrence(0)
 	}
 	for _, p := range r.Progress {
 		j.restoreProgress(p)
@@ -230,108 +192,11 @@
 // entries may differ.
 const maxAcceptedAge = 10 * time.Minute
 
-func newStepState(j *jobState, occurrence, index int) *stepState {
-	s := &stepState{step: &j.Steps[index], index: index}
-	s.tasks = make([]*task, s.step.Count)
-	for i := range s.tasks {
-		ref := job.TaskRef{Occurrence: occurrence, Step: index, Index: i}
-		s.tasks[i] = &task{ref: ref, name: ref.TaskName(j.ID), job: j, step: s.step}
-	}
-	return s
-}
-
-func (j *jobState) restoreProgress(p job.Progress) {
-	if p.Occurrence >= len(j.occurrences) || p.Step >= len(j.Steps) {
-		return
-	}
-	s := j.occurrences[p.Occurrence].steps[p.Step]
-	for _, i := range p.Done {
-		if i < len(s.tasks) && !s.tasks[i].done {
-			s.tasks[i].done = true
-			s.done++
-		}
-	}
-	for i, n := range p.Failures {
-		if i < len(s.tasks) {
-			s.tasks[i].failures = n
-		}
-	}
-	for i, lost := range p.Crashes {
-		if i >= len(s.tasks) {
-			continue
-		}
-		for _, c := range lost {
-			s.tasks[i].crashes = append(s.tasks[i].crashes, crash{Crash: c})
-		}
-	}
-	j.started = true
-}
-
-// findTask returns the task that a reference identifies, or nil.
-func (j *jobState) findTask(r job.TaskRef) *task {
-	if r.Occurrence < 0 || r.Occurrence >= len(j.occurrences) || r.Step < 0 || r.Step >= len(j.Steps) {
-		return nil
-	}
-	s := j.occurrences[r.Occurrence].steps[r.Step]
-	if r.Index < 0 || r.Index >= len(s.tasks) {
-		return nil
-	}
-	return s.tasks[r.Index]
-}
-
-// record returns the record of the job in its current state.
-func (j *jobState) record() job.Record {
-	r := job.Record{Job: j.Job, State: j.state, EndedAt: j.endedAt, Revision: j.storedRevision}
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			if p := s.progressRecord(o.index); len(p.Done) > 0 || len(p.Failures) > 0 || len(p.Crashes) > 0 {
-				r.Progress = append(r.Progress, p)
-			}
-		}
-	}
-	return r
-}
-
-// progressRecord returns the stored part of the step's state.
-func (s *stepState) progressRecord(occurrence int) (p job.Progress) {
-	p = job.Progress{Occurrence: occurrence, Step: s.index}
-	for i, t := range s.tasks {
-		if t.done {
-			p.Done = append(p.Done, i)
-		}
-		if len(t.failures) > 0 {
-			if p.Failures == nil {
-				p.Failures = make(map[int][]int)
-			}
-			p.Failures[i] = t.failures
-		}
-		if len(t.crashes) > 0 && !t.done {
-			if p.Crashes == nil {
-				p.Crashes = make(map[int][]job.Crash)
-			}
-			p.Crashes[i] = t.crashRecords()
-		}
-	}
-	return p
-}
-
-// complete reports whether all tasks of all occurrences are done.
-func (j *jobState) complete() bool {
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			if !s.complete() {
-				return false
-			}
-		}
-	}
-	return len(j.occurrences) > 0
-}
-
 // runningCPU returns the CPU of the job's runs, in thousandths of a core.
 func (j *jobState) runningCPU() (cpu float64) {
-	for _, o := range j.occurrences {
+	for _, o := range j.occurrences.items {
 		for _, s := range o.steps {
-			for _, t := range s.tasks {
+			for _, t := range s.tasks.items {
 				for _, r := range t.runs {
 					cpu += float64(r.size.CPU)
 				}
@@ -343,9 +208,9 @@
 
 // hasRuns reports whether any run of the job may be active.
 func (j *jobState) hasRuns() bool {
-	for _, o := range j.occurrences {
+	for _, o := range j.occurrences.items {
 		for _, s := range o.steps {
-			for _, t := range s.tasks {
+			for _, t := range s.tasks.items {
 				if len(t.runs) > 0 {
 					return true
 				}
--- a/coordination/schedule/unseen.go
+++ b/coordination/schedule/unseen.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"github.com/azurepoint/azurepoint/coordination/job"
@@ -98,19 +99,26 @@
 // counts too: its runs end only when their endpoint carries out the order. Places is the
 // number of endpoints that may have such runs.
 func (j *jobState) unseenRuns(places int, wall time.Time) (reserved, bestEffort job.Capacity) {
-	for _, o := range j.occurrences {
+	add := func(st *job.Step, runs int) {
+		size := limitSize(st).Times(runs)
+		if st.BestEffort {
+			bestEffort = bestEffort.Plus(size)
+		} else {
+			reserved = reserved.Plus(size)
+		}
+	}
+	due, finished := j.untouchedDue(wall.Add(earlyStart)), j.countFinished()
+	for i := range j.Steps {
+		st := &j.Steps[i]
+		add(st, st.Count*(due*unknownRunsOfTask(st, 0, false, places)+finished*unknownRunsOfTask(st, 0, true, places)))
+	}
+	for _, o := range j.occurrences.items {
 		if o.dueMillis > 0 && wall.Add(earlyStart).UnixMilli() < o.dueMillis {
 			break
 		}
 		for _, st := range o.steps {
-			if !st.mayRun() {
-				continue
-			}
-			size := limitSize(st.step).Times(st.unknownRuns(places))
-			if st.step.BestEffort {
-				bestEffort = bestEffort.Plus(size)
-			} else {
-				reserved = reserved.Plus(size)
+			if st.mayRun() {
+				add(st.step, st.unknownRuns(places))
 			}
 		}
 	}
@@ -127,10 +135,13 @@
 // known ones, on a number of endpoints.
 func (s *stepState) unknownRuns(places int) (count int) {
 	if s.running == 0 {
-		return (len(s.tasks)-s.done)*s.unknownRunsOfTask(0, false, places) + s.done*s.unknownRunsOfTask(0, true, places)
+		return s.left()*unknownRunsOfTask(s.step, 0, false, places) + s.done*unknownRunsOfTask(s.step, 0, true, places)
 	}
-	for _, t := range s.tasks {
-		count += s.unknownRunsOfTask(len(t.runs), t.done, places)
+	untouched := s.tasks.untouched
+	finished := s.step.Count - untouched - len(s.tasks.items)
+	count = untouched*unknownRunsOfTask(s.step, 0, false, places) + finished*unknownRunsOfTask(s.step, 0, true, places)
+	for _, t := range s.tasks.items {
+		count += unknownRunsOfTask(s.step, len(t.runs), t.done, places)
 	}
 	return count
 }
@@ -138,13 +149,13 @@
 // unknownRunsOfTask returns how many runs of a task may be active beside a number of known ones.
 // If the task allows duplicates, each earlier owner may have started runs without knowing of
 // those before, so that every endpoint may have one.
-func (s *stepState) unknownRunsOfTask(known int, done bool, places int) (count int) {
+func unknownRunsOfTask(st *job.Step, known int, done bool, places int) (count int) {
 	switch {
-	case s.step.Gang:
+	case st.Gang:
 		return max(0, 1-known)
-	case s.step.AllowDuplicates && done:
+	case st.AllowDuplicates && done:
 		return max(places, maxConcurrentRuns-known-1)
-	case s.step.AllowDuplicates:
+	case st.AllowDuplicates:
 		return max(places, maxConcurrentRuns-known)
 	case done:
 		return 0
@@ -155,11 +166,12 @@
 // releaseSteps frees the memory of a job with a stored final state, of which only the state
 // is read from then on. The steps of a job of which unknown runs may be reported stay,
 // because they give the sizes of the runs.
-func (j *jobState) releaseSteps() {
+func (s *Scheduler) releaseSteps(j *jobState) {
 	if !j.storedState.Terminal() || j.storedVersion != j.version || j.storedState == job.Cancelled || j.hasRuns() || j.mayHaveUnseenRuns() {
 		return
 	}
-	j.Steps, j.Spec, j.occurrences = nil, "", nil
+	j.Steps, j.Spec, j.occurrences = nil, "", sequence[*occurrence]{}
+	s.freeMemory(j)
 }
 
 // mayHaveUnseenRuns reports whether runs of an earlier owner that count against a limit may
@@ -168,11 +180,15 @@
 	if !j.inherited || j.Organisation == "" {
 		return false
 	}
-	for _, o := range j.occurrences {
-		for _, st := range o.steps {
-			if st.mayRun() {
-				return true
-			}
+	if j.occurrences.untouched > 0 {
+		return true
+	}
+	if j.countFinished() > 0 && slices.ContainsFunc(j.Steps, func(st job.Step) bool { return st.AllowDuplicates || st.Gang }) {
+		return true
+	}
+	for _, o := range j.occurrences.items {
+		if slices.ContainsFunc(o.steps, (*stepState).mayRun) {
+			return true
 		}
 	}
 	return false
--- a/entry/manager/load.go
+++ b/entry/manager/load.go
@@ -93,12 +93,14 @@
 	return decodeRecords(items), cancelled, err
 }
 
-// decodeRecords decodes the records of jobs, without tombstones. One that cannot be read is logged and
-// left out.
+// decodeRecords decodes the records of jobs, without tombstones, and drops the values of the items. One that
+// cannot be read is logged and left out.
 func decodeRecords(items []store.Item) (records []job.Record) {
 	records = make([]job.Record, 0, len(items))
-	for _, i := range items {
+	for n, i := range items {
 		r, err := decodeJob(i)
+		// The stored form is freed as the records are made of it.
+		items[n].Value = nil
 		if err != nil {
 			event.RecordInvalid.Log(log.Fields{"key": i.Key, "error": input.Excerpt(err)})
 			continue
--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -113,6 +114,8 @@
 	// withheldSince is since when starts are withheld because cancellations may be unread; it is
 	// accessed by the planner only.
 	withheldSince time.Time
+	// submittedBytes is the memory of the accepted jobs whose submissions have not ended.
+	submittedBytes atomic.Int64
 	// endPolls counts the polls that have brought ends of runs.
 	endPolls recentRate
 	// pace measures how many starts this owner can send.
--- a/entry/manager/submit.go
+++ b/entry/manager/submit.go
@@ -16,10 +16,12 @@
 
 // Limits of job submission.
 const (
-	// maxActiveJobs bounds the unfinished jobs of all pools. A job of 16 tasks takes
-	// 5 KB (BenchmarkJobMemory), so 20,000 jobs take 100 MB, about half of the memory
-	// of the smallest entry of the deployments.
+	// maxActiveJobs bounds the unfinished jobs of all pools.
 	maxActiveJobs = 20_000
+	// maxHeldBytes bounds the memory of the jobs, a third of that of the smallest entry of the
+	// deployments. It does not depend on this entry's memory, since any other may own the pools next and
+	// has to load all jobs.
+	maxHeldBytes = 64 << 20
 	// refusedRetryDelay is when a caller may retry a job that was not stored: by then
 	// a store with a short outage is back, or a new owner has taken over.
 	refusedRetryDelay = time.Second
@@ -52,7 +54,9 @@
 	if r, decided := m.admit(&j); decided {
 		return r
 	}
+	size := schedule.MemoryBytes(&j)
 	r = m.storeNew(ctx, j, until)
+	m.submittedBytes.Add(-size)
 	if r.Outcome == Refused || r.Outcome == NotOwner {
 		m.mu.Lock()
 		m.scheduler.ForgetAdmission(j.ID)
@@ -89,19 +93,21 @@
 		meter.Count("refusals.count")
 		excess := m.scheduler.CountActiveJobs() - maxActiveJobs
 		return Reply{Outcome: Refused, RetryAfter: m.scheduler.RetryWhenFull(j.ID, excess, m.pace.Limit(now), now), Reason: "too many jobs"}, true
+	case m.scheduler.HeldBytes()+m.submittedBytes.Load()+schedule.MemoryBytes(j) > maxHeldBytes:
+		meter.Count("refusals.memory")
+		return Reply{Outcome: Refused, RetryAfter: m.scheduler.RetryWithoutMemory(j.ID, now), Reason: "the jobs take too much memory"}, true
 	}
-	if !m.Settings.RefuseLate {
+	if m.Settings.RefuseLate {
+		if refusal, accepted := m.scheduler.Admit(j, m.pace.Limit(now), now); !accepted {
+			meter.Count("refusals." + string(refusal.Reason))
+			return Reply{Outcome: Refused, RetryAfter: refusal.RetryAfter, Reason: refusalText(refusal, now)}, true
+		}
+	} else {
 		j.Surplus = !m.scheduler.TakeRate(j.Organisation, now)
-		m.scheduler.Confine(j)
-		return Reply{}, false
-	}
-	refusal, accepted := m.scheduler.Admit(j, m.pace.Limit(now), now)
-	if accepted {
-		m.scheduler.Confine(j)
-		return Reply{}, false
 	}
-	meter.Count("refusals." + string(refusal.Reason))
-	return Reply{Outcome: Refused, RetryAfter: refusal.RetryAfter, Reason: refusalText(refusal, now)}, true
+	m.scheduler.Confine(j)
+	m.submittedBytes.Add(schedule.MemoryBytes(j))
+	return Reply{}, false
 }
 
 // refusalText names what the job would wait for, the estimate and the limit.
