Count a job as started once an endpoint has started a task

Cause: planning the first start marked the job as started, and nothing took that back when the start was refused, not sent or not carried out. The record stored it for the next owner; a handover and the stored loss of an endpoint did the same for starts without an answer.

Change: a job counts as started once an endpoint has accepted a start, lists a run or reports an end of one of its tasks, or a record says so. The state "running" is stored from then on only. Shares of full pools count a planned start as before.

--- a/coordination/schedule/division.go
+++ b/coordination/schedule/division.go
@@ -39,7 +39,7 @@
 			u.Running = s.organisations.pools[poolUser{pool, j.Organisation}]
 		}
 		wanted := j.wanted(wall)
-		j.finishing = j.started && capacity.CanFit(wanted.Times(finishingPart))
+		j.finishing = (j.started || j.hasRuns()) && capacity.CanFit(wanted.Times(finishingPart))
 		u.Wanted = u.Wanted.Plus(wanted)
 		uses[j.Organisation] = u
 	}
--- a/coordination/schedule/handover.go
+++ b/coordination/schedule/handover.go
@@ -178,6 +178,9 @@
 // applyHandedJob makes a loaded job be stored as the earlier owner had it.
 func (s *Scheduler) applyHandedJob(c HandedJob, now time.Time) {
 	j := s.jobs[c.ID]
+	if c.State == job.Running {
+		j.markStarted()
+	}
 	s.markDirty(j, now, false)
 	if c.State.Terminal() {
 		s.finishJob(j, c.State, now)
@@ -222,7 +225,9 @@
 		st := t.stepState()
 		st.gangRunNumber = max(st.gangRunNumber, handed.Run)
 	}
-	t.job.started = true
+	if handed.Started {
+		t.job.markStarted()
+	}
 	e.runs[t.name] = r
 	e.used = e.used.Plus(r.size)
 	s.countStart(r)
--- a/coordination/schedule/order.go
+++ b/coordination/schedule/order.go
@@ -5,8 +5,6 @@
 	"math"
 	"slices"
 	"time"
-
-	"github.com/azurepoint/azurepoint/coordination/job"
 )
 
 // Action is the operation that an order requests.
@@ -140,6 +138,9 @@
 	if o.Action == Start && (a == Accepted || a == Disconnected) {
 		s.recordLateAnswer(o, a)
 	}
+	if j := s.jobs[o.Job]; o.Action == Start && a == Accepted && j != nil {
+		j.markStarted()
+	}
 	if u, unknown := e.unknownRuns[o.Task]; unknown && u.number == o.Run && o.Action == Stop && a != Accepted {
 		e.unknownRuns[o.Task] = unknownRun{number: u.number}
 	}
@@ -288,10 +289,6 @@
 	s.Counts.Started++
 	s.startsLeft--
 	j := t.job
-	j.started = true
-	if j.state == job.Queued {
-		j.state = job.Running
-	}
 	o := Order{Action: Start, Endpoint: e.ID, Task: t.name, Run: number, Job: j.ID, TimeSinceAcceptance: now.Sub(j.acceptedAt), PreviousEnd: t.lastEnd, Spec: j.Spec, UsesPolicy: j.UsesPolicy, StartBy: now.Add(s.startTimeout(now))}
 	if t.step.KeepCheckpoints {
 		o.Checkpoint = t.checkpoint
--- a/coordination/schedule/organisations.go
+++ b/coordination/schedule/organisations.go
@@ -131,6 +131,7 @@
 
 // confirmRun records that the endpoint has started a run.
 func (s *Scheduler) confirmRun(r *run, now time.Time) {
+	r.task.job.markStarted()
 	if r.state != confirmed {
 		r.state, r.confirmedAt = confirmed, now
 		s.countConfirmed(r.task.job)
--- a/coordination/schedule/report.go
+++ b/coordination/schedule/report.go
@@ -175,6 +175,7 @@
 	t := s.taskByName(ending.Task)
 	if t != nil {
 		t.recordRunNumber(ending.Run)
+		t.job.markStarted()
 		if ending.Checkpoint != "" && t.step.KeepCheckpoints {
 			t.checkpoint = ending.Checkpoint
 		}
@@ -241,7 +242,6 @@
 			s.requestStop(r)
 		}
 	}
-	j.started = true
 	s.markDirty(j, now, false)
 	for _, m := range members {
 		m.release()
@@ -305,7 +305,7 @@
 	if t.job.state.Terminal() || t.done || (len(t.runs) > 0 && !t.step.AllowDuplicates) {
 		s.requestStop(adopted)
 	}
-	t.job.started = true
+	t.job.markStarted()
 	e.runs[l.Task] = adopted
 	e.used = e.used.Plus(adopted.size)
 	s.countStart(adopted)
--- a/coordination/schedule/step.go
+++ b/coordination/schedule/step.go
@@ -231,6 +231,7 @@
 			s.task(i).failures = n
 		}
 	}
+	started := len(p.Done)+len(p.Failures) > 0
 	for i, lost := range p.Crashes {
 		if i >= s.step.Count || s.tasks.isClosed(i) {
 			continue
@@ -238,9 +239,12 @@
 		t := s.task(i)
 		for _, c := range lost {
 			t.crashes = append(t.crashes, crash{Crash: c})
+			started = started || c.Started
 		}
 	}
-	j.started = true
+	if started {
+		j.markStarted()
+	}
 	o.release(j)
 }
 
--- a/coordination/schedule/task.go
+++ b/coordination/schedule/task.go
@@ -129,7 +129,9 @@
 	// inherited is set for jobs that an earlier owner accepted. Endpoints that have
 	// not reported to this owner may run their tasks.
 	inherited bool
-	started   bool
+	// started is set once an endpoint is known to have started a task. An order that is refused, not
+	// sent or not carried out does not count.
+	started bool
 
 	// version counts the changes of the record; storedVersion is the version in the
 	// store.
@@ -169,7 +171,7 @@
 }
 
 func newJobState(r job.Record, now time.Time) *jobState {
-	j := &jobState{Job: r.Job, state: r.State, storedState: r.State, storedRevision: r.Revision, acceptedAt: time.UnixMilli(r.AcceptedAt), endedAt: r.EndedAt}
+	j := &jobState{Job: r.Job, state: r.State, storedState: r.State, storedRevision: r.Revision, acceptedAt: time.UnixMilli(r.AcceptedAt), endedAt: r.EndedAt, started: r.State == job.Running}
 	if d := now.Sub(j.acceptedAt); d < 0 || d > maxAcceptedAge {
 		j.acceptedAt = now
 	}
@@ -187,6 +189,14 @@
 	return j
 }
 
+// markStarted records that an endpoint has started a task of the job.
+func (j *jobState) markStarted() {
+	j.started = true
+	if j.state == job.Queued {
+		j.state = job.Running
+	}
+}
+
 // maxAcceptedAge limits the age of a job by its acceptance time. Beyond it, or if
 // the time lies in the future, the job counts as accepted now, because the clocks of
 // entries may differ.
