Let other entries claim after an entry that ends repeatedly as the owner

Cause: a restarted entry claims the key of its predecessor at once, before the lease ends. An entry that what it loads ends each time claims it each time, and the key is never free for another one.

Change: the owner's record has until when the term counts as young, and how many processes of the entry have claimed from a young one, one after the other. After one such claim the next process waits for the end of the lease and a second longer than other entries (event 8218). A single restart is not slower.

--- a/entry/event/event.go
+++ b/entry/event/event.go
@@ -58,6 +58,7 @@
 	DataCentreNotAwaited = Event{Number: 8215, Level: log.InfoLevel, Text: "inherited jobs no longer wait for endpoints"}
 	StartsWithheld       = Event{Number: 8216, Level: log.WarnLevel, Text: "no task starts; cancellations by other entries may be unread"}
 	StartsResumed        = Event{Number: 8217, Level: log.InfoLevel, Text: "tasks start again; the cancellations have been read"}
+	ClaimYielded         = Event{Number: 8218, Level: log.WarnLevel, Text: "earlier processes of this entry ended soon after they took the pools over; other entries go first"}
 	OwnerReported        = Event{Number: 8208, Level: log.InfoLevel, Text: "another entry reported a newer owner of the pools"}
 )
 
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -125,6 +125,7 @@
 			n.claimHandedOver(ctx, h)
 			continue
 		}
+		n.ownership.awaitYield(ctx)
 		retry.Sleep(ctx, claimDelay(n.Cores, n.entries.maxCores()))
 		revision, may := n.ownership.claimable()
 		if ctx.Err() != nil || !may {
--- a/entry/node/ownership.go
+++ b/entry/node/ownership.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 
 	"github.com/azurepoint/azurepoint/coordination/fault"
+	"github.com/azurepoint/azurepoint/coordination/retry"
 	"github.com/azurepoint/azurepoint/entry/event"
 	"github.com/azurepoint/azurepoint/entry/manager"
 	"github.com/azurepoint/azurepoint/entry/store"
@@ -29,6 +30,14 @@
 	claimRetryDelay = 250 * time.Millisecond
 	// claimTimeout bounds a claim.
 	claimTimeout = time.Second
+	// stableAfter is how long after a claim an owner counts as stable: by then it has loaded the jobs and has
+	// started what waited.
+	stableAfter = 10 * time.Second
+	// maxReclaims is how many processes of an entry claim the pools at once from one that has ended before it
+	// was stable. The next one yields: it waits until the lease has ended, and yieldDelay longer than the
+	// other entries, since what ends it may not end them.
+	maxReclaims = 1
+	yieldDelay  = time.Second
 )
 
 // ownerRecord is the value of the owner's key.
@@ -38,6 +47,21 @@
 	// Process distinguishes a restarted process from its predecessor.
 	Process int64 `json:"process"`
 	Term    int64 `json:"term"`
+	// Reclaims counts the processes of this entry, one after the other, that have claimed the pools from
+	// the one before, each before its StableAt, in Unix milliseconds.
+	Reclaims int   `json:"reclaims,omitempty"`
+	StableAt int64 `json:"stableAt,omitempty"`
+}
+
+// unstable reports whether the process claimed the pools a short time ago.
+func (r *ownerRecord) unstable(now time.Time) bool {
+	left := time.UnixMilli(r.StableAt).Sub(now)
+	return left > 0 && left <= stableAfter
+}
+
+// endsRepeatedly reports whether the entry's processes end soon after they have claimed the pools.
+func (r *ownerRecord) endsRepeatedly(now time.Time) bool {
+	return r.Reclaims >= maxReclaims && r.unstable(now)
 }
 
 // ownership is an entry's view of who owns the pools.
@@ -60,6 +84,8 @@
 	keyRead bool
 	// held is the term of this process, or nil.
 	held *heldTerm
+	// yields is set once the entry's earlier processes are known to have ended repeatedly.
+	yields bool
 
 	changed chan struct{}
 }
@@ -86,6 +112,7 @@
 	changed = !o.keyRead || o.revision != revision
 	o.keyRead = true
 	o.owner, o.revision, o.record = r, revision, item.Value
+	o.yields = o.yields || o.isPredecessor(&r) && r.endsRepeatedly(time.Now())
 	if asOf >= o.reportedRevision {
 		o.reported, o.reportedRevision = ownerRecord{}, 0
 	}
@@ -148,8 +175,13 @@
 	return r.Name == o.self.Name && r.Process == o.self.Process
 }
 
+// isPredecessor reports whether the record belongs to an earlier process of this entry.
+func (o *ownership) isPredecessor(r *ownerRecord) bool {
+	return r.Name == o.self.Name && r.Process != o.self.Process
+}
+
 // claimable reports whether this entry may claim the pools, because there is no owner
-// or the owner is an earlier process of this entry, and returns the revision of the
+// or the owner is an earlier process of this entry and it does not yield, and returns the revision of the
 // owner's key.
 func (o *ownership) claimable() (revision int64, may bool) {
 	o.mu.Lock()
@@ -157,7 +189,7 @@
 	if !o.keyRead || o.held != nil {
 		return 0, false
 	}
-	return o.revision, o.revision == 0 || (o.owner.Name == o.self.Name && o.owner.Process != o.self.Process)
+	return o.revision, o.revision == 0 || o.isPredecessor(&o.owner) && !o.yields
 }
 
 // owns reports whether this process has a term, even if it cannot be confirmed.
@@ -217,7 +249,7 @@
 	if err != nil {
 		return nil, err
 	}
-	record := o.self
+	record := o.nextRecord(revision, time.Now())
 	record.Term = number
 	value, err := json.Marshal(record)
 	if err != nil {
@@ -242,6 +274,31 @@
 	return t, nil
 }
 
+// nextRecord returns the record with which this process claims the pools from the owner whose key has a
+// revision.
+func (o *ownership) nextRecord(revision int64, now time.Time) (r ownerRecord) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	r = o.self
+	r.StableAt = now.Add(stableAfter).UnixMilli()
+	if o.revision == revision && revision > 0 && o.isPredecessor(&o.owner) && o.owner.unstable(now) {
+		r.Reclaims = o.owner.Reclaims + 1
+	}
+	return r
+}
+
+// awaitYield returns after yieldDelay if this process yields.
+func (o *ownership) awaitYield(ctx context.Context) {
+	o.mu.Lock()
+	yields := o.yields
+	o.yields = false
+	o.mu.Unlock()
+	if yields {
+		event.ClaimYielded.Log(nil)
+		retry.Sleep(ctx, yieldDelay)
+	}
+}
+
 // hold makes a claimed term the one of this process; record and value are those of the owner's
 // key.
 func (o *ownership) hold(t *heldTerm, record ownerRecord, value []byte) {
