Start due occurrences beside one that was started early

The plan now goes on behind the occurrences in use.

Evidence: TestEarlyOccurrenceKeepsNoOtherBack failed before (no start).

--- a/coordination/schedule/memory_test.go
+++ b/coordination/schedule/memory_test.go
@@ -212,6 +212,21 @@
 	}
 }
 
+// TestEarlyOccurrenceKeepsNoOtherBack guards against due occurrences that wait for a later one, which an earlier
+// owner with another clock has started.
+func TestEarlyOccurrenceKeepsNoOtherBack(t *testing.T) {
+	f := newFixture(t, "e1")
+	r := newRecord("00000000000000aa", job.Step{Count: 1, CPU: 500, EstimateMillis: 300})
+	r.Repeat, r.IntervalMillis, r.StartAt = 10, 60_000, f.now.UnixMilli()
+	f.s.LoadJob(r, f.now)
+	early := job.TaskRef{Occurrence: 5}.TaskName(r.ID)
+	f.running["e1"][early] = ListedRun{Task: early, Run: 1}
+	f.sendReport("e1")
+	if starts := f.startOrders(f.planAndAccept()); len(starts) != 1 || starts[0].Task != firstTask(r.ID) {
+		t.Errorf("starts %+v, want the first occurrence", starts)
+	}
+}
+
 // decoded returns a record as the next owner reads it.
 func decoded(t *testing.T, r job.Record) job.Record {
 	t.Helper()
--- a/coordination/schedule/plan.go
+++ b/coordination/schedule/plan.go
@@ -126,7 +126,7 @@
 	}
 	for _, o := range j.occurrences.items {
 		if o.dueMillis > 0 && wall.UnixMilli() < o.dueMillis {
-			return orders
+			break
 		}
 		orders = append(orders, s.planOccurrence(o, c, mayStartAll, now)...)
 	}
