Keep concurrent transactions of a test's store apart

No entry is affected.

Change: the stand-in takes them one after the other, and the test reads the scheduler under the manager's lock.

--- a/entry/manager/memory_test.go
+++ b/entry/manager/memory_test.go
@@ -63,6 +63,7 @@
 
 // hangingStore answers no transaction until it is released.
 type hangingStore struct {
+	mu sync.Mutex
 	fakeStore
 	release chan struct{}
 }
@@ -71,6 +72,8 @@
 func (s *hangingStore) Commit(ctx context.Context, t store.Transaction) (revision int64, err error) {
 	select {
 	case <-s.release:
+		s.mu.Lock()
+		defer s.mu.Unlock()
 		return s.fakeStore.Commit(ctx, t)
 	case <-ctx.Done():
 		return 0, store.ErrNoAnswer
@@ -99,7 +102,10 @@
 	time.Sleep(300 * time.Millisecond)
 	close(s.release)
 	callers.Wait()
-	if held := m.scheduler.HeldBytes(); held > maxHeldBytes || outcomes[Accepted] == 0 || outcomes[Refused] == 0 {
+	m.mu.Lock()
+	held := m.scheduler.HeldBytes()
+	m.mu.Unlock()
+	if held > maxHeldBytes || outcomes[Accepted] == 0 || outcomes[Refused] == 0 {
 		t.Errorf("%d bytes are held, outcomes %v", held, outcomes)
 	}
 	if left := m.submittedBytes.Load(); left != 0 {
