Bound what clients make an entry hold

Callers saw an entry end, or answer hardly anybody: it ran out of memory or of descriptors by clients that do not keep to the protocol.

Cause: the servers for callers, probes, other entries and metrics had a time for heads and for idle connections, and no bound on how many clients hold how much: 1 MB a head, 30 MB once parsed as small fields, bodies without a time, 256 KB of JSON that take 18 MB decoded, answers that nobody reads, and all descriptors.

Change: each server is an entry/client with its part of the memory and the descriptors of the settings; a job is counted by what it takes once decoded, before it is decoded, at the entry and at the owner. Options for the numbers and times. Other entries are called on as many connections at most as they serve.

Why it works: what each connection holds is known before it is held, and the sum of all is refused or taken from clients that are waited for.

--- a/entry/event/event.go
+++ b/entry/event/event.go
@@ -19,6 +19,7 @@
 	StateDumped      = Event{Number: 8006, Level: log.InfoLevel, Text: "state dumped"}
 	LogDropped       = Event{Number: 8007, Level: log.WarnLevel, Text: "log lines dropped"}
 	ComponentFailed  = Event{Number: 8008, Level: log.ErrorLevel, Text: "a component of the process failed"}
+	ClientRefused    = Event{Number: 8009, Level: log.WarnLevel, Text: "clients refused or disconnected because of a limit"}
 )
 
 // Events of the key-value service, the configuration and the endpoints.
--- a/entry/event/writer.go
+++ b/entry/event/writer.go
@@ -45,6 +45,7 @@
 	EndpointItemInvalidLimited = EndpointItemInvalid.WithRateLimit(maxInvalidLinesPerSecond, &rateLimitedLines)
 	RecordInvalidLimited       = RecordInvalid.WithRateLimit(maxInvalidLinesPerSecond, &rateLimitedLines)
 	// The list of instances is read again every second.
+	ClientRefusedLimited       = ClientRefused.WithRateLimit(1, &rateLimitedLines)
 	InstanceItemInvalidLimited = InstanceItemInvalid.WithRateLimit(1, &rateLimitedLines)
 	ConfigInvalidLimited       = ConfigInvalid.WithRateLimit(maxInvalidLinesPerSecond, &rateLimitedLines)
 
--- a/entry/peer/handover.go
+++ b/entry/peer/handover.go
@@ -12,6 +12,7 @@
 
 	"github.com/azurepoint/azurepoint/coordination/fault"
 	"github.com/azurepoint/azurepoint/coordination/schedule"
+	"github.com/azurepoint/azurepoint/entry/client"
 )
 
 // Paths of the calls of a handover, whose bodies are JSON.
@@ -20,6 +21,9 @@
 	takeOverPath    = "/handover"
 )
 
+// handoverFactor is the memory that a handover takes for each byte of its longest message.
+const handoverFactor = 4
+
 // ErrTooLarge means that a handover does not fit in a message.
 var ErrTooLarge = errors.New("peer: the handover is too large")
 
@@ -63,6 +67,10 @@
 
 // takeOver makes this entry claim the pools.
 func (h handler) takeOver(w http.ResponseWriter, r *http.Request) {
+	if err := client.Hold(r.Context(), handoverFactor*MaxMessageBytes); err != nil {
+		client.RefuseHold(w, r, err)
+		return
+	}
 	message, err := decodeHandover(r.Body)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -83,7 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if len(plain) > maxMessageBytes {
+	if len(plain) > MaxMessageBytes {
 		return nil, ErrTooLarge
 	}
 	var compressed bytes.Buffer
@@ -105,11 +113,11 @@
 	if err != nil {
 		return Handover{}, err
 	}
-	plain, err := io.ReadAll(io.LimitReader(z, maxMessageBytes+1))
+	plain, err := io.ReadAll(io.LimitReader(z, MaxMessageBytes+1))
 	switch {
 	case err != nil:
 		return Handover{}, err
-	case len(plain) > maxMessageBytes:
+	case len(plain) > MaxMessageBytes:
 		return Handover{}, ErrTooLarge
 	}
 	err = json.Unmarshal(plain, &h)
@@ -155,5 +163,5 @@
 	if response.StatusCode != http.StatusOK {
 		return errors.Errorf("status %d", response.StatusCode)
 	}
-	return json.NewDecoder(io.LimitReader(response.Body, maxMessageBytes)).Decode(answer)
+	return json.NewDecoder(io.LimitReader(response.Body, MaxMessageBytes)).Decode(answer)
 }
--- a/entry/peer/peer.go
+++ b/entry/peer/peer.go
@@ -14,12 +14,13 @@
 	"github.com/azurepoint/azurepoint/api/jobsrpc"
 	"github.com/azurepoint/azurepoint/coordination/input"
 	"github.com/azurepoint/azurepoint/coordination/job"
+	"github.com/azurepoint/azurepoint/entry/client"
 	"github.com/azurepoint/azurepoint/entry/manager"
 )
 
-// maxMessageBytes bounds a request body; a job's description has at most 4,000 bytes
+// MaxMessageBytes bounds a request body; a job's description has at most 4,000 bytes
 // and each of its steps a few hundred.
-const maxMessageBytes = 1 << 20
+const MaxMessageBytes = 1 << 20
 
 // Limits of connections to the owner.
 const (
@@ -31,6 +32,9 @@
 	idleTimeout = 30 * time.Second
 )
 
+// busyRetryDelay is when a caller may return whose job the owner has no memory to read.
+const busyRetryDelay = time.Second
+
 // ErrNotSent means that no connection was established, so the owner has not received
 // the request.
 var ErrNotSent = errors.New("peer: connection to the owner failed")
@@ -68,7 +72,7 @@
 	mux.HandleFunc("POST "+mayTakeOverPath, handler{o}.mayTakeOver)
 	mux.HandleFunc("POST "+takeOverPath, handler{o}.takeOver)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		r.Body = http.MaxBytesReader(w, r.Body, maxMessageBytes)
+		r.Body = http.MaxBytesReader(w, r.Body, MaxMessageBytes)
 		mux.ServeHTTP(w, r)
 	})
 }
@@ -80,6 +84,9 @@
 
 // Submit stores a job, if this entry is the owner.
 func (h handler) Submit(ctx context.Context, r *jobsrpc.SubmitRequest) (*jobsrpc.SubmitReply, error) {
+	if err := client.Hold(ctx, client.DecodedBytes(r.Job)); err != nil {
+		return &jobsrpc.SubmitReply{Outcome: jobsrpc.Outcome(manager.Refused), RetryAfterMillis: busyRetryDelay.Milliseconds(), Reason: "owner: " + err.Error()}, nil
+	}
 	var j job.Job
 	if err := json.Unmarshal(r.Job, &j); err != nil {
 		return nil, errors.Wrap(err, "peer: decode job")
@@ -130,9 +137,14 @@
 
 // NewClient returns a client that reuses connections.
 func NewClient() *Client {
+	return NewBoundedClient(0)
+}
+
+// NewBoundedClient returns a client that opens at most a number of connections to an entry; 0 means any number.
+func NewBoundedClient(connections int) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerOwner, IdleConnTimeout: idleTimeout,
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerOwner, MaxConnsPerHost: connections, IdleConnTimeout: idleTimeout,
 	}}}
 }
 
--- a/entry/queue/queue.go
+++ b/entry/queue/queue.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/azurepoint/azurepoint/coordination/job"
 	"github.com/azurepoint/azurepoint/coordination/organisation"
@@ -44,6 +45,14 @@
 	Keys []string
 }
 
+// Limits are the operators' limits of callers; zero values mean that they have set none.
+type Limits struct {
+	// HeadBytes and BodyBytes are the sizes of the head and the body of a request.
+	HeadBytes, BodyBytes int64
+	// HeadTimeout is how long a head may take, and IdleTimeout how long a connection may be without a request.
+	HeadTimeout, IdleTimeout time.Duration
+}
+
 // Configuration is one version of the operators' queues, pools and organisations.
 type Configuration struct {
 	Version int64
@@ -51,6 +60,7 @@
 	Pools   []Pool
 	// Organisations is empty if the deployment has none; requests then need no key.
 	Organisations []Organisation
+	Limits        Limits
 }
 
 // QueueFor returns the queue of the host with the longest prefix of the path.
