Follow the operators' limits of callers

Callers saw heads and bodies above the limits of the configuration served: its limits were not read.

--- a/coordination/check/check_test.go
+++ b/coordination/check/check_test.go
@@ -55,6 +55,9 @@
 		{name: "no keys", more: `, "organisations": [{"name": "a"}]`, want: "error organisations no organisation has a key"},
 		{name: "no weight", more: `, "organisations": [{"name": "a", "keys": ["1"], "weight": 1}, {"name": "b", "keys": ["2"]}]`, want: "warning organisations[1] organisation b has no weight"},
 		{name: "same name", more: `, "organisations": [{"name": "a", "keys": ["1"]}, {"name": "a", "keys": ["2"]}]`, want: "error organisations[1].name there is another organisation a"},
+		{name: "limits of callers", more: `, "callers": {"headBytes": 16384, "bodyBytes": 262144, "headTimeoutMillis": 3000, "idleTimeoutMillis": 15000}`},
+		{name: "small head", more: `, "callers": {"headBytes": 0}`, want: "error callers.headBytes is outside 1024 to 1048576"},
+		{name: "long time", more: `, "callers": {"idleTimeoutMillis": 3600001}`, want: "error callers.idleTimeoutMillis is outside 100 to 3600000"},
 		{name: "no name", more: `, "pools": [{"name": "p"}, {"spare": true}]`, want: "error pools[1] has no name"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/coordination/check/configuration.go
+++ b/coordination/check/configuration.go
@@ -1,9 +1,13 @@
 package check
 
 import (
+	"fmt"
+	"time"
+
 	"github.com/go-faster/errors"
 
 	"github.com/azurepoint/azurepoint/coordination/job"
+	"github.com/azurepoint/azurepoint/coordination/occupancy"
 	"github.com/azurepoint/azurepoint/coordination/organisation"
 )
 
@@ -57,12 +61,24 @@
 	place *value
 }
 
+// Callers are the limits of callers; zero values mean the defaults of the entries.
+type Callers struct {
+	HeadBytes, BodyBytes                 int
+	HeadTimeoutMillis, IdleTimeoutMillis int
+}
+
+// String returns the limits in the form of messages.
+func (c Callers) String() string {
+	return fmt.Sprintf("heads of %d bytes in %d ms, bodies of %d bytes, idle for %d ms", c.HeadBytes, c.HeadTimeoutMillis, c.BodyBytes, c.IdleTimeoutMillis)
+}
+
 // Configuration is a configuration file.
 type Configuration struct {
 	Version       int
 	Queues        []Queue
 	Pools         []Pool
 	Organisations []Organisation
+	Callers       Callers
 
 	place *value
 }
@@ -76,10 +92,11 @@
 		return nil, nil, errors.Wrap(err, "check")
 	}
 	c = &Configuration{place: root}
-	if !d.object(root, "version", "queues", "pools", "organisations") {
+	if !d.object(root, "version", "queues", "pools", "organisations", "callers") {
 		return c, d.faults, nil
 	}
 	c.Version = d.integer(root, "version")
+	c.Callers = d.callers(root)
 	for _, v := range d.list(root, "queues") {
 		if d.object(v, "name", "host", "prefix", "pool", "allowAnonymous", "priority", "maxAttempts", "stretch", "targetMillis", "task") {
 			c.Queues = append(c.Queues, d.queue(v))
@@ -101,6 +118,30 @@
 	return c, d.faults, nil
 }
 
+// callers returns the limits of callers and reports those that entries replace by the nearest allowed one.
+func (d *document) callers(root *value) (c Callers) {
+	v := root.fields["callers"]
+	if v == nil || !d.object(v, "headBytes", "bodyBytes", "headTimeoutMillis", "idleTimeoutMillis") {
+		return Callers{}
+	}
+	const minMillis, maxMillis = int(occupancy.MinTimeout / time.Millisecond), int(occupancy.MaxTimeout / time.Millisecond)
+	return Callers{
+		HeadBytes:         d.bounded(v, "headBytes", occupancy.MinHeadBytes, occupancy.MaxHeadBytes),
+		BodyBytes:         d.bounded(v, "bodyBytes", occupancy.MinBodyBytes, occupancy.MaxBodyBytes),
+		HeadTimeoutMillis: d.bounded(v, "headTimeoutMillis", minMillis, maxMillis),
+		IdleTimeoutMillis: d.bounded(v, "idleTimeoutMillis", minMillis, maxMillis),
+	}
+}
+
+// bounded returns the whole number of a field, which has to be in a range if it is there.
+func (d *document) bounded(v *value, name string, lowest, highest int) (number int) {
+	field := v.fields[name]
+	if number = d.integer(v, name); field != nil && (number < lowest || number > highest) {
+		d.reportf(field, Error, "is outside %d to %d", lowest, highest)
+	}
+	return number
+}
+
 func (d *document) queue(v *value) (q Queue) {
 	q = Queue{
 		Name: d.text(v, "name"), Host: d.text(v, "host"), Prefix: d.text(v, "prefix"), Pool: d.text(v, "pool"),
--- a/coordination/check/difference.go
+++ b/coordination/check/difference.go
@@ -19,6 +19,9 @@
 		"its requests are answered with 404; accepted jobs go on", "", compareQueues)...)
 	changes = append(changes, compareLists(before.Pools, after.Pools, func(p Pool) string { return p.Name }, "pool",
 		"its jobs wait until it is back", "", comparePools)...)
+	if before.Callers != after.Callers {
+		changes = append(changes, fmt.Sprintf("limits of callers: %s, before %s; connections with the earlier ones end once they have no request", after.Callers, before.Callers))
+	}
 	return append(changes, compareLists(before.Organisations, after.Organisations, func(o Organisation) string { return o.Terms.Name }, "organisation",
 		"its callers are refused; accepted jobs go on without a limit", "", compareOrganisations)...)
 }
