Bound what clients make azurepointd hold

The listeners for callers, operators and other entries had the fault of the entries: no bound on connections, on heads below 1 MB, on the time of bodies, or on answers that nobody reads.

--- a/azurepointd/internal/cli/daemon.go
+++ b/azurepointd/internal/cli/daemon.go
@@ -178,35 +178,29 @@
 	if err != nil {
 		return err
 	}
-	callers = http.MaxBytesHandler(callers, d.settings.Limits.MaxBodyBytes)
 	callers = caller.LimitRate(callers, d.settings.Limits.CallerRate)
 	peers := peer.Handler(d.directory.Local, string(d.settings.Peers.Secret))
-	for _, l := range []struct {
-		name      string
-		address   netip.AddrPort
-		handler   http.Handler
-		protocols *http.Protocols
-	}{
-		{"callers", d.settings.Listen.Caller, callers, nil},
-		{"operators", d.settings.Listen.Operator, operators, nil},
-		{"peers", d.settings.Listen.Peer, peers, peer.Protocols()},
+	for _, v := range []service{
+		{name: callersListener, address: d.settings.Listen.Caller, handler: callers, bodyBytes: d.settings.Limits.MaxBodyBytes},
+		{name: operatorsListener, address: d.settings.Listen.Operator, handler: operators, bodyBytes: operator.MaxBodyBytes},
+		{name: peersListener, address: d.settings.Listen.Peer, handler: peers, protocols: peer.Protocols()},
 	} {
-		s, err := listen(ctx, l.name, l.address, l.handler, l.protocols)
+		s, err := listen(ctx, v, d.settings.Limits)
 		if err != nil {
 			return err
 		}
-		if l.name == "peers" {
-			s.listener = traffic.NewMeter("peer").Listener(s.listener)
+		if v.name == peersListener {
+			s.server.Listener = traffic.NewMeter("peer").Listener(s.server.Listener)
 		}
 		d.services = append(d.services, s)
 	}
-	fmt.Fprintln(stdout, "listening", d.services[0].listener.Addr(), d.services[1].listener.Addr(), d.services[2].listener.Addr())
+	fmt.Fprintln(stdout, "listening", d.services[0].address(), d.services[1].address(), d.services[2].address())
 	return nil
 }
 
 func (d *daemon) start(ctx context.Context) {
 	for _, s := range d.services {
-		s.serve()
+		s.serve(ctx)
 		d.forwardExit(s.name, s.exit)
 	}
 	d.forwardExit("registration", d.registration.Run(ctx))
--- a/azurepointd/internal/event/daemon.go
+++ b/azurepointd/internal/event/daemon.go
@@ -14,4 +14,5 @@
 	PartFailed      = Event{Number: 1009, Level: log.ErrorLevel, Text: "part of the daemon ended with an error"}
 	StateDumped     = Event{Number: 1010, Level: log.InfoLevel, Text: "state dump written"}
 	HangupIgnored   = Event{Number: 1011, Level: log.InfoLevel, Text: "SIGHUP ignored; settings are read at the start"}
+	ClientRefused   = Event{Number: 1012, Level: log.WarnLevel, Text: "clients refused or disconnected because of a limit"}
 )
--- a/azurepointd/internal/operator/operator.go
+++ b/azurepointd/internal/operator/operator.go
@@ -20,9 +20,9 @@
 )
 
 const (
-	// maxBodyBytes fits the API's limit of 65,536 characters of text when each of
+	// MaxBodyBytes fits the API's limit of 65,536 characters of text when each of
 	// them is escaped as \uXXXX in JSON.
-	maxBodyBytes = 6*65536 + 4096
+	MaxBodyBytes = 6*65536 + 4096
 	// callRate and callBurst limit the calls per second with the correct secret;
 	// 57,000 changes a day are less than one per second.
 	callRate  = 20
@@ -83,7 +83,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "operator")
 	}
-	return http.MaxBytesHandler(server, maxBodyBytes), nil
+	return http.MaxBytesHandler(server, MaxBodyBytes), nil
 }
 
 func (o *Operator) init() {
--- a/azurepointd/internal/operator/operator_test.go
+++ b/azurepointd/internal/operator/operator_test.go
@@ -93,7 +93,7 @@
 // Guards against request bodies that exhaust the memory.
 func TestLargeBodyIsRefused(t *testing.T) {
 	url, _ := startServer(t, newOperator(newFleet(t)))
-	body := strings.NewReader(`{"text":"` + strings.Repeat("#", maxBodyBytes) + `"}`)
+	body := strings.NewReader(`{"text":"` + strings.Repeat("#", MaxBodyBytes) + `"}`)
 	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+"/v1/statements", body)
 	if err != nil {
 		t.Fatal(err)
--- a/azurepointd/internal/settings/check.go
+++ b/azurepointd/internal/settings/check.go
@@ -14,6 +14,10 @@
 // section 11 of the design.
 const grantMargin = 10 * time.Second
 
+// minRequestsInMemory is how many bodies of the maximum size the memory for requests must hold, since a request
+// takes several times its size while it is decoded.
+const minRequestsInMemory = 8
+
 // minHeartbeatsPerLifetime is the minimum number of heartbeat intervals in a
 // lifetime; an entry stays live when two consecutive heartbeats are lost.
 const minHeartbeatsPerLifetime = 3
@@ -113,6 +117,9 @@
 	c.require(s.Operators.Secret != s.Peers.Secret,
 		"must differ from [peers] secret: otherwise the secret of the entries grants operator access",
 		Name{"operators", "secret"}, Name{"peers", "secret"})
+	c.require(s.Limits.RequestMemory<<20 >= minRequestsInMemory*s.Limits.MaxBodyBytes,
+		fmt.Sprintf("must hold at least %d requests of [limits] maxBodyBytes (%d)", minRequestsInMemory, s.Limits.MaxBodyBytes),
+		Name{"limits", "requestMemory"}, Name{"limits", "maxBodyBytes"})
 }
 
 func (c *checker) checkListenAddresses(s *Settings) {
--- a/azurepointd/internal/settings/key.go
+++ b/azurepointd/internal/settings/key.go
@@ -52,7 +52,7 @@
 
 // keys returns all known keys.
 func keys() []key {
-	return slices.Concat(entryKeys(), connectionKeys(), requestKeys(), limitKeys())
+	return slices.Concat(entryKeys(), connectionKeys(), requestKeys(), limitKeys(), clientKeys())
 }
 
 func entryKeys() []key {
@@ -111,3 +111,19 @@
 		newKey("log", "format", enumType(FormatText, FormatJSON), func(s *Settings) *Format { return &s.Log.Format }),
 	}
 }
+
+// clientKeys returns the limits of clients that do not keep to the protocol.
+func clientKeys() []key {
+	timeout := durationType(100*time.Millisecond, time.Hour)
+	return []key{
+		newKey("limits", "maxConnections", integerType(0, 1_000_000), func(s *Settings) *int { return &s.Limits.MaxConnections }),
+		newKey("limits", "operatorConnections", integerType(1, 1_000_000), func(s *Settings) *int { return &s.Limits.OperatorConnections }),
+		newKey("limits", "peerConnections", integerType(16, 1_000_000), func(s *Settings) *int { return &s.Limits.PeerConnections }),
+		newKey("limits", "requestMemory", integerType[int64](8, 1<<20), func(s *Settings) *int64 { return &s.Limits.RequestMemory }),
+		newKey("limits", "maxHeadBytes", integerType(1<<10, 1<<20), func(s *Settings) *int { return &s.Limits.MaxHeadBytes }),
+		newKey("limits", "headTimeout", timeout, func(s *Settings) *time.Duration { return &s.Limits.HeadTimeout }),
+		newKey("limits", "bodyTimeout", timeout, func(s *Settings) *time.Duration { return &s.Limits.BodyTimeout }),
+		newKey("limits", "idleTimeout", timeout, func(s *Settings) *time.Duration { return &s.Limits.IdleTimeout }),
+		newKey("limits", "answerTimeout", timeout, func(s *Settings) *time.Duration { return &s.Limits.AnswerTimeout }),
+	}
+}
--- a/azurepointd/internal/settings/settings.go
+++ b/azurepointd/internal/settings/settings.go
@@ -104,6 +104,20 @@
 	// CallerRate is the maximum number of requests per second from one remote
 	// address to the callers' API; zero means no limit.
 	CallerRate float64
+	// MaxConnections is how many connections of callers are served at a time; zero means half of the
+	// descriptors of the process, at most 12,000.
+	MaxConnections int
+	// OperatorConnections and PeerConnections are the same for operators and other entries; they get at most a
+	// sixteenth and an eighth of the descriptors.
+	OperatorConnections, PeerConnections int
+	// RequestMemory is the memory for callers' requests that are read or served, in megabytes.
+	RequestMemory int64
+	// MaxHeadBytes is the maximum size of the head of an HTTP request.
+	MaxHeadBytes int
+	// HeadTimeout is how long the head of a request may take, BodyTimeout how long its body, IdleTimeout how
+	// long a connection may be without a request, and AnswerTimeout how long a part of an answer may stay
+	// unread.
+	HeadTimeout, BodyTimeout, IdleTimeout, AnswerTimeout time.Duration
 }
 
 // Level is the minimum level of the events that are logged.
@@ -185,7 +199,15 @@
 			MaxBodyBytes: 1 << 20,
 			// No limit by default, because all callers can share one remote
 			// address behind a load balancer.
-			CallerRate: 0,
+			CallerRate:          0,
+			OperatorConnections: 64,
+			PeerConnections:     1024,
+			RequestMemory:       64,
+			MaxHeadBytes:        32 << 10,
+			HeadTimeout:         10 * time.Second,
+			BodyTimeout:         30 * time.Second,
+			IdleTimeout:         2 * time.Minute,
+			AnswerTimeout:       10 * time.Second,
 		},
 		Log: Log{Level: LevelInfo, Format: FormatText},
 	}
