--- a/endpointd/internal/cli/cli.go
+++ b/endpointd/internal/cli/cli.go
@@ -23,6 +23,9 @@
 // request.
 const headerTimeout = 10 * time.Second
 
+// maxHeadBytes limits the headers of a request.
+const maxHeadBytes = 32 << 10
+
 type options struct {
 	Listen      string        `arg:"--listen" default:"127.0.0.1:0" help:"IP address and port to listen at; port 0 takes a free one"`
 	Name        string        `arg:"--name,required" help:"name of the instance"`
@@ -104,7 +107,7 @@
 	if o.Platform != "" {
 		registrationDone = platform.KeepRegistered(ctx, platformURL(o.Platform), registration)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeadBytes}
 	serveDone := serve(server, listener)
 	_, _ = fmt.Fprintln(stdout, "listening", address)
 	select {
--- a/platformd/internal/cli/cli.go
+++ b/platformd/internal/cli/cli.go
@@ -19,6 +19,9 @@
 // request.
 const headerTimeout = 10 * time.Second
 
+// maxHeadBytes limits the headers of a request.
+const maxHeadBytes = 32 << 10
+
 // options are the flags of the program.
 type options struct {
 	Listen string        `arg:"--listen" default:"127.0.0.1:0" help:"IP number and port to serve on; port 0 takes a free one"`
@@ -63,6 +66,7 @@
 	s := &http.Server{
 		Handler:           server.New(&catalog.Catalog{Lag: o.Lag}, o.Seed),
 		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeadBytes,
 	}
 	ended := make(chan error, 1)
 	go func() { ended <- s.Serve(l) }()
