Refuse no submission for want of room that an earlier attempt may have stored

The refusals for want of connections or memory came before the check whether an earlier attempt at this entry, or another entry, may have stored the job, so that a caller was told that it never runs. Found by reading; TestRefusalBeforeReadingIsTrue.

--- a/azurepointd/internal/cli/listen.go
+++ b/azurepointd/internal/cli/listen.go
@@ -123,7 +123,7 @@
 }
 
 // writeRefusal answers a refused request in the form of the APIs.
-func writeRefusal(w http.ResponseWriter, status int, reason string) {
+func writeRefusal(w http.ResponseWriter, _ *http.Request, status int, reason string) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	// A write error only means that the client has disconnected.
--- a/entry/client/connection.go
+++ b/entry/client/connection.go
@@ -21,13 +21,8 @@
 	fieldBytes = 256
 	// readerBytes is the size of the buffer of net/http, in which a part of the next head may be.
 	readerBytes = 4096
-	// refusalTimeout bounds the write of a refusal to a client whose head is not read to its end.
-	refusalTimeout = 100 * time.Millisecond
 )
 
-// busyResponse refuses a request of which not even the head can be held.
-const busyResponse = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-
 // http2Preface begins a connection of HTTP/2.
 const http2Preface = "PRI * HTTP/2.0"
 
@@ -96,9 +91,8 @@
 		return n, nil
 	}
 	if !c.table.Charge(c.client, time.Now(), int64(n+lines*fieldBytes)) {
+		// Without an answer, since a refusal may not be true of a request that is not read.
 		c.listener.count(ReasonMemory)
-		_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
-		_, _ = io.WriteString(c.Conn, busyResponse)
 		return 0, io.EOF
 	}
 	return n, nil
--- a/entry/client/handler.go
+++ b/entry/client/handler.go
@@ -38,14 +38,14 @@
 		c := connectionOf(r.Context())
 		if c.refused {
 			l.count(ReasonConnections)
-			l.refuse(w, http.StatusServiceUnavailable, "too many connections")
+			l.refuse(w, r, http.StatusServiceUnavailable, "too many connections")
 			c.abandon()
 			return
 		}
 		if r.Body != nil && r.Body != http.NoBody {
 			body, err := c.readBody(r)
 			if err != nil {
-				l.refuseBody(w, err)
+				l.refuseBody(w, r, err)
 				c.abandon()
 				return
 			}
@@ -70,7 +70,7 @@
 		c := connectionOf(r.Context())
 		if c.refused {
 			l.count(ReasonConnections)
-			l.refuse(w, http.StatusServiceUnavailable, "too many connections")
+			l.refuse(w, r, http.StatusServiceUnavailable, "too many connections")
 			c.abandon()
 			return
 		}
@@ -148,30 +148,30 @@
 }
 
 // refuseBody refuses a request whose body could not be read.
-func (l *listener) refuseBody(w http.ResponseWriter, err error) {
+func (l *listener) refuseBody(w http.ResponseWriter, r *http.Request, err error) {
 	switch {
 	case errors.Is(err, ErrBusy):
 		l.count(ReasonMemory)
-		l.refuse(w, http.StatusServiceUnavailable, ErrBusy.Error())
+		l.refuse(w, r, http.StatusServiceUnavailable, ErrBusy.Error())
 	case errors.Is(err, errTooLong):
 		l.count(ReasonBodyTooLarge)
-		l.refuse(w, http.StatusRequestEntityTooLarge, "the body is above "+strconv.FormatInt(l.limits.BodyBytes, 10)+" bytes")
+		l.refuse(w, r, http.StatusRequestEntityTooLarge, "the body is above "+strconv.FormatInt(l.limits.BodyBytes, 10)+" bytes")
 	case errors.Is(err, errTimeout):
 		l.count(ReasonBodyTimeout)
-		l.refuse(w, http.StatusRequestTimeout, "the body did not arrive within "+l.limits.BodyTimeout.String())
+		l.refuse(w, r, http.StatusRequestTimeout, "the body did not arrive within "+l.limits.BodyTimeout.String())
 	default:
-		l.refuse(w, http.StatusBadRequest, "the body cannot be read")
+		l.refuse(w, r, http.StatusBadRequest, "the body cannot be read")
 	}
 }
 
 // refuse answers a request that is not served, and ends its connection: the rest of the request is not read.
-func (l *listener) refuse(w http.ResponseWriter, status int, reason string) {
+func (l *listener) refuse(w http.ResponseWriter, r *http.Request, status int, reason string) {
 	w.Header().Set("Connection", "close")
 	if status == http.StatusServiceUnavailable {
 		w.Header().Set("Retry-After", strconv.Itoa(int(busyRetryDelay/time.Second)))
 	}
 	if l.server.WriteRefusal != nil {
-		l.server.WriteRefusal(w, status, reason)
+		l.server.WriteRefusal(w, r, status, reason)
 		return
 	}
 	http.Error(w, reason, status)
@@ -205,8 +205,8 @@
 func RefuseHold(w http.ResponseWriter, r *http.Request, err error) {
 	l := connectionOf(r.Context()).listener
 	if errors.Is(err, ErrTooLarge) {
-		l.refuse(w, http.StatusRequestEntityTooLarge, err.Error())
+		l.refuse(w, r, http.StatusRequestEntityTooLarge, err.Error())
 		return
 	}
-	l.refuse(w, http.StatusServiceUnavailable, err.Error())
+	l.refuse(w, r, http.StatusServiceUnavailable, err.Error())
 }
--- a/entry/client/server.go
+++ b/entry/client/server.go
@@ -57,7 +57,7 @@
 	// OnRefusal is called for each client that is refused or disconnected because of a limit.
 	OnRefusal func(server string, r Reason)
 	// WriteRefusal writes the answer to a refused request; without it the reason is sent as text.
-	WriteRefusal func(w http.ResponseWriter, status int, reason string)
+	WriteRefusal func(w http.ResponseWriter, r *http.Request, status int, reason string)
 	// Streaming is set if the handler reads bodies itself and connections may use HTTP/2; the memory of bodies
 	// is then not bounded.
 	Streaming bool
--- a/entry/node/settlement.go
+++ b/entry/node/settlement.go
@@ -83,6 +83,12 @@
 	}
 }
 
+// CorrectRefusal returns the reply to a submission that is refused before it is read: one with the outcome Unsettled if
+// an earlier attempt may have stored the job.
+func (n *Node) CorrectRefusal(id string, r manager.Reply) manager.Reply {
+	return n.correctOutcome(id, r)
+}
+
 // correctOutcome returns the reply with the outcome Unsettled in place of a refusal, if another attempt may
 // have stored the job or its mark shows that one has.
 func (n *Node) correctOutcome(id string, r manager.Reply) manager.Reply {
