Pass the connection to its interruption

A connection could be interrupted by a request of another one before the accept loop had stored what it is: a data race, and an access of nil in an entry that was suspended at that moment.

--- a/coordination/occupancy/table.go
+++ b/coordination/occupancy/table.go
@@ -27,8 +27,9 @@
 
 // Client is a connection of a table.
 type Client struct {
-	// interrupt makes a read or write of the connection return at once.
-	interrupt func()
+	// interrupt makes a read or write of the connection return at once. It gets the client, as it may be called
+	// before Open returns.
+	interrupt func(c *Client)
 
 	// All fields below are guarded by the table.
 	serving bool
@@ -66,7 +67,7 @@
 // Open adds a connection, whose interrupt function must not block. If the table is full, the connection makes
 // the one whose client has been waited for longest give up its place; without such a one its requests are to be
 // refused. The result is nil if not even that is possible until another connection is closed.
-func (t *Table) Open(now time.Time, interrupt func()) (c *Client, refused bool) {
+func (t *Table) Open(now time.Time, interrupt func(c *Client)) (c *Client, refused bool) {
 	t.mu.Lock()
 	full := len(t.clients) >= t.limits.Connections+t.limits.Spare
 	victim := t.replaceable(now, full)
@@ -83,7 +84,7 @@
 	}
 	t.mu.Unlock()
 	if victim != nil {
-		victim.interrupt()
+		victim.interrupt(victim)
 	}
 	return c, refused
 }
@@ -107,7 +108,7 @@
 	}
 	t.mu.Unlock()
 	if victim != nil {
-		victim.interrupt()
+		victim.interrupt(victim)
 	}
 	return served
 }
@@ -245,7 +246,7 @@
 	}
 	t.mu.Unlock()
 	for _, v := range victims {
-		v.interrupt()
+		v.interrupt(v)
 	}
 	return admitted
 }
--- a/coordination/occupancy/table_test.go
+++ b/coordination/occupancy/table_test.go
@@ -14,7 +14,7 @@
 
 func open(t *Table, now time.Time) (c *connection, refused bool) {
 	c = &connection{}
-	c.Client, refused = t.Open(now, func() { c.interrupted = true })
+	c.Client, refused = t.Open(now, func(*Client) { c.interrupted = true })
 	return c, refused
 }
 
@@ -160,7 +160,7 @@
 		for range 2000 {
 			now = now.Add(time.Duration(rng.IntN(400)) * time.Millisecond)
 			if rng.IntN(4) == 0 {
-				if c, _ := table.Open(now, func() {}); c != nil {
+				if c, _ := table.Open(now, func(*Client) {}); c != nil {
 					all = append(all, c)
 				}
 			}
--- a/entry/client/connection.go
+++ b/entry/client/connection.go
@@ -227,10 +227,10 @@
 }
 
 // interrupt ends reads and writes while the connection has no place.
-func (c *connection) interrupt() {
+func (c *connection) interrupt(client *occupancy.Client) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.table.Interrupted(c.client) {
+	if !c.table.Interrupted(client) {
 		return
 	}
 	c.interrupted = true
