End connections that lose their place between pipelined requests

Clients that send the next requests before the answer kept their places: the next request was in the buffer of net/http, and its connection got its place back each time.

--- a/entry/client/connection.go
+++ b/entry/client/connection.go
@@ -46,6 +46,8 @@
 	// read. One goroutine at a time reads, and net/http changes the state from another one only for HTTP/2.
 	inHead     atomic.Bool
 	head, tail atomic.Int64
+	// last is set once the connection has lost its place with a request that was read: it ends with the answer.
+	last atomic.Bool
 	// http2 is set for a connection of HTTP/2, the memory of whose requests does not count.
 	http2 atomic.Bool
 
@@ -246,6 +248,7 @@
 	if !c.table.Serve(c.client) {
 		return
 	}
+	c.last.Store(true)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.interrupted = false
--- a/entry/client/handler.go
+++ b/entry/client/handler.go
@@ -55,6 +55,9 @@
 			}
 			r.Body = &bufferedBody{Reader: bytes.NewReader(body), text: body}
 		}
+		if c.last.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		// The deadline is that of the request, and would end the context of one that takes longer to serve.
 		_ = c.SetReadDeadline(time.Time{})
 		next.ServeHTTP(w, r)
--- a/entry/client/server_test.go
+++ b/entry/client/server_test.go
@@ -342,3 +342,30 @@
 		t.Errorf("%d of %d requests were cancelled", cancelled.Load(), served.Load())
 	}
 }
+
+// Guards against clients that keep their places by sending the next requests before the answer, so that nobody else
+// is served.
+func TestPipeliningConnectionsMakeRoom(t *testing.T) {
+	s := startServer(t, occupancy.Limits{Connections: 4, Spare: 2, Bytes: 1 << 20}, testLimits, nil)
+	for range 12 {
+		c := dial(t, s)
+		go func() { _, _ = io.Copy(io.Discard, c) }()
+		go func() {
+			block := strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", 1000)
+			for {
+				if _, err := io.WriteString(c, block); err != nil {
+					return
+				}
+			}
+		}()
+	}
+	for range 5 {
+		code := 0
+		for until := time.Now().Add(10 * time.Second); code != http.StatusOK && time.Now().Before(until); {
+			code = status(dial(t, s), "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		}
+		if code != http.StatusOK {
+			t.Fatalf("status %d beside clients with request after request", code)
+		}
+	}
+}
