Add a review case: work units without a size are piled on one worker

Ten jobs of 20,000 work units that name no size go to one worker after the other, whose polls are refused above 20,000 rows.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(f *setup) (broken string, err error){
 	"kinds":    playKinds,
 	"steps":    playSteps,
+	"sizeless": playSizeless,
 	"large":    playLarge,
 }
 
