--- a/coordination/duration/distribution.go
+++ b/coordination/duration/distribution.go
@@ -40,8 +40,24 @@
 	sketch  *ddsketch.DDSketchWithExactSummaryStatistics
 	fadedAt time.Time
 	// tails holds what remains above each ratio of the sketch, in ascending order, since its
-	// last change; it is empty until it is needed.
-	tails []tail
+	// last change; it is empty until it is needed. So is residual. The quantiles that were needed
+	// are kept if the map is not nil.
+	tails     []tail
+	quantiles map[float64]float64
+	residual  residual
+}
+
+// residual holds the sums of the ratios of a shape and of their squares, by weight.
+type residual struct {
+	sum, squares float64
+	known        bool
+}
+
+// changed drops what was calculated from the sketch.
+func (s *shape) changed() {
+	s.tails = s.tails[:0]
+	clear(s.quantiles)
+	s.residual = residual{}
 }
 
 // tail is the weight of the ratios from a value on, and their sum by weight.
@@ -71,8 +87,10 @@
 }
 
 // newShape returns the shape of a queue without runs.
-func newShape() shape {
-	return *fixedShape(priorDeviation, priorCount)
+func newShape() (s shape) {
+	s = *fixedShape(priorDeviation, priorCount)
+	s.quantiles = make(map[float64]float64)
+	return s
 }
 
 // fixedShape returns a log-normal distribution of mean 1 that weighs count runs.
@@ -89,6 +107,7 @@
 	}
 	s := &shape{sketch: sketch}
 	s.remaining(0)
+	s.residuals()
 	return s
 }
 
@@ -107,7 +126,7 @@
 		s.fadedAt = now
 	}
 	_ = s.sketch.Add(math.Exp(bounded(logRatio, math.Log(maxRatio))))
-	s.tails = s.tails[:0]
+	s.changed()
 }
 
 // Distribution is the distribution of the run time of a task.
@@ -148,24 +167,43 @@
 
 // Residual returns the mean remaining time of a run that is seen at a random moment.
 func (d Distribution) Residual() time.Duration {
-	sum, squares := 0.0, 0.0
-	d.shape.sketch.ForEach(func(value, weight float64) (stop bool) {
-		sum += value * weight
-		squares += value * value * weight
-		return false
-	})
-	if sum == 0 {
+	r := d.shape.residuals()
+	if r.sum == 0 {
 		return d.Mean()
 	}
-	return toDuration(d.scale * squares / (2 * sum))
+	return toDuration(d.scale * r.squares / (2 * r.sum))
+}
+
+func (s *shape) residuals() residual {
+	if !s.residual.known {
+		r := residual{known: true}
+		s.sketch.ForEach(func(value, weight float64) (stop bool) {
+			r.sum += value * weight
+			r.squares += value * value * weight
+			return false
+		})
+		s.residual = r
+	}
+	return s.residual
 }
 
 // quantile returns a quantile of the ratio. The sketch's own quantiles leave out a whole run,
 // which is too much for small weights.
 func (s *shape) quantile(q float64) float64 {
-	return s.sketch.Value(s.sketch.GetPositiveValueStore().KeyAtRank(min(max(q, 0), 1) * s.sketch.GetCount()))
+	value, known := s.quantiles[q]
+	if known {
+		return value
+	}
+	value = s.sketch.Value(s.sketch.GetPositiveValueStore().KeyAtRank(min(max(q, 0), 1) * s.sketch.GetCount()))
+	if s.quantiles != nil && len(s.quantiles) < maxQuantiles {
+		s.quantiles[q] = value
+	}
+	return value
 }
 
+// maxQuantiles limits the quantiles that are kept.
+const maxQuantiles = 64
+
 func (s *shape) mean() float64 {
 	return s.sketch.GetSum() / s.sketch.GetCount()
 }
--- a/coordination/job/capacity.go
+++ b/coordination/job/capacity.go
@@ -32,3 +32,17 @@
 func (c Capacity) CanFit(o Capacity) bool {
 	return o.CPU <= c.CPU && o.MemoryMB <= c.MemoryMB && o.GPU <= c.GPU
 }
+
+// Holds returns how many times o fits into c beside each other, up to a limit.
+func (c Capacity) Holds(o Capacity, limit int) (count int) {
+	if !c.CanFit(o) {
+		return 0
+	}
+	count = limit
+	for _, p := range [...][2]int{{c.CPU, o.CPU}, {c.MemoryMB, o.MemoryMB}, {c.GPU, o.GPU}} {
+		if p[1] > 0 {
+			count = min(count, p[0]/p[1])
+		}
+	}
+	return count
+}
--- a/coordination/schedule/admit.go
+++ b/coordination/schedule/admit.go
@@ -147,7 +147,7 @@
 	var run, chain float64
 	for i := range j.Steps {
 		st := &j.Steps[i]
-		duration := s.expected(state, st)
+		duration := s.expected(state, i)
 		run += duration
 		size := limitSize(st).Times(st.Count)
 		chain += duration * max(1, waves(size, room, roomPart), waves(size, terms.Limit, 1))
@@ -290,10 +290,17 @@
 
 // workLeft returns the expected work of a job's tasks that are due and not done.
 func (s *Scheduler) workLeft(j *jobState, now time.Time) (work admission.Amount) {
+	if e := s.keptEstimate(j, now); e != nil {
+		return e.left
+	}
+	return s.estimateWorkLeft(j, now)
+}
+
+func (s *Scheduler) estimateWorkLeft(j *jobState, now time.Time) (work admission.Amount) {
 	if due := j.untouchedDue(now); due > 0 {
 		for i := range j.Steps {
 			st := &j.Steps[i]
-			work = work.Plus(admission.AmountOf(taskSize(st), s.expected(j, st)*float64(due*st.Count), due*st.Count))
+			work = work.Plus(admission.AmountOf(taskSize(st), s.expected(j, i)*float64(due*st.Count), due*st.Count))
 		}
 	}
 	for _, o := range j.occurrences.items {
@@ -307,7 +314,7 @@
 			left := st.left()
 			running := min(st.running, left)
 			part := float64(left-running) + s.runningPart(j, st, now)*float64(running)
-			work = work.Plus(admission.AmountOf(taskSize(st.step), s.expected(j, st.step)*part, left-running))
+			work = work.Plus(admission.AmountOf(taskSize(st.step), s.expected(j, st.index)*part, left-running))
 		}
 	}
 	return work
--- a/coordination/schedule/awaited.go
+++ b/coordination/schedule/awaited.go
@@ -35,7 +35,7 @@
 
 // countAwaiting counts a job that may not start tasks because an unread endpoint may run them.
 func (s *Scheduler) countAwaiting(j *jobState, wall time.Time) {
-	if j.waitingTasks(wall) == 0 {
+	if !j.hasWaitingTasks(wall) {
 		return
 	}
 	if s.awaited.waiting == nil {
--- a/coordination/schedule/balance.go
+++ b/coordination/schedule/balance.go
@@ -195,7 +195,7 @@
 func (s *Scheduler) idleAt(e *endpoint, now time.Time) (at time.Time) {
 	at = now
 	for _, r := range e.runs {
-		end := r.startedAt.Add(input.Milliseconds(s.expected(r.task.job, r.task.step)))
+		end := r.startedAt.Add(input.Milliseconds(s.expected(r.task.job, r.task.ref.Step)))
 		if r.progressPercent > 0 && r.progressAt.After(r.startedAt) {
 			end = r.startedAt.Add(r.progressAt.Sub(r.startedAt) * 100 / time.Duration(r.progressPercent))
 		}
--- a/coordination/schedule/crash.go
+++ b/coordination/schedule/crash.go
@@ -66,6 +66,11 @@
 	return records
 }
 
+func (t *task) addCrash(c crash) {
+	t.crashes = append(t.crashes, c)
+	t.of.isolationKnown = false
+}
+
 // outlived reports whether a run is known to have been active for a time.
 func (r *run) outlived(d time.Duration) bool {
 	return r.state == confirmed && !r.endpoint.aliveAt.Before(r.confirmedAt.Add(d))
@@ -120,7 +125,7 @@
 		Started: r.state == confirmed, Reached: r.disconnected, Silent: e.silent, AtStart: !r.outlived(startupPeriod),
 		Sole: suspects[t.job] && len(suspects) == 1,
 	}, doubtUntil: now.Add(crashDoubt)}
-	t.crashes = append(t.crashes, c)
+	t.addCrash(c)
 	s.indexCrash(t, &c)
 	// Stored at once, as the next owner continues the count if this one is lost as well.
 	s.markDirty(t.job, now, c.AtStart && !c.Silent)
@@ -170,6 +175,7 @@
 func (s *Scheduler) removeCrashes(t *task, now time.Time, matches func(c crash) bool) {
 	before := len(t.crashes)
 	t.crashes = slices.DeleteFunc(t.crashes, matches)
+	t.of.isolationKnown = false
 	if len(t.crashes) == before {
 		return
 	}
--- a/coordination/schedule/demand.go
+++ b/coordination/schedule/demand.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/azurepoint/azurepoint/coordination/job"
 	"github.com/azurepoint/azurepoint/coordination/sizing"
 )
 
@@ -12,13 +11,13 @@
 	return s.Settings.LearnedSizes && !s.Settings.MeanDurations
 }
 
-// sizingDuration returns the expected duration of a task of the step, in milliseconds, for the
+// sizingDuration returns the expected duration of a task of a step, in milliseconds, for the
 // sizes of pools: the learned mean, or the moving average of the queue.
-func (s *Scheduler) sizingDuration(j *jobState, st *job.Step) float64 {
+func (s *Scheduler) sizingDuration(j *jobState, step int) float64 {
 	if s.learnedSizes() {
-		return s.expected(j, st)
+		return s.expected(j, step)
 	}
-	return s.meanDuration(j, st)
+	return s.meanDuration(j, step)
 }
 
 // arrival returns the expected work of a job that arrives. Its run times count as learned if
@@ -31,12 +30,12 @@
 	}
 	for i := range j.Steps {
 		st := &j.Steps[i]
-		work := s.sizingDuration(j, st) / 1000 * float64(st.CPU) * float64(st.Count)
+		work := s.sizingDuration(j, i) / 1000 * float64(st.CPU) * float64(st.Count)
 		a.Work += work
 		if !s.learnedSizes() {
 			continue
 		}
-		d := s.distribution(j, st)
+		d := s.distribution(j, i)
 		start := time.Duration(0)
 		for _, o := range st.DependsOn {
 			if o < i {
@@ -62,6 +61,13 @@
 	if j.lateness != onTime || !s.learnedSizes() {
 		return 0
 	}
+	if e := s.keptEstimate(j, now); e != nil {
+		return e.remainingWork
+	}
+	return s.estimateRemainingWork(j, now)
+}
+
+func (s *Scheduler) estimateRemainingWork(j *jobState, now time.Time) (work float64) {
 	for _, o := range j.occurrences.items {
 		runs, follows := 0.0, 0.0
 		for _, st := range o.steps {
@@ -69,8 +75,8 @@
 			case st.complete():
 			case st.running > 0:
 				runs += s.remainingOfRuns(j, st, now)
-			case !o.dependenciesDone(st):
-				follows += s.expected(j, st.step) * float64(st.step.CPU) * float64(st.left())
+			case !st.dependenciesDone():
+				follows += s.expected(j, st.index) * float64(st.step.CPU) * float64(st.left())
 			}
 		}
 		if runs > 0 {
@@ -93,5 +99,5 @@
 	if runs == 0 {
 		return 0
 	}
-	return cpu * millis(s.distribution(j, st.step).Remaining(elapsed/time.Duration(runs)))
+	return cpu * millis(s.distribution(j, st.index).Remaining(elapsed/time.Duration(runs)))
 }
--- a/coordination/schedule/division.go
+++ b/coordination/schedule/division.go
@@ -31,14 +31,14 @@
 	uses := make(map[string]organisation.Use, len(s.organisations.terms))
 	for _, j := range jobs {
 		if j.longRunning() {
-			capacity = capacity.Minus(j.running())
+			capacity = capacity.Minus(j.used)
 			continue
 		}
 		u, counted := uses[j.Organisation]
 		if !counted {
 			u.Running = s.organisations.pools[poolUser{pool, j.Organisation}]
 		}
-		wanted := j.wanted(wall)
+		wanted := s.wanted(j, wall)
 		j.finishing = (j.started || j.hasRuns()) && capacity.CanFit(wanted.Times(finishingPart))
 		u.Wanted = u.Wanted.Plus(wanted)
 		uses[j.Organisation] = u
@@ -98,8 +98,15 @@
 	}
 }
 
-// wanted returns what the tasks take whose turn has come.
-func (j *jobState) wanted(wall time.Time) (c Capacity) {
+// wanted returns what the tasks of a job take whose turn has come.
+func (s *Scheduler) wanted(j *jobState, wall time.Time) (c Capacity) {
+	if e := s.keptEstimate(j, wall); e != nil {
+		return e.wanted
+	}
+	return j.countWanted(wall)
+}
+
+func (j *jobState) countWanted(wall time.Time) (c Capacity) {
 	if due := j.untouchedDue(wall); due > 0 {
 		for i := range j.Steps {
 			if st := &j.Steps[i]; len(st.DependsOn) == 0 {
@@ -111,20 +118,8 @@
 		if o.dueMillis > 0 && wall.UnixMilli() < o.dueMillis {
 			break
 		}
-		for _, st := range o.steps {
-			if !st.complete() && o.dependenciesDone(st) {
-				c = c.Plus(taskSize(st.step).Times(max(st.left(), st.running)))
-			}
-		}
-	}
-	return c
-}
-
-// running returns what the runs of the job take.
-func (j *jobState) running() (c Capacity) {
-	for _, o := range j.occurrences.items {
-		for _, st := range o.steps {
-			c = c.Plus(taskSize(st.step).Times(st.running))
+		for _, st := range o.ready {
+			c = c.Plus(taskSize(st.step).Times(max(st.left(), st.running)))
 		}
 	}
 	return c
--- a/coordination/schedule/drain.go
+++ b/coordination/schedule/drain.go
@@ -86,13 +86,13 @@
 		return due, 0
 	case !used:
 		for i := range j.Steps {
-			left += s.expected(j, &j.Steps[i])
+			left += s.expected(j, i)
 		}
 		return due, input.Milliseconds(left)
 	}
 	for _, st := range o.steps {
 		if !st.complete() {
-			left += s.remainingOfStep(j, st, s.expected(j, st.step), now)
+			left += s.remainingOfStep(j, st, s.expected(j, st.index), now)
 		}
 	}
 	return due, input.Milliseconds(left)
@@ -113,5 +113,5 @@
 	if runs == 0 {
 		return meanRunningPart
 	}
-	return millis(s.distribution(j, st.step).Remaining(elapsed/time.Duration(runs))) / s.expected(j, st.step)
+	return millis(s.distribution(j, st.index).Remaining(elapsed/time.Duration(runs))) / s.expected(j, st.index)
 }
--- a/coordination/schedule/duration.go
+++ b/coordination/schedule/duration.go
@@ -58,44 +58,41 @@
 	version int
 }
 
-// expected returns the expected duration of a task of the step in milliseconds. With
+// expected returns the expected duration of a task of a step, by its index, in milliseconds. With
 // Settings.MeanDurations it is the moving average of the queue, or the declared duration
 // if no task of the queue has ended yet.
-func (s *Scheduler) expected(j *jobState, st *job.Step) float64 {
+func (s *Scheduler) expected(j *jobState, step int) float64 {
 	if s.Settings.MeanDurations {
-		return s.meanDuration(j, st)
-	}
-	x := j.expectation(st)
-	if x == nil {
-		return millis(s.distribution(j, st).Mean())
+		return s.meanDuration(j, step)
 	}
+	x := j.expectation(step)
 	if v := s.durations.version(); x.version != v {
-		x.mean, x.version = max(millis(s.distribution(j, st).Mean()), 1), v
+		x.mean, x.version = max(millis(s.distribution(j, step).Mean()), 1), v
 	}
 	return x.mean
 }
 
 // meanDuration returns the moving average of the durations of the job's queue in
 // milliseconds, or the declared duration if no task of the queue has ended yet.
-func (s *Scheduler) meanDuration(j *jobState, st *job.Step) float64 {
+func (s *Scheduler) meanDuration(j *jobState, step int) float64 {
 	if d := s.durationEstimates[j.Queue]; d != nil {
 		return d.mean
 	}
-	return float64(max(st.EstimateMillis, 1))
+	return float64(max(j.Steps[step].EstimateMillis, 1))
 }
 
 // expectedQuantile returns the duration in milliseconds that a task of the step does not
 // exceed with probability q. With Settings.MeanDurations it is the expected duration.
-func (s *Scheduler) expectedQuantile(j *jobState, st *job.Step, q float64) float64 {
+func (s *Scheduler) expectedQuantile(j *jobState, step int, q float64) float64 {
 	if s.Settings.MeanDurations {
-		return s.expected(j, st)
+		return s.expected(j, step)
 	}
-	return max(millis(s.distribution(j, st).Quantile(q)), 1)
+	return max(millis(s.distribution(j, step).Quantile(q)), 1)
 }
 
-// distribution returns the learned distribution of the duration of a task of the step.
-func (s *Scheduler) distribution(j *jobState, st *job.Step) duration.Distribution {
-	return s.durations.estimator.Expect(j.durationKey(st, true), declared(st))
+// distribution returns the learned distribution of the duration of a task of a step.
+func (s *Scheduler) distribution(j *jobState, step int) duration.Distribution {
+	return s.durations.estimator.Expect(j.durationKey(step, true), declared(&j.Steps[step]))
 }
 
 func declared(st *job.Step) time.Duration {
@@ -106,36 +103,22 @@
 	return float64(d) / float64(time.Millisecond)
 }
 
-// expectation returns the expectation of a step of the job, or nil if the step is not the
-// job's.
-func (j *jobState) expectation(st *job.Step) *expectation {
+// expectation returns the expectation of a step of the job.
+func (j *jobState) expectation(step int) *expectation {
 	if len(j.expectations) != len(j.Steps) {
 		j.expectations = make([]expectation, len(j.Steps))
 	}
-	for i := range j.Steps {
-		if st == &j.Steps[i] {
-			return &j.expectations[i]
-		}
-	}
-	return nil
+	return &j.expectations[step]
 }
 
-// durationKey returns what the duration of a task of the step may depend on. Local is false
+// durationKey returns what the duration of a task of a step may depend on. Local is false
 // for a run that is not at the task's data.
-func (j *jobState) durationKey(st *job.Step, local bool) (k duration.Key) {
-	k = duration.Key{
-		Queue: j.Queue, Image: st.Image, Organisation: j.Organisation, CPU: st.CPU, MemoryMB: st.MemoryMB,
-		Remote: st.DataRack != "" && !local,
+func (j *jobState) durationKey(step int, local bool) (k duration.Key) {
+	st := &j.Steps[step]
+	return duration.Key{
+		Queue: j.Queue, Step: step, Image: st.Image, Organisation: j.Organisation, CPU: st.CPU, MemoryMB: st.MemoryMB,
+		Remote: st.DataRack != "" && !local, Siblings: &j.expectation(step).siblings,
 	}
-	for i := range j.Steps {
-		if st == &j.Steps[i] {
-			k.Step = i
-		}
-	}
-	if x := j.expectation(st); x != nil {
-		k.Siblings = &x.siblings
-	}
-	return k
 }
 
 // updateDurationEstimate learns from a run that is done.
@@ -154,12 +137,10 @@
 	if r.endpoint.slowUntil.After(now) || r.pace != fullPace {
 		return
 	}
-	k := t.job.durationKey(t.step, r.endpoint.Rack == t.step.DataRack)
+	k := t.job.durationKey(t.ref.Step, r.endpoint.Rack == t.step.DataRack)
 	s.durations.estimator.Observe(k, declared(t.step), now.Sub(r.startedAt), now)
 	s.durations.observed++
-	if x := t.job.expectation(t.step); x != nil {
-		x.version = 0
-	}
+	t.job.expectation(t.ref.Step).version = 0
 }
 
 // fullRun reports whether the owner has the whole time of the run from its beginning, without
@@ -175,7 +156,7 @@
 		return
 	}
 	t := r.task
-	k := t.job.durationKey(t.step, r.endpoint.Rack == t.step.DataRack)
+	k := t.job.durationKey(t.ref.Step, r.endpoint.Rack == t.step.DataRack)
 	s.durations.estimator.ObserveBound(k, declared(t.step), now.Sub(r.startedAt), now)
 }
 
@@ -211,5 +192,5 @@
 			latest = r.startedAt
 		}
 	}
-	return millis(s.distribution(j, st.step).Remaining(now.Sub(latest)))
+	return millis(s.distribution(j, st.index).Remaining(now.Sub(latest)))
 }
--- a/coordination/schedule/duration_test.go
+++ b/coordination/schedule/duration_test.go
@@ -61,10 +61,10 @@
 	}
 	f.s.AddJob(newRecord("next", st), f.now)
 	j := f.s.jobs["next"]
-	if got := f.s.expected(j, &j.Steps[0]); got < 200 || got > 450 {
+	if got := f.s.expected(j, 0); got < 200 || got > 450 {
 		t.Errorf("%.0f ms expected after runs of 300 ms", got)
 	}
-	low, high := f.s.expectedQuantile(j, &j.Steps[0], 0.1), f.s.expectedQuantile(j, &j.Steps[0], 0.95)
+	low, high := f.s.expectedQuantile(j, 0, 0.1), f.s.expectedQuantile(j, 0, 0.95)
 	if low > high || high > 1500 {
 		t.Errorf("quantiles %.0f and %.0f ms", low, high)
 	}
--- a/coordination/schedule/durationlag.go
+++ b/coordination/schedule/durationlag.go
@@ -43,7 +43,7 @@
 // run of the task, with its start, is expected to end earlier.
 func (s *Scheduler) wouldEndEarlier(r *run, now time.Time) bool {
 	t := r.task
-	d := s.distribution(t.job, t.step)
+	d := s.distribution(t.job, t.ref.Step)
 	elapsed := now.Sub(r.startedAt)
 	if d.Samples() < minLagRuns || r.progressPercent >= completePercent || elapsed < d.Quantile(progressQuantile) {
 		return false
--- a/coordination/schedule/endpoint.go
+++ b/coordination/schedule/endpoint.go
@@ -67,7 +67,8 @@
 	waitsFor *jobState
 
 	runs map[string]*run
-	used Capacity
+	// used is what the runs take, and usedLongRunning what those of long-running tasks do.
+	used, usedLongRunning Capacity
 
 	// consecutiveFailures counts the failed runs since the last success.
 	consecutiveFailures int
@@ -182,17 +183,12 @@
 		return false
 	}
 	a := st.step.AntiAffinity
-	return a <= 0 || e.countStepTasks(st, t)+planned < a
+	return a <= 0 || st.byEndpoint[e]+planned < a
 }
 
 // longRunningUsage returns the capacity that long-running tasks take.
-func (e *endpoint) longRunningUsage() (room Capacity) {
-	for _, r := range e.runs {
-		if r.task.step.LongRunning {
-			room = room.Plus(r.size)
-		}
-	}
-	return room
+func (e *endpoint) longRunningUsage() Capacity {
+	return e.usedLongRunning
 }
 
 func (e *endpoint) hasLabel(label string) bool {
--- a/coordination/schedule/evacuate.go
+++ b/coordination/schedule/evacuate.go
@@ -13,32 +13,55 @@
 // draining, once there is capacity for them elsewhere. On reserved endpoints, it
 // keeps to the number of tasks of a step that may be out of service at once.
 func (s *Scheduler) evacuateReserved(now time.Time) {
+	serving := make(stepsServing)
 	for pool := range s.activeJobs {
 		for _, e := range s.poolEndpoints(pool) {
 			e.longRunningReserve = Capacity{}
 		}
 		for _, e := range s.poolEndpoints(pool) {
 			if e.contacted && !e.unresponsive() && (e.reserved() || e.Draining) {
-				s.evacuateEndpoint(e, now)
+				s.evacuateEndpoint(e, serving, now)
 			}
 		}
 	}
 }
 
-func (s *Scheduler) evacuateEndpoint(e *endpoint, now time.Time) {
-	for _, r := range sortedRuns(e) {
-		if r.stopRequested || !r.task.step.LongRunning || r.state != confirmed {
-			continue
+// stepsServing holds how many tasks of long-running steps are certain to be serving.
+type stepsServing map[*stepState]int
+
+// of returns the number for a step.
+func (v stepsServing) of(s *Scheduler, st *stepState, now time.Time) (count int) {
+	count, known := v[st]
+	if !known {
+		for _, t := range st.tasks.items {
+			if s.isServing(t, now) {
+				count++
+			}
 		}
+		v[st] = count
+	}
+	return count
+}
+
+func (s *Scheduler) evacuateEndpoint(e *endpoint, serving stepsServing, now time.Time) {
+	candidates := s.usableEndpoints(e.Pool, now)
+	for _, r := range sortedRunsWhere(e, func(r *run) bool { return r.task.step.LongRunning && !r.stopRequested && r.state == confirmed }) {
 		st := r.task.stepState()
-		candidates := s.usableEndpoints(e.Pool, now)
 		if s.chooseEndpoint(st, r.task, candidates, nil) == nil {
 			reserveForLongRunning(st, r.task, candidates)
 			continue
 		}
-		unavailable := s.countUnavailable(st, r.task, now)
+		// The other tasks of the step that are not certain to be serving.
+		unavailable := st.step.Count - serving.of(s, st, now)
+		serves := s.isServing(r.task, now)
+		if !serves {
+			unavailable--
+		}
 		if e.Draining || unavailable < max(st.step.MaxUnavailable, 1) {
 			s.requestStop(r)
+			if serves && !s.isServing(r.task, now) {
+				serving[st]--
+			}
 			r.evacuated = true
 			s.reportEvacuation(r, unavailable)
 		}
--- a/coordination/schedule/handover.go
+++ b/coordination/schedule/handover.go
@@ -228,10 +228,7 @@
 	if handed.Started {
 		t.job.markStarted()
 	}
-	e.runs[t.name] = r
-	e.used = e.used.Plus(r.size)
-	s.countStart(r)
-	t.runs = append(t.runs, r)
+	s.addRun(r)
 	if handed.Stop || t.job.state.Terminal() {
 		s.requestStop(r)
 	}
--- a/coordination/schedule/isolate.go
+++ b/coordination/schedule/isolate.go
@@ -16,10 +16,13 @@
 	if !st.step.Gang {
 		return t.ownIsolation()
 	}
-	for _, m := range st.tasks.items {
-		d = max(d, m.ownIsolation())
+	if !st.isolationKnown {
+		st.isolationKnown, st.gangIsolation = true, 0
+		for _, m := range st.tasks.items {
+			st.gangIsolation = max(st.gangIsolation, m.ownIsolation())
+		}
 	}
-	return d
+	return st.gangIsolation
 }
 
 func (t *task) ownIsolation() time.Duration {
--- a/coordination/schedule/jobstate.go
+++ b/coordination/schedule/jobstate.go
@@ -50,13 +50,13 @@
 	}
 	limited := false
 	for i := range j.Steps {
-		times := StepTimes{Times: s.times(j, &j.Steps[i])}
+		times := StepTimes{Times: s.times(j, i)}
 		times.Tasks, times.Done = j.occurrences.total*j.Steps[i].Count, j.countFinished()*j.Steps[i].Count
 		limited = limited || !j.started && j.occurrences.untouched > 0 && len(j.Steps[i].DependsOn) == 0 && s.limited(j, &j.Steps[i])
 		for _, o := range j.occurrences.items {
 			st := o.steps[i]
 			times.Done, times.Running = times.Done+st.done, times.Running+st.running
-			limited = limited || !j.started && o.dependenciesDone(st) && s.limited(j, st.step)
+			limited = limited || !j.started && st.dependenciesDone() && s.limited(j, st.step)
 		}
 		summary.Steps = append(summary.Steps, times)
 	}
@@ -74,12 +74,12 @@
 	return summary, true
 }
 
-// times returns what a task of the step is expected to take.
-func (s *Scheduler) times(j *jobState, st *job.Step) (t duration.Times) {
+// times returns what a task of a step is expected to take.
+func (s *Scheduler) times(j *jobState, step int) (t duration.Times) {
 	if !s.Settings.MeanDurations {
-		return s.distribution(j, st).Times()
+		return s.distribution(j, step).Times()
 	}
-	t = duration.Times{MedianMillis: int64(s.expected(j, st)), Basis: duration.Basis{Key: "mean"}}
+	t = duration.Times{MedianMillis: int64(s.expected(j, step)), Basis: duration.Basis{Key: "mean"}}
 	if d := s.durationEstimates[j.Queue]; d != nil {
 		t.Runs = d.count
 	}
--- a/coordination/schedule/load.go
+++ b/coordination/schedule/load.go
@@ -62,7 +62,7 @@
 		for _, j := range jobs {
 			if !j.longRunning() {
 				s.rank(j, now)
-				loads[pool].addJob(j, s.waitingWork(j), s.slack(j), s.remainingWork(j, now))
+				loads[pool].addJob(j, s.waitingWork(j, now), s.slack(j, now), s.remainingWork(j, now))
 			}
 		}
 	}
@@ -77,16 +77,23 @@
 		return
 	}
 	l.onTimeCPU += work / (slackFraction * slack)
-	l.onTimeRunningCPU += j.runningCPU()
+	l.onTimeRunningCPU += float64(j.used.CPU)
 	l.remainingWork += remaining
 }
 
 // slack returns how long, in milliseconds, a job may wait in total and still meet
 // its objective.
-func (s *Scheduler) slack(j *jobState) (millis float64) {
+func (s *Scheduler) slack(j *jobState, now time.Time) (millis float64) {
+	if e := s.keptEstimate(j, now); e != nil {
+		return e.slack
+	}
+	return s.estimateSlack(j)
+}
+
+func (s *Scheduler) estimateSlack(j *jobState) (millis float64) {
 	chain := 0.0
 	for i := range j.Steps {
-		chain += s.sizingDuration(j, &j.Steps[i])
+		chain += s.sizingDuration(j, i)
 	}
 	return max((j.Stretch-1)*chain+float64(j.TargetMillis), minSlackMillis)
 }
@@ -96,20 +103,24 @@
 
 // waitingWork returns the expected work of a job's tasks that could start now, in
 // milliseconds times thousandths of a core.
-func (s *Scheduler) waitingWork(j *jobState) (work float64) {
+func (s *Scheduler) waitingWork(j *jobState, now time.Time) (work float64) {
+	if e := s.keptEstimate(j, now); e != nil {
+		return e.waitingWork
+	}
+	return s.estimateWaitingWork(j)
+}
+
+func (s *Scheduler) estimateWaitingWork(j *jobState) (work float64) {
 	if waiting := j.occurrences.untouched; waiting > 0 {
 		for i := range j.Steps {
 			if st := &j.Steps[i]; len(st.DependsOn) == 0 {
-				work += float64(waiting*st.Count) * s.sizingDuration(j, st) * float64(st.CPU)
+				work += float64(waiting*st.Count) * s.sizingDuration(j, i) * float64(st.CPU)
 			}
 		}
 	}
 	for _, o := range j.occurrences.items {
-		for _, st := range o.steps {
-			if st.complete() || !o.dependenciesDone(st) {
-				continue
-			}
-			work += float64(st.waiting()) * s.sizingDuration(j, st.step) * float64(st.step.CPU)
+		for _, st := range o.ready {
+			work += float64(st.waiting()) * s.sizingDuration(j, st.index) * float64(st.step.CPU)
 		}
 	}
 	return work
--- a/coordination/schedule/order.go
+++ b/coordination/schedule/order.go
@@ -282,10 +282,7 @@
 	if t.isolation(t.stepState()) > 0 {
 		s.isolate(e, t.job)
 	}
-	t.runs = append(t.runs, r)
-	e.runs[t.name] = r
-	e.used = e.used.Plus(r.size)
-	s.countStart(r)
+	s.addRun(r)
 	s.Counts.Started++
 	s.startsLeft--
 	j := t.job
--- a/coordination/schedule/organisations.go
+++ b/coordination/schedule/organisations.go
@@ -96,11 +96,10 @@
 	return job.Capacity{CPU: st.CPU, MemoryMB: st.MemoryMB, GPU: st.GPU}
 }
 
-// countStart counts a run that may be active against its organisation and its step.
+// countStart counts a run that may be active against its organisation.
 func (s *Scheduler) countStart(r *run) {
 	o, j := &s.organisations, r.task.job
 	o.ledger.Start(j.Organisation, limitSize(r.task.step))
-	r.task.stepState().running++
 	if o.pools == nil {
 		o.pools, o.longRunning, o.unconfirmed = make(map[poolUser]Capacity), make(map[string]job.Capacity), make(map[string]int)
 	}
@@ -118,7 +117,6 @@
 func (s *Scheduler) countEnd(r *run) {
 	o, j := &s.organisations, r.task.job
 	o.ledger.End(j.Organisation, limitSize(r.task.step))
-	r.task.stepState().running--
 	if r.state != confirmed {
 		s.countConfirmed(j)
 	}
--- a/coordination/schedule/organisationuse.go
+++ b/coordination/schedule/organisationuse.go
@@ -54,6 +54,19 @@
 	return uses[:min(len(uses), limit)]
 }
 
+// hasWaitingTasks reports whether a task has no run although its turn has come.
+func (j *jobState) hasWaitingTasks(wall time.Time) bool {
+	for _, o := range j.occurrences.items {
+		if o.dueMillis > 0 && wall.UnixMilli() < o.dueMillis {
+			break
+		}
+		if slices.ContainsFunc(o.ready, func(st *stepState) bool { return st.left() > st.running }) {
+			return true
+		}
+	}
+	return j.untouchedDue(wall) > 0
+}
+
 // waitingTasks returns how many tasks have no run although their turn has come.
 func (j *jobState) waitingTasks(wall time.Time) (count int) {
 	if due := j.untouchedDue(wall); due > 0 {
@@ -67,10 +80,8 @@
 		if o.dueMillis > 0 && wall.UnixMilli() < o.dueMillis {
 			break
 		}
-		for _, st := range o.steps {
-			if !st.complete() && o.dependenciesDone(st) {
-				count += max(0, st.left()-st.running)
-			}
+		for _, st := range o.ready {
+			count += max(0, st.left()-st.running)
 		}
 	}
 	return count
--- a/coordination/schedule/placement.go
+++ b/coordination/schedule/placement.go
@@ -37,32 +37,50 @@
 	if !s.Settings.ConfineJobs || s.Settings.Term <= 0 || j.DataCentre == "" || j.Repeat > 0 || len(j.Steps) == 0 {
 		return false
 	}
+	// Each label that is named here has endpoints, of which there are fewer than a job may have steps.
+	byLabel := make(map[string]labelledEndpoints)
 	for i := range j.Steps {
 		st := &j.Steps[i]
 		if st.LongRunning || st.DataRack != "" {
 			return false
 		}
-		inService, endpoints, others := Capacity{}, 0, false
-		for _, e := range s.poolEndpoints(j.Pool) {
-			// Those that have not reported to a new owner yet count too.
-			if !e.listed || e.Draining || e.reserved() || e.unresponsive() || !e.hasLabel(st.RequiredLabel) {
-				continue
-			}
-			if e.DataCentre != j.DataCentre {
-				others = true
-				continue
-			}
-			inService = inService.Plus(e.Capacity)
-			endpoints++
+		l, known := byLabel[st.RequiredLabel]
+		if !known {
+			l = s.labelledEndpoints(j.Pool, j.DataCentre, st.RequiredLabel)
+			byLabel[st.RequiredLabel] = l
 		}
-		fits := inService.CanFit(taskSize(st).Times(st.Count * confinedPart))
-		if !others || endpoints == 0 || !fits || st.AntiAffinity > 0 && st.Count > st.AntiAffinity*endpoints {
+		fits := l.inService.CanFit(taskSize(st).Times(st.Count * confinedPart))
+		if !l.others || l.count == 0 || !fits || st.AntiAffinity > 0 && st.Count > st.AntiAffinity*l.count {
 			return false
 		}
 	}
 	return true
 }
 
+// labelledEndpoints are the endpoints of a pool with a label in a data centre; others is set if there are some
+// elsewhere.
+type labelledEndpoints struct {
+	inService Capacity
+	count     int
+	others    bool
+}
+
+func (s *Scheduler) labelledEndpoints(pool, dataCentre, label string) (l labelledEndpoints) {
+	for _, e := range s.poolEndpoints(pool) {
+		// Those that have not reported to a new owner yet count too.
+		if !e.listed || e.Draining || e.reserved() || e.unresponsive() || !e.hasLabel(label) {
+			continue
+		}
+		if e.DataCentre != dataCentre {
+			l.others = true
+			continue
+		}
+		l.inService = l.inService.Plus(e.Capacity)
+		l.count++
+	}
+	return l
+}
+
 // loadDataCentre sets where tasks of a job may start and run by its stored record. Owners of
 // earlier releases start tasks anywhere and leave the record as it is, so that a job which was
 // confined before such a term is not confined any more.
--- a/coordination/schedule/plan.go
+++ b/coordination/schedule/plan.go
@@ -26,10 +26,18 @@
 // for a plan does not grow with the backlog.
 const maxPlannedJobs = 400
 
+// maxVisitedSteps limits the steps with waiting tasks that one plan visits in a pool, so that the time for a plan
+// does not grow with the steps of jobs. Each job has an equal part, and minVisitedSteps at least.
+const (
+	maxVisitedSteps = 4096
+	minVisitedSteps = 16
+)
+
 // Plan returns the orders to send now. Wall is the platform's time of day, at which
 // timed jobs become due.
 func (s *Scheduler) Plan(now, wall time.Time) (orders []Order) {
 	s.init()
+	s.refreshEstimates(now)
 	s.updateUnseen(now, wall)
 	s.updateIsolation(now)
 	s.evacuateReserved(now)
@@ -55,7 +63,10 @@
 		return nil
 	}
 	c := &candidates{room: room{endpoints: endpoints, stale: true}, unread: s.unreadEndpoints(pool, now), suspects: s.suspectJobs()}
-	s.rankedJobs(pool, jobs, c, now, wall).visit(c, func(p *plannedJob) {
+	ranking := s.rankedJobs(pool, jobs, c, now, wall)
+	c.stepsPerJob = max(minVisitedSteps, maxVisitedSteps/max(1, len(ranking.jobs)))
+	orders = s.planStarved(ranking, c, now, wall)
+	ranking.visit(c, func(p *plannedJob) {
 		if j := p.job; s.startsLeft > 0 && !s.changesNothing(p, c) && !j.state.Terminal() {
 			orders = append(orders, s.planJob(j, c, now, wall)...)
 		}
@@ -80,19 +91,11 @@
 		j.lateness, j.remainingWork = onTime, -1
 		return
 	}
-	var work, chain, total float64
-	for i := range j.Steps {
-		st := &j.Steps[i]
-		duration := s.expected(j, st)
-		total += duration * float64(j.occurrences.total)
-		chain += duration * float64(j.occurrences.untouched)
-		work += duration * float64(max(st.CPU, 1)) * float64(j.occurrences.untouched*st.Count)
-		for _, o := range j.occurrences.items {
-			if st := o.steps[i]; !st.complete() {
-				chain += s.remainingOfStep(j, st, duration, now)
-				work += duration * float64(max(st.step.CPU, 1)) * float64(st.left())
-			}
-		}
+	var total, chain, work float64
+	if e := s.keptEstimate(j, now); e != nil {
+		total, chain, work = e.total, e.chain, e.work
+	} else {
+		total, chain, work = s.estimateChain(j, now)
 	}
 	objective := j.Stretch*total + float64(j.TargetMillis)
 	age := float64(now.Sub(j.acceptedAt).Milliseconds())
@@ -111,6 +114,25 @@
 	j.remainingWork = work
 }
 
+// estimateChain returns how long all steps of a job are expected to take one after the other, how long what is
+// left of them is, in milliseconds, and the remaining work.
+func (s *Scheduler) estimateChain(j *jobState, now time.Time) (total, chain, work float64) {
+	for i := range j.Steps {
+		st := &j.Steps[i]
+		duration := s.expected(j, i)
+		total += duration * float64(j.occurrences.total)
+		chain += duration * float64(j.occurrences.untouched)
+		work += duration * float64(max(st.CPU, 1)) * float64(j.occurrences.untouched*st.Count)
+		for _, o := range j.occurrences.items {
+			if st := o.steps[i]; !st.complete() {
+				chain += s.remainingOfStep(j, st, duration, now)
+				work += duration * float64(max(st.step.CPU, 1)) * float64(st.left())
+			}
+		}
+	}
+	return total, chain, work
+}
+
 // longRunning reports whether the job runs until it is cancelled.
 func (j *jobState) longRunning() bool {
 	return len(j.Steps) > 0 && j.Steps[0].LongRunning
@@ -125,7 +147,7 @@
 		s.countAwaiting(j, wall)
 	}
 	for _, o := range j.occurrences.items {
-		if o.dueMillis > 0 && wall.UnixMilli() < o.dueMillis {
+		if s.startsLeft <= 0 || o.dueMillis > 0 && wall.UnixMilli() < o.dueMillis {
 			break
 		}
 		orders = append(orders, s.planOccurrence(o, c, mayStartAll, now)...)
@@ -143,10 +165,22 @@
 // planOccurrence starts the tasks of an occurrence that is due, of all steps or only of those that allow
 // duplicates.
 func (s *Scheduler) planOccurrence(o *occurrence, c *candidates, allSteps bool, now time.Time) (orders []Order) {
-	for _, st := range o.steps {
-		if st.complete() || !o.dependenciesDone(st) || !allSteps && !st.step.AllowDuplicates {
+	first, _ := o.findReady(o.nextStep)
+	o.nextStep = 0
+	visits := c.stepsPerJob
+	for i := range o.ready {
+		if s.startsLeft <= 0 {
+			return orders
+		}
+		st := o.ready[(first+i)%len(o.ready)]
+		if !allSteps && !st.step.AllowDuplicates || !st.mayNeedRuns() {
 			continue
 		}
+		if visits--; visits < 0 {
+			// The next plan goes on from here.
+			o.nextStep = st.index
+			return orders
+		}
 		if st.step.Gang {
 			orders = append(orders, s.planGang(st, c, now)...)
 			continue
@@ -156,8 +190,24 @@
 	return orders
 }
 
+// mayNeedRuns reports whether a task of the step may have to be started.
+func (s *stepState) mayNeedRuns() bool {
+	return s.step.AllowDuplicates || s.tasks.untouched > 0 || s.started < len(s.tasks.items)
+}
+
+// firstWaiting returns the first task that may have to be started, or nil if there is none.
+func (s *stepState) firstWaiting() (t *task) {
+	if s.step.AllowDuplicates || s.started < len(s.tasks.items) {
+		return s.after(-1)
+	}
+	if next := s.tasks.firstUntouched(); next < s.step.Count {
+		return s.task(next)
+	}
+	return nil
+}
+
 func (s *Scheduler) planStep(st *stepState, c *candidates, now time.Time) (orders []Order) {
-	for t := st.after(-1); t != nil; t = st.after(t.ref.Index) {
+	for t := st.firstWaiting(); t != nil && s.startsLeft > 0; t = st.after(t.ref.Index) {
 		if t.done || now.Before(t.notBefore) || !t.needsRun() || t.awaitsProof(now) {
 			continue
 		}
@@ -247,6 +297,9 @@
 // there is none. It adds what they take to usage. A task that has not been used has the endpoint that
 // any would have.
 func (s *Scheduler) chooseForGang(st *stepState, anyTask *task, candidates []*endpoint, usage map[*endpoint]gangUsage) (chosen []*endpoint, refused *task) {
+	if !canHold(candidates, taskSize(st.step), st.step.Count) {
+		return nil, anyTask
+	}
 	for i := range st.step.Count {
 		t, used := st.tasks.find(i)
 		if !used {
@@ -265,6 +318,17 @@
 	return chosen, nil
 }
 
+// canHold reports whether the free capacity of the endpoints is enough for count tasks of a size, whatever else
+// keeps them from an endpoint.
+func canHold(endpoints []*endpoint, size Capacity, count int) bool {
+	for _, e := range endpoints {
+		if count -= e.free().Holds(size, count); count <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // gangUsage is what the tasks of a gang that is being placed take of one endpoint.
 type gangUsage struct {
 	tasks    int
@@ -344,7 +408,7 @@
 // currentRack returns the rack of the step's first run, or an empty string if there
 // is none or the rack does not matter.
 func (s *stepState) currentRack() string {
-	if !s.step.SameRack {
+	if !s.step.SameRack || s.running == 0 {
 		return ""
 	}
 	for _, t := range s.tasks.items {
@@ -354,14 +418,3 @@
 	}
 	return ""
 }
-
-// countStepTasks returns how many tasks of the step, other than t, run on the
-// endpoint.
-func (e *endpoint) countStepTasks(st *stepState, t *task) (tasks int) {
-	for _, o := range st.tasks.items {
-		if o != t && e.runs[o.name] != nil {
-			tasks++
-		}
-	}
-	return tasks
-}
--- a/coordination/schedule/report.go
+++ b/coordination/schedule/report.go
@@ -126,12 +126,15 @@
 			e.unknownRuns[l.Task] = previouslyUnknown[l.Task]
 		}
 	}
-	for _, run := range sortedRuns(e) {
-		// The end of an unlisted run may be among those that the endpoint has not listed yet.
-		if number, present := listed[run.task.name]; r.Truncated || present && number == run.number {
-			continue
+	// The end of an unlisted run may be among those that the endpoint has not listed yet.
+	if !r.Truncated {
+		unlisted := func(o *run) bool {
+			number, present := listed[o.task.name]
+			return !present || number != o.number
+		}
+		for _, run := range sortedRunsWhere(e, unlisted) {
+			s.applyUnlistedRun(run, r)
 		}
-		s.applyUnlistedRun(run, r)
 	}
 	s.updateStoredEnds(e)
 	if e.Draining {
@@ -306,10 +309,7 @@
 		s.requestStop(adopted)
 	}
 	t.job.markStarted()
-	e.runs[l.Task] = adopted
-	e.used = e.used.Plus(adopted.size)
-	s.countStart(adopted)
-	t.runs = append(t.runs, adopted)
+	s.addRun(adopted)
 	if t.step.Gang {
 		st := t.of
 		st.gangRunNumber = max(st.gangRunNumber, l.Run)
--- a/coordination/schedule/room.go
+++ b/coordination/schedule/room.go
@@ -60,6 +60,8 @@
 	// room in others for which jobs were widened.
 	waiting []waitingTask
 	pledged map[*endpoint]gangUsage
+	// stepsPerJob is how many steps of a job are visited.
+	stepsPerJob int
 	// division is how the pool is divided among organisations. withheld is set once a start
 	// was held back because its organisation has its share.
 	division organisation.Division
--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -98,10 +98,13 @@
 	organisations organisations
 	admissions    admissions
 	awaited       awaitedDataCentres
+	estimates     keptEstimates
 	// startsLeft is how many starts the present plan may still return, and firstPool the pool
 	// with which the next one begins if the last one had no starts left for the others.
 	startsLeft int
 	firstPool  string
+	// startsScarce is set if the last plan had too few starts.
+	startsScarce bool
 	// cancelsAsOf is the time up to which all acknowledged cancellations have been passed on.
 	cancelsAsOf time.Time
 	// Counts holds the totals for metrics.
@@ -198,6 +201,7 @@
 	s.addedJobs++
 	j.number = s.addedJobs
 	s.activeJobs[j.Pool] = append(s.activeJobs[j.Pool], j)
+	s.estimates.cost += j.cost
 	s.addToRanking(j)
 	if !inherited {
 		s.recordArrival(j, now)
@@ -283,6 +287,7 @@
 	i, found := slices.BinarySearchFunc(jobs, j.number, func(o *jobState, number int64) int { return cmp.Compare(o.number, number) })
 	if found {
 		s.activeJobs[j.Pool] = slices.Delete(jobs, i, i+1)
+		s.estimates.cost -= j.cost
 	}
 }
 
@@ -374,21 +379,79 @@
 }
 
 func sortedRuns(e *endpoint) []*run {
-	runs := make([]*run, 0, len(e.runs))
-	for _, n := range sortedKeys(e.runs) {
-		runs = append(runs, e.runs[n])
+	return sortedRunsWhere(e, func(*run) bool { return true })
+}
+
+// sortedRunsWhere returns the runs of an endpoint that match, in the order of the names of their tasks.
+func sortedRunsWhere(e *endpoint, matches func(r *run) bool) (runs []*run) {
+	for _, r := range e.runs {
+		if matches(r) {
+			runs = append(runs, r)
+		}
 	}
+	slices.SortFunc(runs, func(a, b *run) int { return cmp.Compare(a.task.name, b.task.name) })
 	return runs
 }
 
+// addRun adds a run that may be active to its task, its step and its endpoint.
+func (s *Scheduler) addRun(r *run) {
+	t, e := r.task, r.endpoint
+	st := t.stepState()
+	if len(t.runs) == 0 {
+		st.started++
+	}
+	t.runs = append(t.runs, r)
+	st.running++
+	st.occurrence.runs++
+	if st.step.AntiAffinity > 0 {
+		if st.byEndpoint == nil {
+			st.byEndpoint = make(map[*endpoint]int)
+		}
+		st.byEndpoint[e]++
+	}
+	t.job.runs++
+	t.job.used = t.job.used.Plus(r.size)
+	e.runs[t.name] = r
+	e.used = e.used.Plus(r.size)
+	if t.step.LongRunning {
+		e.usedLongRunning = e.usedLongRunning.Plus(r.size)
+	}
+	s.countStart(r)
+}
+
+// removeRun removes a run that has ended from its task, its step and its endpoint.
+func (s *Scheduler) removeRun(r *run) {
+	t, e := r.task, r.endpoint
+	st := t.stepState()
+	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == r })
+	if len(t.runs) == 0 {
+		st.started--
+	}
+	st.running--
+	st.occurrence.runs--
+	if st.byEndpoint != nil {
+		if st.byEndpoint[e]--; st.byEndpoint[e] == 0 {
+			delete(st.byEndpoint, e)
+		}
+	}
+	t.job.runs--
+	t.job.used = t.job.used.Minus(r.size)
+	delete(e.runs, t.name)
+	e.used = e.used.Minus(r.size)
+	if t.step.LongRunning {
+		e.usedLongRunning = e.usedLongRunning.Minus(r.size)
+	}
+	s.countEnd(r)
+}
+
 // endRun removes a run from its task and its endpoint, and calls OnRunEnd. A later run
 // of the task has a higher number, so that reports on the two are told apart.
 func (s *Scheduler) endRun(r *run, reason string, now time.Time) {
-	delete(r.endpoint.runs, r.task.name)
 	delete(s.pendingStops, r)
-	r.endpoint.used = r.endpoint.used.Minus(r.size)
-	s.countEnd(r)
-	r.task.runs = slices.DeleteFunc(r.task.runs, func(o *run) bool { return o == r })
+	s.removeRun(r)
+	if r.task.job.runs == 0 {
+		r.task.job.idleSince = now
+	}
 	if len(r.task.runs) == 0 {
 		r.task.notRunningSince = now
 	}
--- a/coordination/schedule/step.go
+++ b/coordination/schedule/step.go
@@ -7,11 +7,6 @@
 	"github.com/azurepoint/azurepoint/coordination/job"
 )
 
-// maxWaitingOccurrences limits the occurrences of a job that are in use without a run. An occurrence
-// that is due is used once there may be room for it, so that only those wait here whose tasks find no
-// endpoint for another reason.
-const maxWaitingOccurrences = 64
-
 // stepState holds one step of one occurrence with those of its tasks that have been started, or are
 // next to start, and are not done.
 type stepState struct {
@@ -21,8 +16,15 @@
 	index      int
 	tasks      sequence[*task]
 	done       int
-	// running counts the runs of the tasks that may be active.
-	running int
+	// pending counts the dependencies that are not complete.
+	pending int
+	// running counts the runs of the tasks that may be active, and started the tasks that have one.
+	running, started int
+	// byEndpoint counts the runs on each endpoint, of a step with a limit for them.
+	byEndpoint map[*endpoint]int
+	// gangIsolation is how long the tasks of a gang have to be isolated, if isolationKnown is set.
+	gangIsolation  time.Duration
+	isolationKnown bool
 	// gangRunNumber is the run number that all tasks of the gang share.
 	gangRunNumber int
 	// heldByLimit is set once the limit of the organisation has held back a start of the
@@ -47,6 +49,7 @@
 	ref := job.TaskRef{Occurrence: s.occurrence.index, Step: s.index, Index: index}
 	t = &task{ref: ref, name: ref.TaskName(s.job.ID), job: s.job, step: s.step, of: s, done: s.tasks.isClosed(index)}
 	s.tasks.put(index, t)
+	s.occurrence.used++
 	return t
 }
 
@@ -81,16 +84,26 @@
 			count++
 		}
 	}
-	s.done += count
+	left := s.left()
 	if s.step.Gang {
-		// Those that are not in use.
-		count += s.step.Count - s.done
-		s.done = s.step.Count
+		// Those that are not in use are done too.
+		count = left
 		s.tasks.closeAll()
 	}
+	s.addDone(count)
 	return count
 }
 
+// addDone counts tasks that are done, and completes the step with the last one.
+func (s *stepState) addDone(count int) {
+	if count == 0 {
+		return
+	}
+	if s.done += count; s.complete() {
+		s.occurrence.completeStep(s)
+	}
+}
+
 // release frees a task that is done and has no run, and its occurrence after the last one.
 func (t *task) release() {
 	if !t.done || len(t.runs) > 0 {
@@ -98,122 +111,12 @@
 	}
 	if used, _ := t.of.tasks.find(t.ref.Index); used == t {
 		t.of.tasks.close(t.ref.Index)
+		t.of.isolationKnown = false
+		t.of.occurrence.used--
 		t.of.occurrence.release(t.job)
 	}
 }
 
-// occurrence is one execution of all steps of a job.
-type occurrence struct {
-	index     int
-	dueMillis int64
-	steps     []*stepState
-}
-
-// dependenciesDone reports whether all steps that s depends on are complete.
-func (o *occurrence) dependenciesDone(s *stepState) bool {
-	for _, a := range s.step.DependsOn {
-		if !o.steps[a].complete() {
-			return false
-		}
-	}
-	return true
-}
-
-func (o *occurrence) complete() bool {
-	for _, s := range o.steps {
-		if !s.complete() {
-			return false
-		}
-	}
-	return true
-}
-
-// waits reports whether tasks are left and none of them runs.
-func (o *occurrence) waits() bool {
-	return !o.complete() && !slices.ContainsFunc(o.steps, func(s *stepState) bool { return s.running > 0 })
-}
-
-// release frees an occurrence of which all tasks are done and have no run.
-func (o *occurrence) release(j *jobState) {
-	for _, s := range o.steps {
-		if !s.complete() || len(s.tasks.items) > 0 {
-			return
-		}
-	}
-	if used, _ := j.occurrences.find(o.index); used == o {
-		j.occurrences.close(o.index)
-	}
-}
-
-// dueAt returns when an occurrence is due, in Unix milliseconds; 0 means at once.
-func (j *jobState) dueAt(index int) (millis int64) {
-	if j.Repeat == 0 {
-		return 0
-	}
-	return j.StartAt + int64(index)*j.IntervalMillis
-}
-
-// occurrence returns the occurrence with an index.
-func (j *jobState) occurrence(index int) (o *occurrence) {
-	if o, used := j.occurrences.find(index); used {
-		return o
-	}
-	o = &occurrence{index: index, dueMillis: j.dueAt(index)}
-	finished := j.occurrences.isClosed(index)
-	steps := make([]stepState, len(j.Steps))
-	for i := range steps {
-		s := &steps[i]
-		s.job, s.occurrence, s.step, s.index, s.tasks = j, o, &j.Steps[i], i, newSequence[*task](j.Steps[i].Count)
-		if finished {
-			s.done = s.step.Count
-			s.tasks.closeAll()
-		}
-		o.steps = append(o.steps, s)
-	}
-	j.occurrences.put(index, o)
-	return o
-}
-
-// nextDue returns the first occurrence that has not been used, if it is due, or nil. A job of which many
-// occurrences wait gets none.
-func (j *jobState) nextDue(wall time.Time) (o *occurrence) {
-	index := j.occurrences.firstUntouched()
-	if index == j.occurrences.total || j.dueAt(index) > wall.UnixMilli() {
-		return nil
-	}
-	waiting := 0
-	for _, o := range j.occurrences.items {
-		if o.waits() {
-			waiting++
-		}
-	}
-	if waiting >= maxWaitingOccurrences {
-		return nil
-	}
-	return j.occurrence(index)
-}
-
-// untouchedDue returns how many occurrences are due by a time and have not been used.
-func (j *jobState) untouchedDue(at time.Time) (count int) {
-	if j.occurrences.untouched == 0 {
-		return 0
-	}
-	since := at.UnixMilli() - j.StartAt
-	switch {
-	case since < 0:
-		return 0
-	case j.IntervalMillis == 0:
-		return j.occurrences.untouched
-	}
-	return j.occurrences.untouchedBefore(int(min(since/j.IntervalMillis+1, int64(j.occurrences.total))))
-}
-
-// countFinished returns how many occurrences are finished and no longer in use.
-func (j *jobState) countFinished() (count int) {
-	count = j.occurrences.total - j.occurrences.untouched
-	return count - len(j.occurrences.items)
-}
-
 func (j *jobState) restoreProgress(p job.Progress) {
 	if p.Occurrence >= j.occurrences.total || p.Step >= len(j.Steps) {
 		return
@@ -222,8 +125,7 @@
 	s := o.steps[p.Step]
 	for _, i := range p.Done {
 		if i < s.step.Count && !s.tasks.isClosed(i) {
-			s.tasks.close(i)
-			s.done++
+			s.restoreDone(i)
 		}
 	}
 	for i, n := range p.Failures {
@@ -238,7 +140,7 @@
 		}
 		t := s.task(i)
 		for _, c := range lost {
-			t.crashes = append(t.crashes, crash{Crash: c})
+			t.addCrash(crash{Crash: c})
 			started = started || c.Started
 		}
 	}
@@ -248,6 +150,15 @@
 	o.release(j)
 }
 
+// restoreDone records that a task was done before the job was loaded.
+func (s *stepState) restoreDone(index int) {
+	if _, used := s.tasks.find(index); used {
+		s.occurrence.used--
+	}
+	s.tasks.close(index)
+	s.addDone(1)
+}
+
 // findTask returns the task that a reference identifies, or nil.
 func (j *jobState) findTask(r job.TaskRef) *task {
 	if r.Occurrence < 0 || r.Occurrence >= j.occurrences.total || r.Step < 0 || r.Step >= len(j.Steps) {
--- a/coordination/schedule/task.go
+++ b/coordination/schedule/task.go
@@ -123,6 +123,12 @@
 	number      int64
 	state       job.State
 	occurrences sequence[*occurrence]
+	dependents  dependents
+	// runs counts the runs that may be active, and used is what they take of endpoints.
+	runs int
+	used Capacity
+	// idleSince is since when a job without runs has had none.
+	idleSince time.Time
 	// heldBytes is what the job counts in the scheduler's memory.
 	heldBytes int64
 	endedAt   int64
@@ -156,6 +162,9 @@
 	// onTime, late or tooLate.
 	remainingWork float64
 	lateness      int
+	// cost is that of an estimate, and estimate the one that is kept, or nil.
+	cost     int
+	estimate *estimate
 	// expectations caches the expected durations of the steps.
 	expectations []expectation
 	// overShare is set if the job's organisation has more of the full pool than its share.
@@ -171,7 +180,7 @@
 }
 
 func newJobState(r job.Record, now time.Time) *jobState {
-	j := &jobState{Job: r.Job, state: r.State, storedState: r.State, storedRevision: r.Revision, acceptedAt: time.UnixMilli(r.AcceptedAt), endedAt: r.EndedAt, started: r.State == job.Running}
+	j := &jobState{Job: r.Job, state: r.State, storedState: r.State, storedRevision: r.Revision, acceptedAt: time.UnixMilli(r.AcceptedAt), endedAt: r.EndedAt, started: r.State == job.Running, idleSince: now}
 	if d := now.Sub(j.acceptedAt); d < 0 || d > maxAcceptedAge {
 		j.acceptedAt = now
 	}
@@ -179,13 +188,14 @@
 		return j
 	}
 	j.needs = needsOf(j.Steps)
-	j.occurrences = newSequence[*occurrence](j.Occurrences())
+	j.occurrences, j.dependents = newSequence[*occurrence](j.Occurrences()), newDependents(j)
 	if r.Repeat == 0 {
 		j.occurrence(0)
 	}
 	for _, p := range r.Progress {
 		j.restoreProgress(p)
 	}
+	j.cost = costOf(j)
 	return j
 }
 
@@ -202,30 +212,7 @@
 // entries may differ.
 const maxAcceptedAge = 10 * time.Minute
 
-// runningCPU returns the CPU of the job's runs, in thousandths of a core.
-func (j *jobState) runningCPU() (cpu float64) {
-	for _, o := range j.occurrences.items {
-		for _, s := range o.steps {
-			for _, t := range s.tasks.items {
-				for _, r := range t.runs {
-					cpu += float64(r.size.CPU)
-				}
-			}
-		}
-	}
-	return cpu
-}
-
 // hasRuns reports whether any run of the job may be active.
 func (j *jobState) hasRuns() bool {
-	for _, o := range j.occurrences.items {
-		for _, s := range o.steps {
-			for _, t := range s.tasks.items {
-				if len(t.runs) > 0 {
-					return true
-				}
-			}
-		}
-	}
-	return false
+	return j.runs > 0
 }
--- a/coordination/schedule/unseen.go
+++ b/coordination/schedule/unseen.go
@@ -9,8 +9,10 @@
 
 const (
 	// unseenRefreshInterval is how often the runs of an earlier owner that no endpoint has
-	// reported yet are estimated; the estimate visits every inherited job.
+	// reported yet are estimated, and unseenIntervalPerCost how often for each unit of cost of the
+	// jobs if that is more: the estimate visits every step of every inherited job.
 	unseenRefreshInterval = 100 * time.Millisecond
+	unseenIntervalPerCost = 5 * time.Microsecond
 	// earlyStart is how far the clock of an earlier owner may have been ahead when it
 	// started an occurrence of a timed job.
 	earlyStart = 10 * time.Second
@@ -33,7 +35,8 @@
 		o.unseen, o.unseenAt = nil, time.Time{}
 		return
 	}
-	if now.Sub(o.unseenAt) < unseenRefreshInterval && !o.unseenAt.IsZero() {
+	interval := max(unseenRefreshInterval, time.Duration(s.estimates.cost)*unseenIntervalPerCost)
+	if now.Sub(o.unseenAt) < interval && !o.unseenAt.IsZero() {
 		return
 	}
 	o.unseenAt, o.unseen = now, nil
