Bound the runs of small tasks on an endpoint

Cause: a task that takes no capacity, or little, fits on any endpoint, whatever runs there, and fuller endpoints score higher, so that tens of thousands were started on one. Its reports have more rows than the reader accepts, so that it counted as silent and its leases lapsed; then the next one got the same. A plan returned all starts of a job at once, more than the connections of an endpoint carry in the time of an order. Of more than 500 ends an endpoint lists the first ones only until they are acknowledged, which waited for a delayed write.

Change: bounds of the small tasks on an endpoint and at an owner, with a reserve for jobs of which nothing runs, long-running tasks and gangs; of the starts on an endpoint without an answer; and of the orders to stop in a plan. Small long-running tasks and gangs that no endpoint can hold are refused at once (refusals.smallTasks). A report of 500 ends makes their records be stored without delay. Metrics runs.*.

TestBurstIsSentInParts had one endpoint for 1,280 starts, of which it never answered the first 64; such an endpoint gets no others now. It has 16 endpoints, and wants the same starts in the same time.

--- a/coordination/schedule/endpoint.go
+++ b/coordination/schedule/endpoint.go
@@ -69,6 +69,9 @@
 	runs map[string]*run
 	// used is what the runs take, and usedLongRunning what those of long-running tasks do.
 	used, usedLongRunning Capacity
+	// smallRuns counts the runs of small tasks, and unconfirmedRuns those of which it is not known
+	// whether they have started.
+	smallRuns, unconfirmedRuns int
 
 	// consecutiveFailures counts the failed runs since the last success.
 	consecutiveFailures int
--- a/coordination/schedule/memory.go
+++ b/coordination/schedule/memory.go
@@ -18,10 +18,12 @@
 	// when the record is written or read.
 	progressBytes = 64
 	doneBytes     = 8
+	// runBytes is what a task that runs takes, of those that run all at once: long-running ones and gangs.
+	runBytes = 700
 )
 
-// MemoryBytes returns the most memory in bytes that an owner needs for a job until it ends, without its
-// tasks that run: their number is limited by the endpoints.
+// MemoryBytes returns the most memory in bytes that an owner needs for a job until it ends, without those of its
+// tasks that run by turns: their number is limited by the endpoints and maxOwnerSmallRuns.
 func MemoryBytes(j *job.Job) (size int64) {
 	size = jobBytes + int64(len(j.Spec))
 	occurrences, tasks := int64(j.Occurrences()), int64(0)
@@ -29,6 +31,9 @@
 		s := &j.Steps[i]
 		size += stepBytes + int64(len(s.RequiredLabel)+len(s.DataRack)+len(s.Image)+doneBytes*len(s.DependsOn))
 		tasks += int64(s.Count)
+		if s.LongRunning || s.Gang {
+			size += runBytes * int64(s.Count)
+		}
 	}
 	steps := int64(len(j.Steps))
 	size += min(occurrences, maxWaitingOccurrences+1) * (occurrenceBytes + occurrenceStepBytes*steps)
--- a/coordination/schedule/occurrence.go
+++ b/coordination/schedule/occurrence.go
@@ -131,6 +131,7 @@
 	for i := range steps {
 		s := &steps[i]
 		s.job, s.occurrence, s.step, s.index, s.tasks = j, o, &j.Steps[i], i, newSequence[*task](j.Steps[i].Count)
+		s.small = isSmall(s.step)
 		o.steps[i] = s
 		if finished {
 			s.done = s.step.Count
--- a/coordination/schedule/order.go
+++ b/coordination/schedule/order.go
@@ -225,17 +225,24 @@
 // stopOrders returns the orders that stop runs of unknown tasks, runs that are to be
 // stopped, and runs whose start got no answer and that a later poll has not found.
 func (s *Scheduler) stopOrders(now time.Time) (orders []Order) {
+	s.stopsUsedUp = false
 	for _, e := range s.endpointsWhere(func(e *endpoint) bool { return len(e.unknownRuns) > 0 && e.contacted && !e.unresponsive() }) {
 		for _, name := range sortedKeys(e.unknownRuns) {
 			u := e.unknownRuns[name]
 			if !u.stopSent {
+				if s.stopsUsedUp = len(orders) >= maxStopsPerPlan; s.stopsUsedUp {
+					return orders
+				}
 				e.unknownRuns[name] = unknownRun{number: u.number, stopSent: true}
 				orders = append(orders, Order{Action: Stop, Endpoint: e.ID, Task: name, Run: u.number})
 			}
 		}
 	}
 	for _, r := range s.sortedPendingStops() {
-		if e := r.endpoint; e.contacted && !e.unresponsive() && !r.stopSent && s.stopDue(r, now) {
+		if e := r.endpoint; s.stopDue(r, now) {
+			if s.stopsUsedUp = len(orders) >= maxStopsPerPlan; s.stopsUsedUp {
+				return orders
+			}
 			r.stopSent = true
 			orders = append(orders, Order{Action: Stop, Endpoint: e.ID, Task: r.task.name, Run: r.number})
 		}
@@ -258,10 +265,21 @@
 	return true
 }
 
-// sortedPendingStops returns the runs in pendingStops in a deterministic order.
+// maxStopsPerPlan limits the orders to stop that one plan returns: an endpoint has few connections for them.
+const maxStopsPerPlan = 256
+
+// StopsUsedUp reports whether the last plan returned as many orders to stop as it may, so that more runs may
+// have to be stopped.
+func (s *Scheduler) StopsUsedUp() bool {
+	return s.stopsUsedUp
+}
+
+// sortedPendingStops returns the runs that may need an order to stop now, in a deterministic order.
 func (s *Scheduler) sortedPendingStops() (runs []*run) {
 	for r := range s.pendingStops {
-		runs = append(runs, r)
+		if e := r.endpoint; e.contacted && !e.unresponsive() && !r.stopSent {
+			runs = append(runs, r)
+		}
 	}
 	slices.SortFunc(runs, func(a, b *run) int {
 		return cmp.Or(cmp.Compare(a.task.name, b.task.name), cmp.Compare(a.number, b.number), cmp.Compare(a.endpoint.ID, b.endpoint.ID))
--- a/coordination/schedule/organisations.go
+++ b/coordination/schedule/organisations.go
@@ -132,6 +132,7 @@
 	r.task.job.markStarted()
 	if r.state != confirmed {
 		r.state, r.confirmedAt = confirmed, now
+		r.endpoint.unconfirmedRuns--
 		s.countConfirmed(r.task.job)
 	}
 }
--- a/coordination/schedule/placement.go
+++ b/coordination/schedule/placement.go
@@ -146,7 +146,7 @@
 // failed or lagged, since a second failure there can fail the job.
 func (s *Scheduler) findEndpoint(st *stepState, t *task, c *candidates, now time.Time) (e *endpoint) {
 	r := c.in(t.job.startsIn)
-	if r.canFit(taskSize(st.step)) {
+	if r.canFit(taskSize(st.step)) && r.holdsMore(s, st) {
 		e = s.chooseEndpoint(st, t, r.endpoints, nil)
 	}
 	if t.job.startsIn == "" {
--- a/coordination/schedule/plan.go
+++ b/coordination/schedule/plan.go
@@ -346,7 +346,7 @@
 		if e.closedTo(t.job) || isolated && !e.settledFor(t.job) {
 			continue
 		}
-		if !e.freeFor(st).Minus(usage[e].capacity).CanFit(need) || !e.permits(st, t, usage[e].tasks) {
+		if !e.freeFor(st).Minus(usage[e].capacity).CanFit(need) || !e.permits(st, t, usage[e].tasks) || !s.mayHold(e, st, usage[e].tasks) {
 			continue
 		}
 		score := s.score(st, t, e, rack)
--- a/coordination/schedule/report.go
+++ b/coordination/schedule/report.go
@@ -137,8 +137,8 @@
 		}
 	}
 	s.updateStoredEnds(e)
-	if e.Draining {
-		// The endpoint leaves with the ends that it lists.
+	if e.Draining || r.Truncated {
+		// The endpoint leaves with the ends that it lists, or lists no others until these are acknowledged.
 		s.storeEnds(e)
 	}
 }
--- a/coordination/schedule/room.go
+++ b/coordination/schedule/room.go
@@ -15,6 +15,8 @@
 	stale   bool
 	// refused holds sizes for which no endpoint has room.
 	refused []Capacity
+	// fullOfRuns and fullOfSmallRuns are set if no endpoint holds more runs, or more of small tasks.
+	fullOfRuns, fullOfSmallRuns bool
 }
 
 // canFit reports whether an endpoint has enough free capacity for a task of a size.
--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -69,8 +69,11 @@
 	activeJobs map[string][]*jobState
 	// addedJobs counts the jobs that were added, and heldBytes the memory of those with steps.
 	addedJobs, heldBytes int64
-	demands              map[string]*sizing.Demand
-	rankings             map[string]*jobRanking
+	// smallRuns counts the runs of small tasks, and smallLongRunning the small long-running tasks of the
+	// unfinished jobs.
+	smallRuns, smallLongRunning int
+	demands                     map[string]*sizing.Demand
+	rankings                    map[string]*jobRanking
 	// reservedInstances holds the names of the instances that are reserved for their
 	// maintenance, so that no pool takes them from the spare pool.
 	reservedInstances map[string]bool
@@ -103,8 +106,9 @@
 	// with which the next one begins if the last one had no starts left for the others.
 	startsLeft int
 	firstPool  string
-	// startsScarce is set if the last plan had too few starts.
-	startsScarce bool
+	// startsScarce is set if the last plan had too few starts, and stopsUsedUp if the present one has
+	// returned as many orders to stop as it may.
+	startsScarce, stopsUsedUp bool
 	// cancelsAsOf is the time up to which all acknowledged cancellations have been passed on.
 	cancelsAsOf time.Time
 	// Counts holds the totals for metrics.
@@ -202,6 +206,7 @@
 	j.number = s.addedJobs
 	s.activeJobs[j.Pool] = append(s.activeJobs[j.Pool], j)
 	s.estimates.cost += j.cost
+	s.smallLongRunning += smallLongRunning(&j.Job)
 	s.addToRanking(j)
 	if !inherited {
 		s.recordArrival(j, now)
@@ -288,6 +293,7 @@
 	if found {
 		s.activeJobs[j.Pool] = slices.Delete(jobs, i, i+1)
 		s.estimates.cost -= j.cost
+		s.smallLongRunning -= smallLongRunning(&j.Job)
 	}
 }
 
@@ -409,6 +415,7 @@
 		}
 		st.byEndpoint[e]++
 	}
+	s.countRun(r, 1)
 	t.job.runs++
 	t.job.used = t.job.used.Plus(r.size)
 	e.runs[t.name] = r
@@ -434,6 +441,7 @@
 			delete(st.byEndpoint, e)
 		}
 	}
+	s.countRun(r, -1)
 	t.job.runs--
 	t.job.used = t.job.used.Minus(r.size)
 	delete(e.runs, t.name)
--- a/coordination/schedule/step.go
+++ b/coordination/schedule/step.go
@@ -16,6 +16,8 @@
 	index      int
 	tasks      sequence[*task]
 	done       int
+	// small is set if the capacity of an endpoint does not bound the runs of the tasks.
+	small bool
 	// pending counts the dependencies that are not complete.
 	pending int
 	// running counts the runs of the tasks that may be active, and started the tasks that have one.
--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -164,6 +164,7 @@
 	go func() {
 		err := m.run(ctx)
 		meter.ReplaceGauges(usePrefix, nil)
+		meter.ReplaceGauges(runsPrefix, nil)
 		close(m.over)
 		ended <- err
 	}()
@@ -275,7 +276,7 @@
 	if m.scheduler.Counts.Widened > before {
 		m.recordWriter.trigger()
 	}
-	if m.startsUsedUp = m.scheduler.StartsUsedUp(); m.startsUsedUp {
+	if m.startsUsedUp = m.scheduler.StartsUsedUp(); m.startsUsedUp || m.scheduler.StopsUsedUp() {
 		m.trigger()
 	}
 	for _, o := range planned {
--- a/entry/manager/organisations.go
+++ b/entry/manager/organisations.go
@@ -17,6 +17,8 @@
 	// maxMeteredOrganisations limits the organisations that have metrics of their own.
 	maxMeteredOrganisations = 20
 	usePrefix               = "organisation."
+	// runsPrefix is that of the metrics of the bounds of runs.
+	runsPrefix = "runs."
 )
 
 // updateOrganisations passes the terms of the organisations to the scheduler. It reports
@@ -37,7 +39,7 @@
 	return true
 }
 
-// meterUses puts the use of the organisations into the metrics.
+// meterUses puts the use of the organisations, and what counts against the bounds of runs, into the metrics.
 func (m *Manager) meterUses(now time.Time) {
 	values := make(map[string]int64)
 	for _, u := range m.scheduler.OrganisationUses(maxMeteredOrganisations, now) {
@@ -49,6 +51,10 @@
 	meter.ReplaceGauges(usePrefix, values)
 	meter.Add("organisations.startsHeld", m.scheduler.Counts.HeldByLimit-m.heldMetered)
 	m.heldMetered = m.scheduler.Counts.HeldByLimit
+	b := m.scheduler.RunBounds()
+	meter.ReplaceGauges(runsPrefix, map[string]int64{
+		"small": int64(b.SmallRuns), "smallLongRunning": int64(b.SmallLongRunning), "fullEndpoints": int64(b.FullEndpoints),
+	})
 }
 
 // logOrganisationLimit counts and logs an organisation that has reached or left its limit.
--- a/entry/manager/submit.go
+++ b/entry/manager/submit.go
@@ -72,6 +72,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	known, now := m.scheduler.HasJob(j.ID), time.Now()
+	tooMany, later := m.scheduler.TooManySmallTasks(j)
 	switch {
 	case !m.loaded:
 		return Reply{Outcome: NotOwner, Reason: "the jobs are being loaded"}, true
@@ -82,6 +83,9 @@
 	case !m.scheduler.CanEverStart(j):
 		meter.Count("refusals.gang")
 		return Reply{Outcome: Refused, RetryAfter: limitRetryDelay, Reason: "the limit of the organisation admits no gang of this size"}, true
+	case tooMany && !later:
+		meter.Count("refusals.smallTasks")
+		return Reply{Outcome: Refused, RetryAfter: limitRetryDelay, Reason: "more small tasks that have to run at once than an endpoint holds"}, true
 	case !confirmed:
 		// Another entry may own the pools by now. A write that gets no answer would
 		// leave the job unsettled, so none is attempted.
@@ -93,6 +97,9 @@
 		meter.Count("refusals.count")
 		excess := m.scheduler.CountActiveJobs() - maxActiveJobs
 		return Reply{Outcome: Refused, RetryAfter: m.scheduler.RetryWhenFull(j.ID, excess, m.pace.Limit(now), now), Reason: "too many jobs"}, true
+	case tooMany:
+		meter.Count("refusals.smallTasks")
+		return Reply{Outcome: Refused, RetryAfter: m.scheduler.RetryWithoutMemory(j.ID, now), Reason: "too many small long-running tasks"}, true
 	case m.scheduler.HeldBytes()+m.submittedBytes.Load()+schedule.MemoryBytes(j) > maxHeldBytes:
 		meter.Count("refusals.memory")
 		return Reply{Outcome: Refused, RetryAfter: m.scheduler.RetryWithoutMemory(j.ID, now), Reason: "the jobs take too much memory"}, true
