Keep records within the limit of the store, and apart once it refuses one for good

Cause: nothing bounded a record. The loss of an endpoint was recorded at each young run with over 100 bytes, done tasks and failed runs were listed one by one, names were escaped for HTML, and failures were kept without end where a queue has no limit of attempts. The store refuses a value above valueBytes with 400. That counted as no answer, so that the transaction was repeated unchanged for good, with up to 14 records that shared it; and ends on endpoints are acknowledged by number, so that those of all jobs waited for it.

Records of more than 1,024 done tasks and failed runs name ranges of tasks. The last failures of a task are kept and the others counted. The loss of an endpoint is recorded at the 64 youngest tasks of a job, 128 losses for a job at most. A refusal for good is told apart from no answer; its batch is sent again in halves, until each record is stored or refused by itself, and then held back alone. Long records have transactions of their own. Endpoint records leave labels out that do not fit.

--- a/coordination/job/decode.go
+++ b/coordination/job/decode.go
@@ -12,7 +12,7 @@
 // and encoding/json takes most of that time. Unlike encoding/json it takes names only in their
 // own case and refuses null in a list; Encode writes neither of them. A field that is added to a type
 // needs its case in the type's decode method.
-func (r *Record) decode(value []byte) (err error) {
+func (r *Record) decode(value []byte, ranges *storedRanges) (err error) {
 	d := jx.DecodeBytes(value)
 	err = decodeFields(d, func(d *jx.Decoder, key string) error {
 		switch key {
@@ -20,6 +20,12 @@
 			return decodeText(d, &r.State)
 		case "progress":
 			return decodeList(d, &r.Progress, (*Progress).decode)
+		case "doneTasks":
+			return decodeText(d, &ranges.done)
+		case "failedRuns":
+			return decodeList(d, &ranges.failed, (*storedRuns).decode)
+		case "droppedRuns":
+			return decodeList(d, &ranges.dropped, (*storedRuns).decode)
 		case "endedAt":
 			return decodeNumber(d, &r.EndedAt)
 		default:
@@ -137,6 +143,10 @@
 		return decodeNumbers(d, &p.Done)
 	case "failures":
 		return decodeByTask(d, &p.Failures, decodeNumbers)
+	case "dropped":
+		return decodeByTask(d, &p.Dropped, func(d *jx.Decoder, dropped *Dropped) error {
+			return decodeFields(d, func(d *jx.Decoder, key string) error { return dropped.decode(d, key) })
+		})
 	case "crashes":
 		return decodeByTask(d, &p.Crashes, func(d *jx.Decoder, crashes *[]Crash) error {
 			return decodeList(d, crashes, (*Crash).decode)
@@ -146,6 +156,17 @@
 	}
 }
 
+func (c *Dropped) decode(d *jx.Decoder, key string) error {
+	switch key {
+	case "count":
+		return decodeNumber(d, &c.Count)
+	case "last":
+		return decodeNumber(d, &c.Last)
+	default:
+		return d.Skip()
+	}
+}
+
 func (c *Crash) decode(d *jx.Decoder, key string) error {
 	switch key {
 	case "run":
@@ -231,19 +252,19 @@
 	})
 }
 
-// decodeByTask parses an object with a list for each index of a task.
-func decodeByTask[T any](d *jx.Decoder, into *map[int][]T, list func(d *jx.Decoder, into *[]T) error) error {
-	*into = make(map[int][]T)
+// decodeByTask parses an object with a value for each index of a task.
+func decodeByTask[T any](d *jx.Decoder, into *map[int]T, decode func(d *jx.Decoder, into *T) error) error {
+	*into = make(map[int]T)
 	return decodeFields(d, func(d *jx.Decoder, key string) error {
 		task, err := strconv.Atoi(key)
 		if err != nil {
 			return err
 		}
-		var elements []T
-		if err = list(d, &elements); err != nil {
+		var value T
+		if err = decode(d, &value); err != nil {
 			return err
 		}
-		(*into)[task] = elements
+		(*into)[task] = value
 		return nil
 	})
 }
--- a/coordination/job/decode_test.go
+++ b/coordination/job/decode_test.go
@@ -22,7 +22,7 @@
 		if err = json.Unmarshal(value, &want); err != nil {
 			t.Fatal(err)
 		}
-		if err = got.decode(value); err != nil || !reflect.DeepEqual(got, want) {
+		if err = got.decode(value, &storedRanges{}); err != nil || !reflect.DeepEqual(got, want) {
 			t.Errorf("%s\nread as %+v, error %v\nwant %+v", value, got, err, want)
 		}
 	})
--- a/coordination/job/decodefuzz_test.go
+++ b/coordination/job/decodefuzz_test.go
@@ -66,7 +66,7 @@
 	}
 	f.Fuzz(func(t *testing.T, value []byte) {
 		var got, want Record
-		err := got.decode(value)
+		err := got.decode(value, &storedRanges{})
 		wantErr := json.Unmarshal(value, &want)
 		if differsByDesign(value) {
 			return
@@ -80,6 +80,7 @@
 		// An empty list and none are the same, also for a task.
 		for _, p := range append(got.Progress, want.Progress...) {
 			maps.DeleteFunc(p.Failures, func(_ int, runs []int) bool { return len(runs) == 0 })
+			maps.DeleteFunc(p.Dropped, func(_ int, d Dropped) bool { return d == Dropped{} })
 			maps.DeleteFunc(p.Crashes, func(_ int, crashes []Crash) bool { return len(crashes) == 0 })
 		}
 		read, _ := json.Marshal(&got)
--- a/coordination/job/record.go
+++ b/coordination/job/record.go
@@ -1,7 +1,9 @@
 package job
 
 import (
+	"bytes"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -39,8 +41,13 @@
 	// Revision is the store's revision of the record that this one was read from or
 	// replaces; 0 means that the store has none.
 	Revision int64 `json:"-"`
+	// StoredBytes is the length of the stored record of that revision, 0 if it is not known.
+	StoredBytes int `json:"-"`
 }
 
+// ErrTooLong means that a record is longer than the store accepts.
+var ErrTooLong = errors.New("job: the record is too long")
+
 // NewTombstone returns the record of a job that was cancelled before it was stored. A write that creates
 // the job needs a key that does not exist, so that it fails while the tombstone has the key.
 func NewTombstone(id, organisation string, at time.Time) (r Record) {
@@ -63,10 +70,19 @@
 	// before it acknowledged the end, the endpoint reports the end to the next owner
 	// again.
 	Failures map[int][]int `json:"failures,omitempty"`
+	// Dropped maps the index of a task to the failed runs that Failures no longer has.
+	Dropped map[int]Dropped `json:"dropped,omitempty"`
 	// Crashes maps the index of a task to the endpoints that were lost under it.
 	Crashes map[int][]Crash `json:"crashes,omitempty"`
 }
 
+// Dropped counts failed runs of a task of which only the highest number is kept. A run that is reported again
+// with this number or a lower one counts as one of them.
+type Dropped struct {
+	Count int `json:"count"`
+	Last  int `json:"last"`
+}
+
 // Crash is the loss of an endpoint on which a young run of a task was active.
 type Crash struct {
 	// Run is the number of the run. It prevents double counting by successive owners.
@@ -94,26 +110,108 @@
 // progress of completed and failed jobs, which are no longer needed.
 func (r *Record) Encode() (value []byte, err error) {
 	defer fault.Annotate(&err, "job: encode record")
-	stored := *r
+	stored := struct {
+		Record
+		compactProgress
+	}{Record: *r}
 	if r.State == Completed || r.State == Failed {
 		stored.Spec, stored.Steps, stored.Progress = "", nil, nil
 	}
-	value, err = json.Marshal(&stored)
-	return value, err
+	if countEntries(stored.Progress) > maxPlainEntries {
+		stored.compactProgress, stored.Progress = r.compact()
+	}
+	var text bytes.Buffer
+	e := json.NewEncoder(&text)
+	// Escapes of letters that only matter in HTML would make names up to six times as long.
+	e.SetEscapeHTML(false)
+	err = e.Encode(&stored)
+	return bytes.TrimSuffix(text.Bytes(), []byte{'\n'}), err
+}
+
+// EncodeWithin is Encode for a store that accepts values up to a length. A record that is longer is stored without the
+// lost endpoints, which are only hints; the error is ErrTooLong if it still is.
+func (r *Record) EncodeWithin(limit int) (value []byte, shortened bool, err error) {
+	if value, err = r.Encode(); err != nil || len(value) <= limit {
+		return value, false, err
+	}
+	short := *r
+	short.Progress = slices.Clone(r.Progress)
+	for i := range short.Progress {
+		short.Progress[i].Crashes = nil
+	}
+	if value, err = short.Encode(); err == nil && len(value) > limit {
+		return nil, false, errors.Wrapf(ErrTooLong, "%d bytes, above %d", len(value), limit)
+	}
+	return value, true, err
+}
+
+// Bounds of what a record grows by after its job was accepted, in bytes, without lost endpoints.
+const (
+	// rangeBytes is what a task takes at most in a range, and plainBytes in a list of a step of its own.
+	rangeBytes = 6
+	plainBytes = 60
+	// recordBytes is what a record takes beside its job, and the numbers of its failed runs.
+	recordBytes = 2048
+	// maxKeptFailures and maxKeptFailuresOfJob limit the failed runs that are kept of a task and of a job.
+	maxKeptFailures      = 8
+	maxKeptFailuresOfJob = 60_000
+)
+
+// KeptFailures returns how many failed runs are kept of a task; earlier ones are only counted.
+func (j *Job) KeptFailures() (count int) {
+	tasks := 0
+	for i := range j.Steps {
+		tasks += j.Steps[i].Count
+	}
+	return max(1, min(maxKeptFailures, maxKeptFailuresOfJob/max(1, tasks*j.Occurrences())))
+}
+
+// FitsRecord reports whether a store that accepts values up to a length takes the record of a new job until its end.
+func (j *Job) FitsRecord(limit int) bool {
+	tasks, texts, dependencies := 0, len(j.Spec)+len(j.Queue)+len(j.Pool)+len(j.Organisation)+len(j.DataCentre), 0
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		tasks += s.Count
+		texts += len(s.RequiredLabel) + len(s.DataRack) + len(s.Image)
+		dependencies += len(s.DependsOn)
+	}
+	tasks *= j.Occurrences()
+	entries := 1
+	if j.MaxAttempts > 1 {
+		entries = max(1, min(j.MaxAttempts-1, j.KeptFailures()))
+		if j.MaxAttempts-1 > entries {
+			entries++
+		}
+	}
+	growth := recordBytes + tasks*entries*rangeBytes + min(tasks*entries, maxPlainEntries)*plainBytes
+	// A letter takes up to six bytes, and a step has 15 more fields of up to 40.
+	const letterBytes, stepBytes, dependencyBytes = 6, 600, 7
+	if growth+texts*letterBytes+len(j.Steps)*stepBytes+dependencies*dependencyBytes <= limit {
+		return true
+	}
+	r := Record{Job: *j, State: Queued}
+	value, err := r.Encode()
+	return err == nil && growth+len(value) <= limit
 }
 
 // Decode parses the stored record of a revision and rejects one that names steps or
 // tasks which the job does not have.
 func Decode(value []byte, revision int64) (r Record, err error) {
 	defer fault.Annotate(&err, "job: decode record")
-	if err = r.decode(value); err != nil {
+	var ranges storedRanges
+	if err = r.decode(value, &ranges); err != nil {
 		return Record{}, err
 	}
 	if err = r.validate(); err != nil {
 		return Record{}, err
 	}
+	if len(r.Steps) > 0 {
+		if err = r.expand(&ranges); err != nil {
+			return Record{}, err
+		}
+	}
 	r.Bound()
-	r.Revision = revision
+	r.Revision, r.StoredBytes = revision, len(value)
 	return r, nil
 }
 
@@ -158,6 +256,11 @@
 			return errors.Errorf("step %d has %d tasks, and task %d is said to have failed", p.Step, tasks, i)
 		}
 	}
+	for i := range p.Dropped {
+		if i < 0 || i >= tasks {
+			return errors.Errorf("step %d has %d tasks, and task %d is said to have failed", p.Step, tasks, i)
+		}
+	}
 	for i := range p.Crashes {
 		if i < 0 || i >= tasks {
 			return errors.Errorf("step %d has %d tasks, and task %d has crashes of endpoints", p.Step, tasks, i)
--- a/coordination/schedule/admit.go
+++ b/coordination/schedule/admit.go
@@ -288,38 +288,6 @@
 	b.Load(r, work)
 }
 
-// workLeft returns the expected work of a job's tasks that are due and not done.
-func (s *Scheduler) workLeft(j *jobState, now time.Time) (work admission.Amount) {
-	if e := s.keptEstimate(j, now); e != nil {
-		return e.left
-	}
-	return s.estimateWorkLeft(j, now)
-}
-
-func (s *Scheduler) estimateWorkLeft(j *jobState, now time.Time) (work admission.Amount) {
-	if due := j.untouchedDue(now); due > 0 {
-		for i := range j.Steps {
-			st := &j.Steps[i]
-			work = work.Plus(admission.AmountOf(taskSize(st), s.expected(j, i)*float64(due*st.Count), due*st.Count))
-		}
-	}
-	for _, o := range j.occurrences.items {
-		if o.dueMillis > now.UnixMilli() {
-			break
-		}
-		for _, st := range o.steps {
-			if st.complete() {
-				continue
-			}
-			left := st.left()
-			running := min(st.running, left)
-			part := float64(left-running) + s.runningPart(j, st, now)*float64(running)
-			work = work.Plus(admission.AmountOf(taskSize(st.step), s.expected(j, st.index)*part, left-running))
-		}
-	}
-	return work
-}
-
 // addSupplies sets the capacity of each pool: what is in service, and after forecastHorizon
 // what is on its way, what the spare pool has and what is idle in other pools.
 func (s *Scheduler) addSupplies(now time.Time) {
--- a/coordination/schedule/crash.go
+++ b/coordination/schedule/crash.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -105,11 +106,75 @@
 // crash stays unconfirmed until another process answers in its place.
 func (s *Scheduler) suspectRuns(e *endpoint, now time.Time) {
 	suspects := crashSuspects(e)
-	for _, r := range sortedRuns(e) {
+	for _, r := range likelySuspects(e) {
 		s.suspectRun(r, suspects, now)
 	}
 }
 
+// Bounds of the losses of endpoints that are recorded. Each is a part of the record of its job.
+const (
+	// maxSuspects limits the tasks of a job at which the loss of an endpoint is recorded.
+	maxSuspects = 64
+	// maxJobCrashes limits the losses that are recorded at the tasks of a job; the oldest one is dropped.
+	maxJobCrashes = 128
+	// maxInstanceBytes limits the name of an instance in a record.
+	maxInstanceBytes = 200
+)
+
+// likelySuspects returns the runs on an endpoint that may have crashed it, sorted by task, and of a job with many of
+// them only the last ones that were started.
+func likelySuspects(e *endpoint) (runs []*run) {
+	byJob := make(map[*jobState][]*run)
+	for _, r := range e.runs {
+		if r.mayBeSuspect() {
+			byJob[r.task.job] = append(byJob[r.task.job], r)
+		}
+	}
+	for _, own := range byJob {
+		if len(own) > maxSuspects {
+			slices.SortFunc(own, func(a, b *run) int {
+				return cmp.Or(b.startedAt.Compare(a.startedAt), cmp.Compare(a.task.name, b.task.name))
+			})
+			own = own[:maxSuspects]
+		}
+		runs = append(runs, own...)
+	}
+	slices.SortFunc(runs, func(a, b *run) int { return cmp.Compare(a.task.name, b.task.name) })
+	return runs
+}
+
+// mayBeSuspect reports whether the loss of its endpoint may be put down to a run.
+func (r *run) mayBeSuspect() bool {
+	return !r.outlived(crashWindow) && !r.task.done && !r.task.job.state.Terminal() && !r.task.hasCrash(r.number)
+}
+
+// makeRoomForCrash drops the oldest recorded loss of a job that has as many as it may.
+func (s *Scheduler) makeRoomForCrash(j *jobState, now time.Time) {
+	count := 0
+	var oldest *task
+	var at time.Time
+	for t := range s.suspectTasks {
+		if t.job != j || t.done {
+			continue
+		}
+		count += len(t.crashes)
+		for _, c := range t.crashes {
+			if oldest == nil || c.doubtUntil.Before(at) || c.doubtUntil.Equal(at) && t.name < oldest.name {
+				oldest, at = t, c.doubtUntil
+			}
+		}
+	}
+	if count < maxJobCrashes {
+		return
+	}
+	dropped := false
+	s.removeCrashes(oldest, now, func(c crash) bool {
+		first := !dropped && c.doubtUntil.Equal(at)
+		dropped = dropped || first
+		return first
+	})
+}
+
 // suspectRun records at the task of a run, unless it has run for long, that its endpoint
 // was lost, for which the jobs in suspects are the most likely cause.
 func (s *Scheduler) suspectRun(r *run, suspects map[*jobState]bool, now time.Time) {
@@ -117,11 +182,16 @@
 	if e.Draining || e.reserved() || e.replacementOrdered {
 		return
 	}
-	if r.outlived(crashWindow) || t.done || t.job.state.Terminal() || t.hasCrash(r.number) {
+	if !r.mayBeSuspect() {
 		return
 	}
+	s.makeRoomForCrash(t.job, now)
+	instance := e.Instance
+	if len(instance) > maxInstanceBytes {
+		instance = ""
+	}
 	c := crash{Crash: job.Crash{
-		Run: r.number, Endpoint: e.ID, Incarnation: e.incarnation, Instance: e.Instance,
+		Run: r.number, Endpoint: e.ID, Incarnation: e.incarnation, Instance: instance,
 		Started: r.state == confirmed, Reached: r.disconnected, Silent: e.silent, AtStart: !r.outlived(startupPeriod),
 		Sole: suspects[t.job] && len(suspects) == 1,
 	}, doubtUntil: now.Add(crashDoubt)}
--- a/coordination/schedule/endpoint.go
+++ b/coordination/schedule/endpoint.go
@@ -203,7 +203,7 @@
 func (e *endpoint) advanceLastStoredEnd() (stored []appliedEnd) {
 	e.waitsFor = nil
 	for i, end := range e.unstoredEnds {
-		if j := end.job; j != nil && j.storedVersion < end.version {
+		if j := end.job; j != nil && j.storedVersion < end.version && j.refusals < maxRefusals {
 			e.waitsFor = j
 			stored, e.unstoredEnds = e.unstoredEnds[:i], e.unstoredEnds[i:]
 			return stored
--- a/coordination/schedule/recordqueue.go
+++ b/coordination/schedule/recordqueue.go
@@ -44,7 +44,7 @@
 
 // queueRecord updates whether the record of a job waits to be stored, and whether without delay.
 func (s *Scheduler) queueRecord(j *jobState) {
-	waits := s.dirty[j.ID] == j && !j.writing
+	waits := s.dirty[j.ID] == j && !j.writing && j.retryAt.IsZero()
 	s.urgentRecords.update(j, waits && j.urgent)
 	s.delayedRecords.update(j, waits && !j.urgent)
 }
@@ -53,6 +53,7 @@
 // the others after delay has passed since their first unstored change. A returned
 // record is not returned again until ConfirmWrite or FailWrite is called for it.
 func (s *Scheduler) Writes(now time.Time, delay time.Duration, limit int) (writes []Write) {
+	s.retryRefused(now)
 	jobs := s.urgentRecords.take(limit)
 	jobs = append(jobs, s.delayedRecords.take(min(limit-len(jobs), s.delayedRecords.countUntil(now.Add(-delay))))...)
 	for _, j := range jobs {
--- a/coordination/schedule/report.go
+++ b/coordination/schedule/report.go
@@ -156,6 +156,10 @@
 		listed[l.Task] = l.Run
 	}
 	suspects, ended := crashSuspects(e), make(map[*run]bool)
+	likely := make(map[*run]bool)
+	for _, o := range likelySuspects(e) {
+		likely[o] = true
+	}
 	for _, o := range sortedRuns(e) {
 		switch {
 		case o.state == starting, o.confirmedAt.After(r.SentAt), listed[o.task.name] == o.number:
@@ -166,7 +170,9 @@
 		default:
 			ended[o] = true
 		}
-		s.suspectRun(o, suspects, r.ReceivedAt)
+		if likely[o] {
+			s.suspectRun(o, suspects, r.ReceivedAt)
+		}
 	}
 	s.endRuns(e, LossRestarted, r.ReceivedAt, func(o *run) bool { return ended[o] })
 	e.lastAppliedEnd, e.lastStoredEnd, e.unstoredEnds, e.grantedUntil = 0, 0, nil, time.Time{}
@@ -220,12 +226,13 @@
 		if t.step.LongRunning {
 			return
 		}
-		if slices.Contains(t.failures, ending.Run) {
+		if j.MaxAttempts <= 0 || t.hasFailure(ending.Run) {
+			// Without a limit nothing depends on how many there are.
 			return
 		}
-		t.failures = append(t.failures, ending.Run)
+		t.addFailure(ending.Run)
 		s.markDirty(j, now, false)
-		if j.MaxAttempts > 0 && len(t.failures) >= j.MaxAttempts {
+		if t.countFailures() >= j.MaxAttempts {
 			s.finishJob(j, job.Failed, now)
 		}
 	case EndStopped, EndLeaseExpired, EndBroken, EndAlone:
--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -64,6 +64,8 @@
 	dirty map[string]*jobState
 	// urgentRecords and delayedRecords hold those of them that are not being written.
 	urgentRecords, delayedRecords recordQueue
+	// refused holds the jobs of which a record was refused for good and is not due again.
+	refused map[*jobState]bool
 	// activeJobs holds the jobs of each pool whose state is not final, in the order in which
 	// they were added, so that sums over them do not depend on the order of a map.
 	activeJobs map[string][]*jobState
@@ -320,6 +322,8 @@
 type Write struct {
 	Record  job.Record
 	Version int
+	// Bytes is the length of the stored record. It is set before ConfirmWrite.
+	Bytes int
 }
 
 // ConfirmWrite records that a write was stored as a revision. It reports whether tasks of the
@@ -332,21 +336,15 @@
 	j.writing = false
 	widened = j.confirmDataCentre(w.Record.DataCentre)
 	j.storedVersion = max(j.storedVersion, w.Version)
-	j.storedState, j.storedRevision = w.Record.State, revision
+	j.storedState, j.storedRevision, j.storedBytes = w.Record.State, revision, w.Bytes
+	j.refusals = 0
 	if j.storedVersion == j.version {
 		delete(s.dirty, j.ID)
 		j.urgent = false
 	}
 	s.queueRecord(j)
 	s.releaseSteps(j)
-	waiting := j.endsWait
-	j.endsWait = nil
-	for _, e := range waiting {
-		if e.waitsFor == j {
-			e.waitsFor = nil
-			s.updateStoredEnds(e)
-		}
-	}
+	s.releaseEnds(j)
 	return widened
 }
 
@@ -384,96 +382,6 @@
 	s.pendingStops[r] = true
 }
 
-func sortedRuns(e *endpoint) []*run {
-	return sortedRunsWhere(e, func(*run) bool { return true })
-}
-
-// sortedRunsWhere returns the runs of an endpoint that match, in the order of the names of their tasks.
-func sortedRunsWhere(e *endpoint, matches func(r *run) bool) (runs []*run) {
-	for _, r := range e.runs {
-		if matches(r) {
-			runs = append(runs, r)
-		}
-	}
-	slices.SortFunc(runs, func(a, b *run) int { return cmp.Compare(a.task.name, b.task.name) })
-	return runs
-}
-
-// addRun adds a run that may be active to its task, its step and its endpoint.
-func (s *Scheduler) addRun(r *run) {
-	t, e := r.task, r.endpoint
-	st := t.stepState()
-	if len(t.runs) == 0 {
-		st.started++
-	}
-	t.runs = append(t.runs, r)
-	st.running++
-	st.occurrence.runs++
-	if st.step.AntiAffinity > 0 {
-		if st.byEndpoint == nil {
-			st.byEndpoint = make(map[*endpoint]int)
-		}
-		st.byEndpoint[e]++
-	}
-	s.countRun(r, 1)
-	t.job.runs++
-	t.job.used = t.job.used.Plus(r.size)
-	e.runs[t.name] = r
-	e.used = e.used.Plus(r.size)
-	if t.step.LongRunning {
-		e.usedLongRunning = e.usedLongRunning.Plus(r.size)
-	}
-	s.countStart(r)
-}
-
-// removeRun removes a run that has ended from its task, its step and its endpoint.
-func (s *Scheduler) removeRun(r *run) {
-	t, e := r.task, r.endpoint
-	st := t.stepState()
-	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == r })
-	if len(t.runs) == 0 {
-		st.started--
-	}
-	st.running--
-	st.occurrence.runs--
-	if st.byEndpoint != nil {
-		if st.byEndpoint[e]--; st.byEndpoint[e] == 0 {
-			delete(st.byEndpoint, e)
-		}
-	}
-	s.countRun(r, -1)
-	t.job.runs--
-	t.job.used = t.job.used.Minus(r.size)
-	delete(e.runs, t.name)
-	e.used = e.used.Minus(r.size)
-	if t.step.LongRunning {
-		e.usedLongRunning = e.usedLongRunning.Minus(r.size)
-	}
-	s.countEnd(r)
-}
-
-// endRun removes a run from its task and its endpoint, and calls OnRunEnd. A later run
-// of the task has a higher number, so that reports on the two are told apart.
-func (s *Scheduler) endRun(r *run, reason string, now time.Time) {
-	delete(s.pendingStops, r)
-	s.removeRun(r)
-	if r.task.job.runs == 0 {
-		r.task.job.idleSince = now
-	}
-	if len(r.task.runs) == 0 {
-		r.task.notRunningSince = now
-	}
-	r.task.lastEnd = reason
-	if s.OnRunEnd != nil {
-		s.OnRunEnd(RunEnd{
-			Job: r.task.job.ID, Task: r.task.name, Endpoint: r.endpoint.ID, Reason: reason, Run: r.number, Duration: now.Sub(r.startedAt),
-			Inferred: !EndReason(reason).reported(),
-		})
-	}
-	r.task.release()
-	s.releaseSteps(r.task.job)
-}
-
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/coordination/schedule/step.go
+++ b/coordination/schedule/step.go
@@ -130,12 +130,8 @@
 			s.restoreDone(i)
 		}
 	}
-	for i, n := range p.Failures {
-		if i < s.step.Count && !s.tasks.isClosed(i) {
-			s.task(i).failures = n
-		}
-	}
-	started := len(p.Done)+len(p.Failures) > 0
+	s.restoreFailures(p)
+	started := len(p.Done)+len(p.Failures)+len(p.Dropped) > 0
 	for i, lost := range p.Crashes {
 		if i >= s.step.Count || s.tasks.isClosed(i) {
 			continue
@@ -152,6 +148,20 @@
 	o.release(j)
 }
 
+// restoreFailures records the failed runs of the step's tasks that are not done.
+func (s *stepState) restoreFailures(p job.Progress) {
+	for i, n := range p.Failures {
+		if i < s.step.Count && !s.tasks.isClosed(i) {
+			s.task(i).failures = n
+		}
+	}
+	for i, d := range p.Dropped {
+		if i < s.step.Count && !s.tasks.isClosed(i) {
+			s.task(i).dropped = d
+		}
+	}
+}
+
 // restoreDone records that a task was done before the job was loaded.
 func (s *stepState) restoreDone(index int) {
 	if _, used := s.tasks.find(index); used {
@@ -174,7 +184,7 @@
 
 // record returns the record of the job in its current state.
 func (j *jobState) record() job.Record {
-	r := job.Record{Job: j.Job, State: j.state, EndedAt: j.endedAt, Revision: j.storedRevision}
+	r := job.Record{Job: j.Job, State: j.state, EndedAt: j.endedAt, Revision: j.storedRevision, StoredBytes: j.storedBytes}
 	for index := range j.occurrences.total {
 		o, used := j.occurrences.find(index)
 		if !used && !j.occurrences.isClosed(index) {
@@ -187,7 +197,7 @@
 			} else {
 				p.Done = allIndexes(j.Steps[i].Count)
 			}
-			if len(p.Done) > 0 || len(p.Failures) > 0 || len(p.Crashes) > 0 {
+			if len(p.Done) > 0 || len(p.Failures) > 0 || len(p.Dropped) > 0 || len(p.Crashes) > 0 {
 				r.Progress = append(r.Progress, p)
 			}
 		}
@@ -226,6 +236,12 @@
 			}
 			p.Failures[t.ref.Index] = t.failures
 		}
+		if t.dropped.Count > 0 {
+			if p.Dropped == nil {
+				p.Dropped = make(map[int]job.Dropped)
+			}
+			p.Dropped[t.ref.Index] = t.dropped
+		}
 		if len(t.crashes) > 0 && !t.done {
 			if p.Crashes == nil {
 				p.Crashes = make(map[int][]job.Crash)
--- a/coordination/schedule/task.go
+++ b/coordination/schedule/task.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"github.com/azurepoint/azurepoint/coordination/job"
@@ -16,8 +17,9 @@
 	of *stepState
 
 	done bool
-	// failures holds the numbers of the failed runs.
+	// failures holds the numbers of the last failed runs, and dropped counts the earlier ones.
 	failures []int
+	dropped  job.Dropped
 	// crashes holds the endpoints that were lost under the task since a run of it last
 	// outlived crashWindow.
 	crashes []crash
@@ -115,6 +117,26 @@
 	return c
 }
 
+// addFailure records a failed run. Earlier ones than the last few are only counted.
+func (t *task) addFailure(run int) {
+	t.failures = append(t.failures, run)
+	for most := t.job.KeptFailures(); len(t.failures) > most; {
+		t.dropped.Count++
+		t.dropped.Last = max(t.dropped.Last, t.failures[0])
+		t.failures = slices.Delete(t.failures, 0, 1)
+	}
+}
+
+// hasFailure reports whether a failed run was recorded.
+func (t *task) hasFailure(run int) bool {
+	return run <= t.dropped.Last || slices.Contains(t.failures, run)
+}
+
+// countFailures returns how many runs have failed.
+func (t *task) countFailures() int {
+	return t.dropped.Count + len(t.failures)
+}
+
 // jobState holds a job and its scheduling state.
 type jobState struct {
 	job.Job
@@ -147,9 +169,15 @@
 	// storedRevision the revision of the record there.
 	storedState    job.State
 	storedRevision int64
-	writing        bool
-	dirtySince     time.Time
-	urgent         bool
+	// storedBytes is the length of that record, 0 if it is not known.
+	storedBytes int
+	writing     bool
+	// refusals counts how often the store has refused the record for good since it was last stored, and
+	// retryAt is when it is written again after that; zero if it is not held back.
+	refusals   int
+	retryAt    time.Time
+	dirtySince time.Time
+	urgent     bool
 	// endsWait holds endpoints with ends that are acknowledged once the record is stored.
 	endsWait []*endpoint
 
@@ -180,7 +208,7 @@
 }
 
 func newJobState(r job.Record, now time.Time) *jobState {
-	j := &jobState{Job: r.Job, state: r.State, storedState: r.State, storedRevision: r.Revision, acceptedAt: time.UnixMilli(r.AcceptedAt), endedAt: r.EndedAt, started: r.State == job.Running, idleSince: now}
+	j := &jobState{Job: r.Job, state: r.State, storedState: r.State, storedRevision: r.Revision, storedBytes: r.StoredBytes, acceptedAt: time.UnixMilli(r.AcceptedAt), endedAt: r.EndedAt, started: r.State == job.Running, idleSince: now}
 	if d := now.Sub(j.acceptedAt); d < 0 || d > maxAcceptedAge {
 		j.acceptedAt = now
 	}
--- a/entry/event/event.go
+++ b/entry/event/event.go
@@ -79,6 +79,7 @@
 	GangAboveLimit     = Event{Number: 8313, Level: log.WarnLevel, Text: "gang is larger than the limit of its organisation; it waits for a higher limit"}
 	DurationsInvalid   = Event{Number: 8314, Level: log.WarnLevel, Text: "stored run times cannot be read; they are learned again"}
 	JobWidened         = Event{Number: 8315, Level: log.InfoLevel, Text: "tasks of a job may start outside its data centre"}
+	RecordRefused      = Event{Number: 8316, Level: log.ErrorLevel, Text: "the store never takes a record; it is held back apart from the others"}
 	RecordInvalid      = Event{Number: 8309, Level: log.ErrorLevel, Text: "stored record cannot be read"}
 )
 
--- a/entry/manager/creation.go
+++ b/entry/manager/creation.go
@@ -125,6 +125,9 @@
 		return c, nil
 	}
 	value, err := r.Encode()
+	if err == nil && rw.maxValueBytes > 0 && len(value) > rw.maxValueBytes {
+		err = job.ErrTooLong
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/entry/manager/endpointrecords.go
+++ b/entry/manager/endpointrecords.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"slices"
 
 	"github.com/apex/log"
 	"github.com/go-faster/errors"
@@ -105,18 +106,22 @@
 	return e, err
 }
 
-// save stores groups of endpoints.
-func (r *endpointRecords) save(ctx context.Context, s store.Store, owner store.Condition, groups map[int][]schedule.Endpoint) (err error) {
+// save stores groups of endpoints. Limit is the longest value that the store accepts.
+func (r *endpointRecords) save(ctx context.Context, s store.Store, owner store.Condition, groups map[int][]schedule.Endpoint, limit int) (err error) {
 	var writes []ownedWrite
 	for i, endpoints := range groups {
-		value, err := json.Marshal(endpoints)
+		value, err := encodeEndpoints(endpoints, limit)
 		if err != nil {
 			return err
 		}
 		writes = append(writes, ownedWrite{ownedRecord: &r.groups[i], value: value})
 	}
 	for len(writes) > 0 {
-		n := min(maxOwnedWrites, len(writes))
+		n, size := 1, len(writes[0].value)
+		for n < min(maxOwnedWrites, len(writes)) && size+len(writes[n].value) <= maxCommitBytes {
+			size += len(writes[n].value)
+			n++
+		}
 		if err = saveOwned(ctx, s, owner, writes[:n]); err != nil {
 			return err
 		}
@@ -125,6 +130,20 @@
 	return nil
 }
 
+// encodeEndpoints returns the stored form of a group. Labels, of which an endpoint may have many long ones, are left out
+// if they make it longer than the store accepts: an owner reads them from the list again.
+func encodeEndpoints(endpoints []schedule.Endpoint, limit int) (value []byte, err error) {
+	value, err = json.Marshal(endpoints)
+	if err != nil || len(value) <= limit {
+		return value, err
+	}
+	short := slices.Clone(endpoints)
+	for i := range short {
+		short[i].Labels = nil
+	}
+	return json.Marshal(short)
+}
+
 // removePrevious removes the record of a previous release, whose endpoints are stored in
 // groups.
 func (r *endpointRecords) removePrevious(ctx context.Context, s store.Store, owner store.Condition) (err error) {
--- a/entry/manager/list.go
+++ b/entry/manager/list.go
@@ -161,7 +161,7 @@
 
 // storeEndpoints stores groups of endpoints and passes the new ones to the scheduler.
 func (m *Manager) storeEndpoints(ctx context.Context, groups map[int][]schedule.Endpoint) (err error) {
-	if err = m.endTermIfOver(m.endpointRecords.save(ctx, m.Store, m.Term.Owner, groups)); err != nil {
+	if err = m.endTermIfOver(m.endpointRecords.save(ctx, m.Store, m.Term.Owner, groups, m.Settings.ValueLimit())); err != nil {
 		return err
 	}
 	if m.endpointRecords.previous.revision > 0 {
--- a/entry/manager/manager.go
+++ b/entry/manager/manager.go
@@ -157,7 +157,7 @@
 	m.scheduler.OnEndStored = func(readAt time.Time) { meter.RecordSince("recordLag", readAt) }
 	m.recordWriter = &recordWriter{
 		store: m.Store, owner: m.Term.Owner, due: m.dueWrites, stored: m.recordsStored, failed: m.recordFailed,
-		created: m.jobCreated, exists: m.adoptRecord, lost: m.endTerm,
+		refused: m.recordRefused, created: m.jobCreated, exists: m.adoptRecord, lost: m.endTerm, maxValueBytes: m.Settings.ValueLimit(),
 		creations: make(map[string]*creation), wake: make(chan struct{}, 1), over: make(chan struct{}),
 	}
 	ended := make(chan error, 1)
@@ -319,17 +319,29 @@
 	due := m.scheduler.Writes(time.Now(), delay, limit)
 	m.mu.Unlock()
 	for _, w := range due {
-		value, err := w.Record.Encode()
+		value, shortened, err := w.Record.EncodeWithin(m.Settings.ValueLimit())
 		if err != nil {
-			event.RecordInvalid.Log(log.Fields{"job": w.Record.ID, "error": err.Error()})
-			m.recordFailed(w)
+			m.recordRefused(w, err)
 			continue
 		}
+		if shortened {
+			meter.Count("records.shortened")
+		}
+		w.Bytes = len(value)
 		writes = append(writes, &recordWrite{Write: w, value: value})
 	}
 	return writes
 }
 
+// recordRefused holds back a record that cannot be stored as it is.
+func (m *Manager) recordRefused(w schedule.Write, err error) {
+	meter.Count("records.refused")
+	event.RecordRefused.Log(log.Fields{"job": w.Record.ID, "error": err.Error()})
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.scheduler.RefuseWrite(w.Record.ID, time.Now())
+}
+
 // recordsStored passes on that records were stored as a revision. It takes the lock once for
 // all, because each wait for it is one for plans and reports.
 func (m *Manager) recordsStored(writes []schedule.Write, revision int64) {
--- a/entry/manager/recordwriter.go
+++ b/entry/manager/recordwriter.go
@@ -43,6 +43,12 @@
 	// transaction.
 	minCommitRetryDelay = 30 * time.Millisecond
 	maxCommitRetryDelay = 300 * time.Millisecond
+	// maxCommitBytes is the length of the records of a transaction, those that it replaces included, above
+	// which it has no second one: the answer to a condition that does not hold has all of them.
+	maxCommitBytes = 256 << 10
+	// commitBytesPerSecond is how much of a transaction a slow link carries in the time that is added to
+	// commitTimeout.
+	commitBytesPerSecond = 512 << 10
 	// refuseAfter is how long a new job waits for a store that rejects it before its
 	// caller is told to retry later: a quarter of the shortest objective.
 	refuseAfter = 450 * time.Millisecond
@@ -73,6 +79,10 @@
 	// stored and failed are called with the results of writes of known jobs.
 	stored func(writes []schedule.Write, revision int64)
 	failed func(w schedule.Write)
+	// refused is called for the write of a known job that the store refuses for good.
+	refused func(w schedule.Write, err error)
+	// maxValueBytes is the longest value that the store accepts.
+	maxValueBytes int
 	// created is called for a new job that was stored. exists is called for one that was
 	// already in the store and reports whether it is a job.
 	created func(r job.Record, cancelled bool)
@@ -157,7 +167,7 @@
 				next.Reset(minCommitInterval)
 				break
 			}
-			batch := pending[:min(writesPerCommit, len(pending))]
+			batch := pending[:batchSize(pending)]
 			pending = append([]*recordWrite(nil), pending[len(batch):]...)
 			inFlight++
 			lastCommit = time.Now()
@@ -184,6 +194,22 @@
 	}
 }
 
+// batchSize returns how many of the pending writes share the next transaction.
+func batchSize(pending []*recordWrite) (count int) {
+	size := 0
+	for ; count < min(writesPerCommit, len(pending)); count++ {
+		if size += pending[count].size(); size > maxCommitBytes && count > 0 {
+			break
+		}
+	}
+	return count
+}
+
+// size returns what the write adds to a transaction, or to the answer that shows the present records.
+func (w *recordWrite) size() int {
+	return max(len(w.value), w.Record.StoredBytes)
+}
+
 // waitsForMore reports whether pending writes wait for others to share a transaction with.
 func waitsForMore(pending, inFlight int, lastCommit time.Time) bool {
 	return pending < writesPerCommit && (inFlight >= maxPartialCommits || inFlight > 0 && time.Since(lastCommit) < minCommitInterval)
@@ -231,14 +257,16 @@
 		return nil
 	}
 	t := store.Transaction{Conditions: []store.Condition{rw.owner}}
+	size := 0
 	for _, w := range batch {
+		size += w.size()
 		t.Conditions = append(t.Conditions, store.Condition{Key: w.key(), Revision: w.Record.Revision})
 		t.Puts = append(t.Puts, store.Put{Key: w.key(), Value: w.value})
 	}
-	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, commitTimeout+time.Duration(size)*time.Second/commitBytesPerSecond)
 	defer cancel()
 	defer meter.RecordSince("commit", time.Now())
-	revision, err := rw.store.Commit(ctx, t)
+	revision, err := rw.store.Commit(callCtx, t)
 	var conflict *store.ConflictError
 	switch {
 	case err == nil:
@@ -246,6 +274,8 @@
 		return nil
 	case errors.As(err, &conflict):
 		return rw.resolveConflict(batch, conflict.Current)
+	case errors.Is(err, store.ErrInvalid):
+		return rw.resolveRefusal(ctx, batch, err)
 	case !errors.Is(err, store.ErrRejected):
 		for _, w := range batch {
 			w.uncertain = true
@@ -257,6 +287,25 @@
 	return batch
 }
 
+// resolveRefusal finds the writes for which the store refuses a transaction whenever it is sent, and returns those that
+// have to be repeated. The others of the batch are stored without them.
+func (rw *recordWriter) resolveRefusal(ctx context.Context, batch []*recordWrite, err error) (remaining []*recordWrite) {
+	if half := len(batch) / 2; half > 0 {
+		return append(rw.commit(ctx, batch[:half]), rw.commit(ctx, batch[half:])...)
+	}
+	w := batch[0]
+	switch {
+	case w.creation == nil:
+		rw.refused(w.Write, err)
+	case w.uncertain:
+		rw.finishCreation(w, Unsettled)
+	default:
+		meter.Count("refusals.record")
+		rw.finishCreation(w, Refused)
+	}
+	return nil
+}
+
 // resolveConflict compares a batch with the stored items after a condition did not
 // hold, and returns the writes that have to be repeated.
 func (rw *recordWriter) resolveConflict(batch []*recordWrite, current map[string]store.Item) (remaining []*recordWrite) {
@@ -312,7 +361,7 @@
 			continue
 		}
 		r := w.Record
-		r.Revision = revision
+		r.Revision, r.StoredBytes = revision, len(w.value)
 		rw.created(r, rw.isCancelled(w.creation))
 		rw.finishCreation(w, Accepted)
 	}
--- a/entry/manager/settings.go
+++ b/entry/manager/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/azurepoint/azurepoint/coordination/schedule"
+	"github.com/azurepoint/azurepoint/entry/store"
 )
 
 // Settings are the settings of a manager that depend on the platform.
@@ -31,6 +32,17 @@
 	// possible, unless WideJobs is set.
 	DataCentreLosses int
 	WideJobs         bool
+	// MaxValueBytes is the longest value that the store accepts; store.DefaultMaxValueBytes if it is not
+	// positive.
+	MaxValueBytes int
+}
+
+// ValueLimit returns the longest value that the store accepts, in bytes.
+func (s Settings) ValueLimit() int {
+	if s.MaxValueBytes <= 0 {
+		return store.DefaultMaxValueBytes
+	}
+	return s.MaxValueBytes
 }
 
 // Leases, timeouts and intervals.
--- a/entry/node/requests.go
+++ b/entry/node/requests.go
@@ -46,6 +46,9 @@
 	pendingCountTTL = 1500 * time.Millisecond
 	// refusedRetryDelay is when a caller may retry a job that was not stored.
 	refusedRetryDelay = time.Second
+	// unstorableRetryDelay is when a caller may retry a job that the store refuses for good; only another
+	// limit of the store can change that.
+	unstorableRetryDelay = time.Minute
 	// ownerStorePatience is how long an owner that has lost the store keeps new jobs: a
 	// single call that was rejected or has no answer is no reason to send them elsewhere.
 	ownerStorePatience = 100 * time.Millisecond
@@ -151,11 +154,29 @@
 	}
 }
 
+// refusalByStore returns the refusal of a job that the store never takes, or whose key it has for another one; the
+// transaction is conditional if it creates the record.
+func refusalByStore(err error, j job.Job, s settlement, conditional bool) (r manager.Reply, refused bool) {
+	var conflict *store.ConflictError
+	switch {
+	case errors.Is(err, store.ErrInvalid) && !s.mayBeStored:
+		meter.Count("refusals.record")
+		return manager.Reply{Outcome: manager.Refused, RetryAfter: unstorableRetryDelay, Reason: "the store never takes the record of the job"}, true
+	case errors.As(err, &conflict) && conditional:
+		return refusalByRecord(conflict.Current[manager.JobKey(j.ID)], j)
+	default:
+		return manager.Reply{}, false
+	}
+}
+
 // storeDirectly stores a job with an inbox mark, so that the owner adopts it.
 func (n *Node) storeDirectly(ctx context.Context, j job.Job, s settlement, refuseAt time.Time) (r manager.Reply) {
 	record := job.Record{Job: j, State: job.Queued}
 	record.DataCentre = ""
 	value, err := record.Encode()
+	if err == nil && len(value) > n.managerSettings().ValueLimit() {
+		err = job.ErrTooLong
+	}
 	if err != nil {
 		return manager.Reply{Outcome: s.outcome(), RetryAfter: refusedRetryDelay, Reason: err.Error()}
 	}
@@ -176,11 +197,8 @@
 		if a == storeCommitted {
 			return manager.Reply{Outcome: manager.Accepted}
 		}
-		var conflict *store.ConflictError
-		if errors.As(err, &conflict) && len(t.Conditions) > 0 {
-			if r, refused := refusalByRecord(conflict.Current[manager.JobKey(j.ID)], j); refused {
-				return r
-			}
+		if r, refused := refusalByStore(err, j, s, len(t.Conditions) > 0); refused {
+			return r
 		}
 		if a == storeFound && len(t.Conditions) > 0 {
 			// The stored record is of the same job. Its writer may have given it up
@@ -362,6 +380,11 @@
 	return count, err
 }
 
+// FitsRecord reports whether the store takes the record of a new job until its end.
+func (n *Node) FitsRecord(j *job.Job) bool {
+	return j.FitsRecord(n.managerSettings().ValueLimit())
+}
+
 // KnownPool reports whether the pool is configured.
 func (n *Node) KnownPool(name string) bool {
 	c := n.configuration.Load()
--- a/entry/node/settlement.go
+++ b/entry/node/settlement.go
@@ -132,7 +132,7 @@
 		return storeCommitted
 	case errors.As(err, &conflict):
 		return storeFound
-	case errors.Is(err, store.ErrRejected):
+	case errors.Is(err, store.ErrRejected), errors.Is(err, store.ErrInvalid):
 		return storeRejected
 	default:
 		return storeUnanswered
--- a/entry/standin/store.go
+++ b/entry/standin/store.go
@@ -191,6 +191,11 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.beginCall()
+		for _, p := range t.Puts {
+			if len(p.Value) > store.DefaultMaxValueBytes {
+				return store.ErrInvalid
+			}
+		}
 		committed, err = s.commit(t)
 		return err
 	})
--- a/entry/store/store.go
+++ b/entry/store/store.go
@@ -11,6 +11,9 @@
 var (
 	// ErrRejected means that the store rejected the call and changed nothing.
 	ErrRejected = errors.New("store: call rejected")
+	// ErrInvalid means that the store changed nothing and refuses the call whenever it is repeated, as one
+	// with a value above its limit.
+	ErrInvalid = errors.New("store: call refused for good")
 	// ErrNoAnswer means that no answer was received: a write may have been applied, or
 	// may still be applied while its conditions hold.
 	ErrNoAnswer = errors.New("store: no answer")
@@ -56,6 +59,9 @@
 	Removes    []string
 }
 
+// DefaultMaxValueBytes is the length of a value that a store accepts if its limit is not known.
+const DefaultMaxValueBytes = 1 << 20
+
 // MaxTransactionOps bounds the sum of conditions, puts and removes in a transaction.
 const MaxTransactionOps = 32
 
