--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -41,8 +41,7 @@
 	// Term is the number of the owner's term. ConfinedSince is the first term from which on
 	// all owners have kept the tasks of confined jobs in their data centres.
 	Term, ConfinedSince int64
-	// MaxStarts limits the starts of one plan; 0 means any number. A gang and the tasks of one
-	// job may exceed it.
+	// MaxStarts limits the starts of one plan; 0 means any number. Only a gang may exceed it.
 	MaxStarts int
 	// LearnedSizes sizes pools by learned run times, unless MeanDurations is set.
 	LearnedSizes bool
