Count only the occurrences in use in the cost of estimates

Timed jobs of a few steps counted with up to 65 occurrences, so that their estimates were kept instead of made when they are needed. Only occurrences in use have an estimate.

--- a/coordination/schedule/estimate.go
+++ b/coordination/schedule/estimate.go
@@ -14,6 +14,8 @@
 	maxExactCost    = 1024
 	maxExactJobCost = 16
 	tasksPerCost    = 16
+	// costInterval is how often the cost of all unfinished jobs is summed up.
+	costInterval = 100 * time.Millisecond
 	// estimateInterval is the time in which one unit of the kept estimates is made again, so that they take
 	// a twentieth of the owner's time at most, and maxEstimateCredit how many units one plan makes again at
 	// least.
@@ -35,8 +37,9 @@
 
 // keptEstimates are the estimates of jobs with many steps or tasks, which are made again in turn.
 type keptEstimates struct {
-	// cost is that of all unfinished jobs.
-	cost int
+	// cost is that of all unfinished jobs as of costAt, with the jobs that were added since.
+	cost   int
+	costAt time.Time
 	// queue holds the jobs with kept estimates, that with the oldest one first.
 	queue []*jobState
 	// credit is how many units may be made again as of creditAt.
@@ -44,18 +47,37 @@
 	creditAt time.Time
 }
 
-// costOf returns the cost of an estimate of a job.
+// costOf returns the cost of an estimate of one occurrence of a job.
 func costOf(j *jobState) (cost int) {
 	tasks := 0
 	for i := range j.Steps {
 		tasks += j.Steps[i].Count
 	}
-	return (len(j.Steps) + tasks/tasksPerCost) * min(j.Occurrences(), maxWaitingOccurrences+1)
+	return len(j.Steps) + tasks/tasksPerCost
+}
+
+// estimateCost returns the cost of an estimate of the job, of which the occurrences in use count.
+func (j *jobState) estimateCost() (cost int) {
+	return j.cost * max(1, len(j.occurrences.items))
+}
+
+// updateCost sums up the cost of all unfinished jobs.
+func (s *Scheduler) updateCost(now time.Time) {
+	k := &s.estimates
+	if now.Sub(k.costAt) < costInterval {
+		return
+	}
+	k.cost, k.costAt = 0, now
+	for _, jobs := range s.activeJobs {
+		for _, j := range jobs {
+			k.cost += j.estimateCost()
+		}
+	}
 }
 
 // keptEstimate returns the kept estimate of a job, or nil if its estimates are made when they are needed.
 func (s *Scheduler) keptEstimate(j *jobState, now time.Time) *estimate {
-	if j.cost <= maxExactJobCost || s.estimates.cost <= maxExactCost {
+	if s.estimates.cost <= maxExactCost || j.estimateCost() <= maxExactJobCost {
 		return nil
 	}
 	if j.estimate == nil {
@@ -76,6 +98,7 @@
 
 // refreshEstimates makes the oldest of the kept estimates again.
 func (s *Scheduler) refreshEstimates(now time.Time) {
+	s.updateCost(now)
 	k := &s.estimates
 	if len(k.queue) == 0 {
 		return
@@ -94,7 +117,7 @@
 			continue
 		}
 		s.makeEstimate(j, now)
-		k.credit -= j.cost
+		k.credit -= j.estimateCost()
 		k.queue = append(k.queue, j)
 	}
 }
--- a/coordination/schedule/scheduler.go
+++ b/coordination/schedule/scheduler.go
@@ -206,7 +206,7 @@
 	s.addedJobs++
 	j.number = s.addedJobs
 	s.activeJobs[j.Pool] = append(s.activeJobs[j.Pool], j)
-	s.estimates.cost += j.cost
+	s.estimates.cost += j.estimateCost()
 	s.smallLongRunning += smallLongRunning(&j.Job)
 	s.addToRanking(j)
 	if !inherited {
@@ -293,7 +293,6 @@
 	i, found := slices.BinarySearchFunc(jobs, j.number, func(o *jobState, number int64) int { return cmp.Compare(o.number, number) })
 	if found {
 		s.activeJobs[j.Pool] = slices.Delete(jobs, i, i+1)
-		s.estimates.cost -= j.cost
 		s.smallLongRunning -= smallLongRunning(&j.Job)
 	}
 }
--- a/coordination/schedule/task.go
+++ b/coordination/schedule/task.go
@@ -190,7 +190,7 @@
 	// onTime, late or tooLate.
 	remainingWork float64
 	lateness      int
-	// cost is that of an estimate, and estimate the one that is kept, or nil.
+	// cost is that of an estimate of one occurrence, and estimate the one that is kept, or nil.
 	cost     int
 	estimate *estimate
 	// expectations caches the expected durations of the steps.
