--- a/coordination/schedule/estimate.go
+++ b/coordination/schedule/estimate.go
@@ -18,7 +18,7 @@
 	costInterval = 100 * time.Millisecond
 	// estimateInterval is the time in which one unit of the kept estimates is made again, so that they take
 	// a twentieth of the owner's time at most, and maxEstimateCredit how many units one plan makes again at
-	// least.
+	// most, beside the rest of a job.
 	estimateInterval  = 20 * time.Microsecond
 	maxEstimateCredit = 2048
 )
